Add the design, the peer protocol and the settings tree

Cause: there was no code. The peer protocol, the settings records and the transport come first because every other module depends on them.

Change: design page and glossary, Cap'n Proto schema with typed message classes, framed peer connections that replace silent streams, client of the object API, checked settings.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+WORKERS ?= 8
+
+.PHONY: setup test demo bench lint format clean
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev,experiment]'
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest -n $(WORKERS)
+
+demo: $(STAMP)
+	$(BIN)/python examples/demo.py
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/src/sesameknot/apps/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points, one module per binary."""
--- /dev/null
+++ b/src/sesameknot/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that act together with other hosts."""
--- /dev/null
+++ b/src/sesameknot/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- /dev/null
+++ b/src/sesameknot/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions that take a clock and a random generator."""
--- /dev/null
+++ b/src/sesameknot/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and objects, and their encodings."""
--- /dev/null
+++ b/src/sesameknot/protocol/_claims.py
@@ -0,0 +1,73 @@
+"""Messages of the claim tables."""
+
+from dataclasses import dataclass, field
+
+from sesameknot.protocol._message_registry import message
+from sesameknot.protocol._records import ClaimEntry, ObjectRecord
+
+
+@message("claimWrite")
+@dataclass(slots=True, kw_only=True)
+class ClaimWrite:
+    """Claim a key for a claimant unless it is taken."""
+
+    table: str = ""
+    key: str = ""
+    claimant: str = ""
+    value: bytes = b""
+    roster_version: int = 0
+
+
+@message("claimRead")
+@dataclass(slots=True, kw_only=True)
+class ClaimRead:
+    """Read the entry of a key."""
+
+    table: str = ""
+    key: str = ""
+    roster_version: int = 0
+
+
+@message("claimSettle")
+@dataclass(slots=True, kw_only=True)
+class ClaimSettle:
+    """Change the state of a claim; only its claimant may."""
+
+    table: str = ""
+    key: str = ""
+    claimant: str = ""
+    state: str = ""
+    value: bytes = b""
+    roster_version: int = 0
+
+
+@message("claimReply")
+@dataclass(slots=True, kw_only=True)
+class ClaimReply:
+    """``status`` is accepted, exists, absent, fenced, inactive, lost or refused."""
+
+    status: str = ""
+    state: str = ""
+    claimant: str = ""
+    value: bytes = b""
+    roster_version: int = 0
+
+
+@message("claimSync")
+@dataclass(slots=True, kw_only=True)
+class ClaimSync:
+    """Ask for the claims that the requester owns under a roster."""
+
+    host_id: str = ""
+    roster_version: int = 0
+    roster: ObjectRecord = field(default_factory=ObjectRecord)
+
+
+@message("claimSyncReply")
+@dataclass(slots=True, kw_only=True)
+class ClaimSyncReply:
+    """Claims that the requester owns; ``ready`` is false while the peer lacks them."""
+
+    ready: bool = False
+    roster_version: int = 0
+    entries: list[ClaimEntry] = field(default_factory=list)
--- /dev/null
+++ b/src/sesameknot/protocol/_records.py
@@ -0,0 +1,108 @@
+"""Records that several messages carry."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, kw_only=True)
+class MemberInfo:
+    """One host as membership knows it; the highest (incarnation, sequence) wins."""
+
+    host_id: str = ""
+    address: str = ""
+    http_address: str = ""
+    region: str = ""
+    domain: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+    state: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class ObjectRecord:
+    """One platform object at one version; ``value`` is JSON."""
+
+    key: str = ""
+    version: int = 0
+    value: bytes = b""
+    deleted: bool = False
+    write_id: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class ObjectVersion:
+    """The version of an object that a host holds."""
+
+    key: str = ""
+    version: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimEntry:
+    """One entry of a claim table."""
+
+    table: str = ""
+    key: str = ""
+    claimant: str = ""
+    state: str = ""
+    value: bytes = b""
+    age_ms: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class EndpointReport:
+    """Load and state of an endpoint; ``state`` is cold, warm, leaving or down."""
+
+    endpoint_id: str = ""
+    state: str = ""
+    running_count: int = 0
+    queued_count: int = 0
+    capacity_count: int = 0
+    versions: list[str] = field(default_factory=list)
+    prefix_hashes: list[int] = field(default_factory=list)
+    age_ms: int = 0
+    sequence: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class BillRecord:
+    """One bill; ``outcome`` is answered or unknown."""
+
+    bill_id: str = ""
+    request_id: str = ""
+    customer: str = ""
+    service: str = ""
+    model: str = ""
+    version: str = ""
+    endpoint_id: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    cost_microunits: int = 0
+    outcome: str = ""
+    wall_ms: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class VersionStats:
+    """Counters of one version since a router started."""
+
+    team: str = ""
+    model: str = ""
+    version: str = ""
+    request_count: int = 0
+    error_count: int = 0
+    rating_count: int = 0
+    rating_sum: float = 0.0
+    rating_square_sum: float = 0.0
+    caller_count: int = 0
+    cost_microunits: int = 0
+    first_token_ms_sum: float = 0.0
+    first_token_count: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class CrashCount:
+    """Endpoints that a request fingerprint took down."""
+
+    fingerprint: int = 0
+    endpoint_ids: list[str] = field(default_factory=list)
+    age_ms: int = 0
--- /dev/null
+++ b/src/sesameknot/protocol/_stats.py
@@ -0,0 +1,24 @@
+"""Messages that collect counters."""
+
+from dataclasses import dataclass, field
+
+from sesameknot.protocol._message_registry import message
+from sesameknot.protocol._records import VersionStats
+
+
+@message("statsRequest")
+@dataclass(slots=True, kw_only=True)
+class StatsRequest:
+    """Ask for counters per version."""
+
+    requester: str = ""
+
+
+@message("statsReply")
+@dataclass(slots=True, kw_only=True)
+class StatsReply:
+    """Counters per version of one router."""
+
+    host_id: str = ""
+    incarnation: int = 0
+    versions: list[VersionStats] = field(default_factory=list)
--- /dev/null
+++ b/src/sesameknot/protocol/codec.py
@@ -0,0 +1,135 @@
+"""Encode and decode envelopes with Cap'n Proto."""
+
+import dataclasses
+import functools
+import re
+import types
+import typing
+from dataclasses import dataclass
+from importlib import resources
+from typing import Any
+
+import capnp
+
+import sesameknot.protocol.messages  # noqa: F401 - fills the registry
+from sesameknot.errors import FrameError
+from sesameknot.protocol._message_registry import FIELD_BY_CLASS, MESSAGES
+
+capnp.remove_import_hook()
+
+# Cap'n Proto counts traversed words of 8 bytes; this bounds the work of one frame.
+TRAVERSAL_LIMIT_WORDS = 1_000_000
+NESTING_LIMIT = 16
+
+_SCHEMA = capnp.load(
+    str(resources.files("sesameknot.protocol").joinpath("schema/peer.capnp"))
+)
+
+
+@dataclass(slots=True)
+class Envelope:
+    """One message with its call id and sender.
+
+    Parameters
+    ----------
+    call_id : int
+        Identifier of the call on its connection.
+    sender : str
+        Host id of the sender.
+    body : object
+        A message class instance.
+    is_reply : bool, default=False
+        Whether this answers the call ``call_id``.
+    """
+
+    call_id: int
+    sender: str
+    body: Any
+    is_reply: bool = False
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the packed bytes of ``envelope``."""
+    field_name = FIELD_BY_CLASS[type(envelope.body)]
+    content = {
+        "callId": envelope.call_id,
+        "sender": envelope.sender,
+        "isReply": envelope.is_reply,
+        field_name: _to_plain(envelope.body),
+    }
+    return _SCHEMA.Envelope.new_message(**content).to_bytes_packed()
+
+
+def decode(data: bytes, *, peer: str = "") -> Envelope:
+    """Return the envelope in ``data``.
+
+    Raises
+    ------
+    FrameError
+        If ``data`` is not a valid envelope.
+    """
+    try:
+        reader = _SCHEMA.Envelope.from_bytes_packed(
+            data,
+            traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
+            nesting_limit=NESTING_LIMIT,
+        )
+        field_name = str(reader.which())
+        body = _read(getattr(reader, field_name), MESSAGES.get(field_name))
+        return Envelope(reader.callId, reader.sender, body, reader.isReply)
+    except (capnp.KjException, ValueError, RuntimeError, UnicodeDecodeError) as error:
+        raise FrameError(
+            f"malformed message of {len(data)} bytes: {error}",
+            step="decode",
+            peer=peer,
+        ) from error
+
+
+@functools.cache
+def _field_names(cls: type) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (f.name, re.sub(r"_(\w)", lambda m: m.group(1).upper(), f.name))
+        for f in dataclasses.fields(cls)
+    )
+
+
+@functools.cache
+def _readers(cls: type) -> tuple[tuple[str, str, str, type], ...]:
+    hints = typing.get_type_hints(cls)
+    plans = []
+    for name, wire_name in _field_names(cls):
+        hint = hints[name]
+        if isinstance(hint, types.GenericAlias):
+            (item,) = typing.get_args(hint)
+            kind = "records" if dataclasses.is_dataclass(item) else "list"
+            plans.append((name, wire_name, kind, item))
+        else:
+            kind = "record" if dataclasses.is_dataclass(hint) else "value"
+            plans.append((name, wire_name, kind, hint))
+    return tuple(plans)
+
+
+def _to_plain(value: Any) -> Any:
+    if isinstance(value, list):
+        return [_to_plain(item) for item in value]
+    if dataclasses.is_dataclass(value):
+        return {
+            wire_name: _to_plain(getattr(value, name))
+            for name, wire_name in _field_names(type(value))
+        }
+    return value
+
+
+def _read(reader: Any, cls: type) -> Any:
+    values = {}
+    for name, wire_name, kind, item in _readers(cls):
+        raw = getattr(reader, wire_name)
+        if kind == "value":
+            values[name] = raw
+        elif kind == "list":
+            values[name] = list(raw)
+        elif kind == "record":
+            values[name] = _read(raw, item)
+        else:
+            values[name] = [_read(entry, item) for entry in raw]
+    return cls(**values)
--- /dev/null
+++ b/src/sesameknot/protocol/messages.py
@@ -0,0 +1,87 @@
+"""Typed messages between the system's own processes."""
+
+from sesameknot.protocol._bills import (
+    BillConfirm,
+    BillReplicate,
+)
+from sesameknot.protocol._claims import (
+    ClaimRead,
+    ClaimReply,
+    ClaimSettle,
+    ClaimSync,
+    ClaimSyncReply,
+    ClaimWrite,
+)
+from sesameknot.protocol._grants import (
+    EndpointNotice,
+    GrantReply,
+    GrantRequest,
+    GrantRevoke,
+)
+from sesameknot.protocol._membership import (
+    Ack,
+    IndirectAck,
+    IndirectPing,
+    MembersReply,
+    MembersRequest,
+    Ping,
+)
+from sesameknot.protocol._objects import (
+    ObjectPush,
+    ObjectSync,
+    ObjectSyncReply,
+)
+from sesameknot.protocol._outcome import (
+    Done,
+    Failure,
+)
+from sesameknot.protocol._records import (
+    BillRecord,
+    ClaimEntry,
+    CrashCount,
+    EndpointReport,
+    MemberInfo,
+    ObjectRecord,
+    ObjectVersion,
+    VersionStats,
+)
+from sesameknot.protocol._stats import (
+    StatsReply,
+    StatsRequest,
+)
+
+__all__ = [
+    "Ack",
+    "BillConfirm",
+    "BillRecord",
+    "BillReplicate",
+    "ClaimEntry",
+    "ClaimRead",
+    "ClaimReply",
+    "ClaimSettle",
+    "ClaimSync",
+    "ClaimSyncReply",
+    "ClaimWrite",
+    "CrashCount",
+    "Done",
+    "EndpointNotice",
+    "EndpointReport",
+    "Failure",
+    "GrantReply",
+    "GrantRequest",
+    "GrantRevoke",
+    "IndirectAck",
+    "IndirectPing",
+    "MemberInfo",
+    "MembersReply",
+    "MembersRequest",
+    "ObjectPush",
+    "ObjectRecord",
+    "ObjectSync",
+    "ObjectSyncReply",
+    "ObjectVersion",
+    "Ping",
+    "StatsReply",
+    "StatsRequest",
+    "VersionStats",
+]
--- /dev/null
+++ b/src/sesameknot/router/__init__.py
@@ -0,0 +1,1 @@
+"""The request path."""
--- /dev/null
+++ b/src/sesameknot/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings: the operators tree and those of each process."""
--- /dev/null
+++ b/src/sesameknot/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tables in memory; no input or output."""
--- /dev/null
+++ b/src/sesameknot/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: peer connections, the platform's object API and endpoint calls."""
--- /dev/null
+++ b/src/sesameknot/transport/_framing.py
@@ -0,0 +1,59 @@
+"""Length-prefixed frames over a tornado stream."""
+
+import struct
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from sesameknot.errors import FrameError, TransportError
+
+FRAME_LIMIT_BYTES = 1_500_000
+_LENGTH = struct.Struct("!I")
+
+
+async def read_frame(stream: IOStream, *, peer: str) -> bytes:
+    """Return the next frame's payload.
+
+    Raises
+    ------
+    FrameError
+        If the frame is empty or longer than ``FRAME_LIMIT_BYTES``.
+    TransportError
+        If the stream closes.
+    """
+    try:
+        (size_bytes,) = _LENGTH.unpack(await stream.read_bytes(_LENGTH.size))
+        if not 0 < size_bytes <= FRAME_LIMIT_BYTES:
+            raise FrameError(
+                f"frame of {size_bytes} bytes, expected 1 to {FRAME_LIMIT_BYTES}",
+                step="read_frame",
+                peer=peer,
+            )
+        return await stream.read_bytes(size_bytes)
+    except StreamClosedError as error:
+        raise TransportError("connection closed", step="read_frame", peer=peer) from (
+            error
+        )
+
+
+async def write_frame(stream: IOStream, payload: bytes, *, peer: str) -> None:
+    """Send one frame.
+
+    Raises
+    ------
+    FrameError
+        If ``payload`` is longer than ``FRAME_LIMIT_BYTES``.
+    TransportError
+        If the stream closes.
+    """
+    if len(payload) > FRAME_LIMIT_BYTES:
+        raise FrameError(
+            f"frame of {len(payload)} bytes, expected at most {FRAME_LIMIT_BYTES}",
+            step="write_frame",
+            peer=peer,
+        )
+    try:
+        await stream.write(_LENGTH.pack(len(payload)) + payload)
+    except StreamClosedError as error:
+        raise TransportError("connection closed", step="write_frame", peer=peer) from (
+            error
+        )
--- /dev/null
+++ b/src/sesameknot/transport/peer_client.py
@@ -0,0 +1,134 @@
+"""Client side of the protocol between the system's own processes."""
+
+import asyncio
+import ssl
+from typing import Any, TypeVar
+
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from sesameknot.clock import Clock
+from sesameknot.errors import ConnectError, RouterError
+from sesameknot.protocol.messages import Failure
+from sesameknot.transport._peer_connection import PeerConnection
+
+IDLE_AGE_LIMIT_S = 30.0
+
+Reply = TypeVar("Reply")
+
+
+class PeerClient:
+    """Call other processes over pooled connections.
+
+    Parameters
+    ----------
+    host_id : str
+        Sender name put into each call.
+    clock : Clock
+        Source of monotonic time.
+    tls : ssl.SSLContext or None, default=None
+        Context for encrypted connections.
+    """
+
+    def __init__(
+        self, host_id: str, *, clock: Clock, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self.host_id = host_id
+        self._clock = clock
+        self._tls = tls
+        self._tcp = TCPClient()
+        self._connections: dict[str, PeerConnection] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    async def call(
+        self,
+        address: str,
+        body: Any,
+        *,
+        expect: type[Reply],
+        timeout_s: float = 1.0,
+    ) -> Reply:
+        """Send ``body`` to ``address`` and return the answer.
+
+        Parameters
+        ----------
+        address : str
+            Peer address as ``ip:port``.
+        body : object
+            Message to send.
+        expect : type
+            Message class of the answer.
+        timeout_s : float, default=1.0
+            Time for connecting and answering together.
+
+        Raises
+        ------
+        ConnectError
+            If no connection could be opened, so nothing was sent.
+        TransportError
+            If the connection broke or timed out.
+        RouterError
+            If the peer answered with a failure or another message.
+        """
+        deadline_s = self._clock.monotonic_s() + timeout_s
+        connection = await self._connection(address, timeout_s)
+        remaining_s = max(0.001, deadline_s - self._clock.monotonic_s())
+        reply = await connection.call(body, remaining_s)
+        if isinstance(reply, Failure):
+            raise RouterError(reply.message, step=reply.step, peer=address)
+        if not isinstance(reply, expect):
+            raise RouterError(
+                f"answered {type(reply).__name__}, expected {expect.__name__}",
+                step=type(body).__name__,
+                peer=address,
+            )
+        return reply
+
+    async def _connection(self, address: str, timeout_s: float) -> PeerConnection:
+        lock = self._locks.setdefault(address, asyncio.Lock())
+        try:
+            async with asyncio.timeout(timeout_s), lock:
+                connection = self._connections.get(address)
+                if connection is not None and self._usable(connection):
+                    return connection
+                if connection is not None:
+                    connection.close()
+                connection = await self._open(address)
+                self._connections[address] = connection
+                return connection
+        except TimeoutError:
+            raise ConnectError(
+                f"no connection within {timeout_s:g} s", step="connect", peer=address
+            ) from None
+
+    def _usable(self, connection: PeerConnection) -> bool:
+        if connection.closed:
+            return False
+        idle_s = self._clock.monotonic_s() - connection.last_received_s
+        return connection.busy or idle_s < IDLE_AGE_LIMIT_S
+
+    async def _open(self, address: str) -> PeerConnection:
+        ip, _, port = address.rpartition(":")
+        try:
+            stream = await self._tcp.connect(ip, int(port), ssl_options=self._tls)
+        except (OSError, StreamClosedError, ValueError) as error:
+            raise ConnectError(str(error), step="connect", peer=address) from error
+        stream.set_nodelay(True)
+        return PeerConnection(
+            stream, address=address, sender=self.host_id, clock=self._clock
+        )
+
+    def close_idle(self) -> None:
+        """Close connections that are idle beyond the age limit."""
+        for address, connection in list(self._connections.items()):
+            if not self._usable(connection):
+                connection.close()
+                del self._connections[address]
+                self._locks.pop(address, None)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
+        self._tcp.close()
--- /dev/null
+++ b/src/sesameknot/transport/platform_client.py
@@ -0,0 +1,261 @@
+"""Client of the platform's object API.
+
+The API is HTTP with JSON bodies:
+
+- ``GET /v1/objects/<key>``: one object, 404 if absent.
+- ``GET /v1/objects?prefix=P``: all objects below ``P`` and the store's version.
+- ``PUT /v1/objects/<key>`` with ``If-Match: <version>`` (0 creates): conditional
+  update; 409 carries the present object.
+- ``DELETE /v1/objects/<key>`` with ``If-Match``.
+- ``GET /v1/watch?prefix=P&since=V&timeout_ms=T``: long poll for changes after ``V``;
+  410 if ``V`` is older than the retained history.
+- ``GET /v1/hosts``: live and leaving hosts, lagging.
+
+An object is ``{"key", "version", "value", "write_id", "deleted"}``.
+"""
+
+import json
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from sesameknot.errors import ConflictError, PlatformError
+from sesameknot.protocol.objects import PlatformHost, StoredObject, WatchBatch
+
+CONFLICT_STATUS = 409
+NOT_FOUND_STATUS = 404
+GONE_STATUS = 410
+VALUE_LIMIT_BYTES = 1_000_000
+
+
+class PlatformClient:
+    """Read, write and watch objects.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the platform.
+    timeout_s : float, default=2.0
+        Time for one call, waiting watches excluded.
+    token : str, default=""
+        Bearer token sent with each call.
+    """
+
+    def __init__(self, url: str, *, timeout_s: float = 2.0, token: str = "") -> None:
+        self.url = url.rstrip("/")
+        self.timeout_s = timeout_s
+        self.token = token
+        self.call_count = 0
+        self._http = SimpleAsyncHTTPClient(
+            force_instance=True, max_buffer_size=64 * 1024 * 1024
+        )
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return the object at ``key`` or None if there is none.
+
+        Raises
+        ------
+        PlatformError
+            If the platform cannot be reached or fails.
+        """
+        response = await self._fetch("GET", f"/v1/objects/{quote(key)}", step="get")
+        if response.code == NOT_FOUND_STATUS:
+            return None
+        return _object(self._body(response, "get"))
+
+    async def list(self, prefix: str) -> WatchBatch:
+        """Return all objects below ``prefix`` and the version of the store."""
+        query = urlencode({"prefix": prefix})
+        response = await self._fetch("GET", f"/v1/objects?{query}", step="list")
+        return _batch(self._body(response, "list"))
+
+    async def put(
+        self, key: str, value: Any, *, expected_version: int, write_id: str
+    ) -> StoredObject:
+        """Write ``value`` if the object still has ``expected_version``.
+
+        Parameters
+        ----------
+        key : str
+            Key of the object.
+        value : object
+            JSON value.
+        expected_version : int
+            Version that must stand; 0 means that there is no object yet.
+        write_id : str
+            Unique identifier of this write, kept in the object.
+
+        Returns
+        -------
+        StoredObject
+            The object as written.
+
+        Raises
+        ------
+        ConflictError
+            If the object has another version.
+        PlatformError
+            If the answer is lost; the write may have taken effect.
+        """
+        body = json.dumps({"value": value, "write_id": write_id})
+        if len(body) > VALUE_LIMIT_BYTES:
+            raise PlatformError(
+                f"value of {len(body)} bytes, expected at most {VALUE_LIMIT_BYTES}",
+                step="put",
+                peer=key,
+            )
+        return await self._write("PUT", key, expected_version, body)
+
+    async def delete(self, key: str, *, expected_version: int) -> StoredObject:
+        """Delete the object if it still has ``expected_version``."""
+        return await self._write("DELETE", key, expected_version, None)
+
+    async def _write(
+        self, method: str, key: str, expected_version: int, body: str | None
+    ) -> StoredObject:
+        step = method.lower()
+        response = await self._fetch(
+            method,
+            f"/v1/objects/{quote(key)}",
+            step=step,
+            body=body,
+            headers={"If-Match": str(expected_version)},
+        )
+        if response.code == CONFLICT_STATUS:
+            present = _object(json.loads(response.body))
+            raise ConflictError(
+                f"expected version {expected_version}, found {present.version} "
+                f"written by {present.write_id!r}",
+                version=present.version,
+                step=step,
+                peer=key,
+            )
+        return _object(self._body(response, step))
+
+    async def put_settled(
+        self, key: str, value: Any, *, expected_version: int, write_id: str
+    ) -> StoredObject:
+        """Write like :meth:`put`, and read back when the answer is lost.
+
+        Raises
+        ------
+        ConflictError
+            If another write stands.
+        PlatformError
+            If the outcome cannot be found out.
+        """
+        try:
+            return await self.put(
+                key, value, expected_version=expected_version, write_id=write_id
+            )
+        except ConflictError as error:
+            # The first try of this write may have taken effect unanswered.
+            present = await self.get(key)
+            if present is not None and present.write_id == write_id:
+                return present
+            raise error
+        except PlatformError as error:
+            present = await self.get(key)
+            if present is not None and present.write_id == write_id:
+                return present
+            raise error
+
+    async def watch(self, prefix: str, *, since: int, timeout_s: float) -> WatchBatch:
+        """Wait for changes below ``prefix`` after version ``since``.
+
+        Returns
+        -------
+        WatchBatch
+            Changed objects, none if ``timeout_s`` passed; ``reset`` is set if the
+            platform no longer keeps the history, and the caller must list.
+        """
+        query = urlencode(
+            {"prefix": prefix, "since": since, "timeout_ms": int(timeout_s * 1000)}
+        )
+        response = await self._fetch(
+            "GET",
+            f"/v1/watch?{query}",
+            step="watch",
+            timeout_s=timeout_s + self.timeout_s,
+        )
+        if response.code == GONE_STATUS:
+            return WatchBatch(objects=[], version=since, reset=True)
+        return _batch(self._body(response, "watch"))
+
+    async def hosts(self) -> list[PlatformHost]:
+        """Return the platform's list of live and leaving hosts."""
+        response = await self._fetch("GET", "/v1/hosts", step="hosts")
+        return [
+            PlatformHost(
+                host_id=entry["host_id"],
+                address=entry["address"],
+                state=entry["state"],
+            )
+            for entry in self._body(response, "hosts")["hosts"]
+        ]
+
+    async def _fetch(
+        self,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        body: str | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> HTTPResponse:
+        self.call_count += 1
+        limit_s = timeout_s if timeout_s is not None else self.timeout_s
+        all_headers = dict(headers or {})
+        if self.token:
+            all_headers["Authorization"] = f"Bearer {self.token}"
+        request = HTTPRequest(
+            self.url + path,
+            method=method,
+            body=body,
+            headers=all_headers,
+            connect_timeout=min(limit_s, self.timeout_s),
+            request_timeout=limit_s,
+        )
+        try:
+            return await self._http.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError) as error:
+            raise PlatformError(str(error), step=step, peer=self.url) from error
+
+    def _body(self, response: HTTPResponse, step: str) -> Any:
+        if response.error is not None:
+            raise PlatformError(str(response.error), step=step, peer=self.url)
+        try:
+            return json.loads(response.body)
+        except ValueError as error:
+            raise PlatformError(
+                f"answer is not JSON: {error}", step=step, peer=self.url
+            ) from error
+
+    def close(self) -> None:
+        """Close the HTTP client."""
+        self._http.close()
+
+
+def _object(body: dict[str, Any]) -> StoredObject:
+    try:
+        return StoredObject(
+            key=body["key"],
+            version=int(body["version"]),
+            value=body.get("value"),
+            write_id=body.get("write_id", ""),
+            deleted=bool(body.get("deleted", False)),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise PlatformError(
+            f"object is malformed: {error!r}", step="parse", peer=str(body)[:80]
+        ) from error
+
+
+def _batch(body: dict[str, Any]) -> WatchBatch:
+    return WatchBatch(
+        objects=[_object(entry) for entry in body["objects"]],
+        version=int(body["version"]),
+    )
--- /dev/null
+++ b/tests/settings/test_loader.py
@@ -0,0 +1,65 @@
+"""Tests of reading and checking settings."""
+
+import copy
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from sesameknot.errors import SettingsError
+from sesameknot.settings.loader import team_from_value
+
+TEAM = {
+    "team": "feed",
+    "customers": [
+        {
+            "name": "barge-1",
+            "token_sha256": "0" * 64,
+            "cascade": "advice",
+            "allow": [{"model": "small"}],
+        }
+    ],
+    "models": [{"name": "small", "versions": [{"name": "v1"}], "stable_version": "v1"}],
+    "cascades": [{"name": "advice", "models": ["small"]}],
+}
+
+
+class TeamTest(TestCase):
+    def _faults(self, value):
+        try:
+            team_from_value(value, place="feed.yaml")
+        except ExceptionGroup as group:
+            return [str(error) for error in group.exceptions]
+        except SettingsError as error:
+            return [str(error)]
+        return []
+
+    def test_a_valid_subtree_has_no_faults(self):
+        """Guards against a check that refuses valid settings."""
+        self.assertThat(self._faults(TEAM), Equals([]))
+
+    def test_an_unknown_key_is_an_error_with_its_path(self):
+        """Guards against a misspelt key that is silently ignored."""
+        value = copy.deepcopy(TEAM)
+        value["models"][0]["stabel_version"] = "v1"
+        (fault,) = self._faults(value)
+        self.assertThat(fault, Contains("stabel_version"))
+        self.assertThat(fault, Contains("$.models[0]"))
+
+    def test_a_wrong_type_names_path_and_value(self):
+        """Guards against an error that does not say what was given."""
+        value = copy.deepcopy(TEAM)
+        value["cascades"][0]["quality_target"] = "high"
+        (fault,) = self._faults(value)
+        self.assertThat(fault, Contains("$.cascades[0].quality_target"))
+        self.assertThat(fault, Contains("'high'"))
+
+    def test_a_cascade_with_a_forbidden_model_is_refused(self):
+        """Guards against a cascade that its customer may not use."""
+        value = copy.deepcopy(TEAM)
+        value["models"].append(
+            {"name": "large", "versions": [{"name": "v1"}], "stable_version": "v1"}
+        )
+        value["cascades"][0]["models"].append("large")
+        (fault,) = self._faults(value)
+        self.assertThat(fault, Contains("'large'"))
+        self.assertThat(fault, Contains("$.customers[0].cascade"))
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,46 @@
+"""Helpers shared by the tests."""
+
+import asyncio
+from collections.abc import Callable
+
+from testtools import TestCase
+from tornado.tcpserver import TCPServer
+from tornado.testing import AsyncTestCase, bind_unused_port
+
+from sesameknot.clock import SystemClock
+from sesameknot.transport.peer_client import PeerClient
+
+
+class LoopTestCase(AsyncTestCase, TestCase):
+    """A test with an event loop; servers and clients close before the loop does."""
+
+    def setUp(self):
+        super().setUp()
+        self._closers: list[Callable[[], object]] = []
+        self.client = PeerClient("client", clock=SystemClock())
+        self.closing(self.client.close)
+
+    def closing(self, close: Callable[[], object]) -> None:
+        """Call ``close`` at the end of the test, in reverse order."""
+        self._closers.append(close)
+
+    def tearDown(self):
+        for close in reversed(self._closers):
+            close()
+        super().tearDown()
+
+    def listen(self, server: TCPServer) -> str:
+        """Start ``server`` on an unused port and return its address."""
+        sock, port = bind_unused_port()
+        server.add_socket(sock)
+        self.closing(server.stop)
+        return f"127.0.0.1:{port}"
+
+
+async def eventually(
+    condition: Callable[[], object], *, limit_s: float = 20.0, interval_s: float = 0.01
+) -> None:
+    """Wait until ``condition`` holds; the limit only ends a test that hangs."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(interval_s)
--- /dev/null
+++ b/tests/transport/test_peer.py
@@ -0,0 +1,94 @@
+"""Tests of peer connections."""
+
+import asyncio
+import socket
+import struct
+
+from testtools.matchers import Equals, Is
+from tornado.iostream import IOStream
+from tornado.tcpserver import TCPServer
+from tornado.testing import gen_test
+
+from sesameknot.errors import ConnectError, DeadlineError, RouterError
+from sesameknot.protocol.messages import Done, Ping, StatsRequest
+from sesameknot.transport.peer_server import PeerServer
+from tests.support import LoopTestCase
+
+
+class PeerTest(LoopTestCase):
+    def _serve(self):
+        server = PeerServer("server")
+        return server, self.listen(server)
+
+    @gen_test
+    async def test_answers_match_their_calls_when_out_of_order(self):
+        """Guards against an answer that reaches another call's caller."""
+        server, address = self._serve()
+        first_may_answer = asyncio.Event()
+
+        @server.handle(StatsRequest)
+        async def answer(message):
+            if message.requester == "first":
+                await first_may_answer.wait()
+            return Done(detail=message.requester)
+
+        first = asyncio.create_task(
+            self.client.call(address, StatsRequest(requester="first"), expect=Done)
+        )
+        second = await self.client.call(
+            address, StatsRequest(requester="second"), expect=Done
+        )
+        first_may_answer.set()
+        self.assertThat(second.detail, Equals("second"))
+        self.assertThat((await first).detail, Equals("first"))
+
+    @gen_test
+    async def test_a_refused_connection_is_known_not_to_have_sent(self):
+        """Guards against calling a refused connection an unknown outcome."""
+        with self.assertRaises(ConnectError):
+            await self.client.call("127.0.0.1:1", Ping(), expect=Done)
+
+    @gen_test
+    async def test_a_silent_connection_is_replaced(self):
+        """Guards against a pool that keeps using a connection that went silent."""
+        streams = []
+
+        class SilentServer(TCPServer):
+            async def handle_stream(self, stream: IOStream, address):
+                streams.append(stream)
+
+        address = self.listen(SilentServer())
+        for _ in range(2):
+            with self.assertRaises(DeadlineError):
+                await self.client.call(address, Ping(), expect=Done, timeout_s=0.05)
+        self.assertThat(len(streams), Equals(2))
+
+    @gen_test
+    async def test_an_oversized_frame_closes_only_its_connection(self):
+        """Guards against a length prefix that makes the server buffer without bound."""
+        server, address = self._serve()
+
+        @server.handle(Ping)
+        async def answer(message):
+            return Done()
+
+        port = int(address.rpartition(":")[2])
+        stream = IOStream(socket.socket())
+        await stream.connect(("127.0.0.1", port))
+        await stream.write(struct.pack("!I", 2**31))
+        self.assertThat(await stream.read_until_close(), Equals(b""))
+        reply = await self.client.call(address, Ping(), expect=Done)
+        self.assertThat(isinstance(reply, Done), Is(True))
+
+    @gen_test
+    async def test_a_handler_error_reaches_the_caller_with_its_step(self):
+        """Guards against a failed handler that leaves its caller waiting."""
+        server, address = self._serve()
+
+        @server.handle(Ping)
+        async def answer(message):
+            raise RouterError("no room", step="admit")
+
+        with self.assertRaises(RouterError) as caught:
+            await self.client.call(address, Ping(), expect=Done)
+        self.assertThat(caught.exception.step, Equals("admit"))
