--- /dev/null
+++ b/src/sesameknot/coordination/ownership.py
@@ -0,0 +1,64 @@
+"""Rendezvous hashing of keys onto roster members.
+
+References
+----------
+.. [1] D. Thaler and C. Ravishankar, "Using name-based mappings to increase hit
+   rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import Protocol, TypeVar
+
+import xxhash
+
+
+class Placed(Protocol):
+    """Something with a host and a failure domain."""
+
+    host_id: str
+    domain: str
+
+
+T = TypeVar("T", bound=Placed)
+
+
+def weight(kind: str, key: str, host_id: str) -> int:
+    """Return the rendezvous weight of ``host_id`` for a key of one kind."""
+    return xxhash.xxh3_64_intdigest(f"{kind}\0{key}\0{host_id}")
+
+
+def ranked(kind: str, key: str, members: Iterable[T]) -> list[T]:
+    """Return ``members`` by falling weight; ties go to the lower host id."""
+    return sorted(members, key=lambda m: (-weight(kind, key, m.host_id), m.host_id))
+
+
+def owners(kind: str, key: str, members: Sequence[T], count: int) -> list[T]:
+    """Return the ``count`` members that own a key, distinct failure domains first.
+
+    Parameters
+    ----------
+    kind : str
+        Namespace of the key, for example ``"claim"``.
+    key : str
+        Key to place.
+    members : sequence of members
+        Candidates, for example a roster's members.
+    count : int
+        Number of owners; fewer are returned if there are fewer members.
+
+    Returns
+    -------
+    list of members
+        Owners in rank order.
+    """
+    order = ranked(kind, key, members)
+    chosen: list[T] = []
+    domains: set[str] = set()
+    for member in order:
+        if len(chosen) < count and member.domain not in domains:
+            chosen.append(member)
+            domains.add(member.domain)
+    for member in order:
+        if len(chosen) < count and member not in chosen:
+            chosen.append(member)
+    return chosen
