Add an in-memory platform for tests and digests to object messages

Watchers hold one long poll over all spread kinds, but the platform API took one prefix per call, and the empty prefix would also deliver every bill. The prefix parameter of list and watch may now be repeated.

Random pings alone cannot keep 380 hosts within the stale limit of 3 s: ages are only adopted from an answer with a known round trip, so informed hosts at most double each second. ObjectPush therefore carries digest, age and the shape of its fan-out tree, and ObjectSync carries a digest so that a host can ask for an age without sending versions. Fields are appended, so the encoding stays compatible.

--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -111,17 +111,23 @@
 struct ObjectPush {
   objects @0 :List(ObjectRecord);
   hopCount @1 :UInt8;
+  hostId @2 :Text;
+  salt @3 :UInt64;
+  digest @4 :UInt64;
+  configAgeMs @5 :Float64;
 }
 
 struct ObjectSync {
   versions @0 :List(ObjectVersion);
   configAgeMs @1 :Float64;
+  digest @2 :UInt64;
 }
 
 struct ObjectSyncReply {
   objects @0 :List(ObjectRecord);
   wantedKeys @1 :List(Text);
   configAgeMs @2 :Float64;
+  digest @3 :UInt64;
 }
 
 struct ClaimWrite {
--- a/src/sesameknot/transport/platform_client.py
+++ b/src/sesameknot/transport/platform_client.py
@@ -3,18 +3,20 @@
 The API is HTTP with JSON bodies:
 
 - ``GET /v1/objects/<key>``: one object, 404 if absent.
-- ``GET /v1/objects?prefix=P``: all objects below ``P`` and the store's version.
+- ``GET /v1/objects?prefix=P``: all objects below ``P`` and the store's version;
+  ``prefix`` may be repeated, and objects below any of them are meant.
 - ``PUT /v1/objects/<key>`` with ``If-Match: <version>`` (0 creates): conditional
   update; 409 carries the present object.
 - ``DELETE /v1/objects/<key>`` with ``If-Match``.
 - ``GET /v1/watch?prefix=P&since=V&timeout_ms=T``: long poll for changes after ``V``;
-  410 if ``V`` is older than the retained history.
+  410 if ``V`` is older than the retained history. ``prefix`` may be repeated.
 - ``GET /v1/hosts``: live and leaving hosts, lagging.
 
 An object is ``{"key", "version", "value", "write_id", "deleted"}``.
 """
 
 import json
+from collections.abc import Sequence
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -65,9 +67,9 @@
             return None
         return _object(self._body(response, "get"))
 
-    async def list(self, prefix: str) -> WatchBatch:
+    async def list(self, prefix: str | Sequence[str]) -> WatchBatch:
         """Return all objects below ``prefix`` and the version of the store."""
-        query = urlencode({"prefix": prefix})
+        query = urlencode({"prefix": prefix}, doseq=True)
         response = await self._fetch("GET", f"/v1/objects?{query}", step="list")
         return _batch(self._body(response, "list"))
 
@@ -162,9 +164,20 @@
                 return present
             raise error
 
-    async def watch(self, prefix: str, *, since: int, timeout_s: float) -> WatchBatch:
+    async def watch(
+        self, prefix: str | Sequence[str], *, since: int, timeout_s: float
+    ) -> WatchBatch:
         """Wait for changes below ``prefix`` after version ``since``.
 
+        Parameters
+        ----------
+        prefix : str or sequence of str
+            Start of the keys to watch, or several of them.
+        since : int
+            Version of the store that the caller has seen.
+        timeout_s : float
+            Longest wait for a change.
+
         Returns
         -------
         WatchBatch
@@ -172,7 +185,8 @@
             platform no longer keeps the history, and the caller must list.
         """
         query = urlencode(
-            {"prefix": prefix, "since": since, "timeout_ms": int(timeout_s * 1000)}
+            {"prefix": prefix, "since": since, "timeout_ms": int(timeout_s * 1000)},
+            doseq=True,
         )
         response = await self._fetch(
             "GET",
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,174 @@
+"""In-memory stand-in for the platform client, with faults that tests switch on."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+from sesameknot.errors import ConflictError, PlatformError
+from sesameknot.protocol.objects import PlatformHost, StoredObject, WatchBatch
+from sesameknot.transport.platform_client import PlatformClient
+
+DEFAULT_HISTORY = 1000
+
+
+def _matches(key: str, prefix: str | Sequence[str]) -> bool:
+    prefixes = (prefix,) if isinstance(prefix, str) else tuple(prefix)
+    return key.startswith(prefixes)
+
+
+class FakePlatform:
+    """Versioned objects that all clients of one test share.
+
+    Faults are plain attributes: ``down`` refuses calls, ``slow_s`` delays each call,
+    ``lose_write_answers`` drops that many answers after the write took effect,
+    ``lag_version`` answers reads as of that version, and ``cut_hosts`` cannot
+    reach the platform.
+    """
+
+    def __init__(self, *, history_count: int = DEFAULT_HISTORY) -> None:
+        self.history_count = history_count
+        self.version = 0
+        self.log: list[StoredObject] = []
+        self.host_list: list[PlatformHost] = []
+        self.down = False
+        self.slow_s = 0.0
+        self.lose_write_answers = 0
+        self.lag_version: int | None = None
+        self.cut_hosts: set[str] = set()
+        self.objects: dict[str, StoredObject] = {}
+        self._waiters: set[asyncio.Event] = set()
+
+    def client(self, host_id: str) -> "FakePlatformClient":
+        """Return a client as used by the host ``host_id``."""
+        return FakePlatformClient(self, host_id)
+
+    def write(
+        self, key: str, value: Any, *, write_id: str = "", deleted: bool = False
+    ) -> StoredObject:
+        """Write without a condition, as an operator would."""
+        self.version += 1
+        stored = StoredObject(key, self.version, value, write_id, deleted)
+        self.objects[key] = stored
+        self.log.append(stored)
+        for event in list(self._waiters):
+            event.set()
+        return stored
+
+    def visible_version(self) -> int:
+        """Return the version as of which reads are answered."""
+        return self.version if self.lag_version is None else self.lag_version
+
+    def as_of(self, version: int) -> dict[str, StoredObject]:
+        """Return the live objects at ``version``."""
+        objects = {entry.key: entry for entry in self.log if entry.version <= version}
+        return {key: entry for key, entry in objects.items() if not entry.deleted}
+
+    async def wait(self, prefix: str | Sequence[str], since: int, limit_s: float):
+        """Wait until a visible change below ``prefix`` follows ``since``."""
+        event = asyncio.Event()
+        self._waiters.add(event)
+        try:
+            async with asyncio.timeout(limit_s):
+                while not self.changes(prefix, since):
+                    event.clear()
+                    await event.wait()
+        except TimeoutError:
+            pass
+        finally:
+            self._waiters.discard(event)
+
+    def changes(self, prefix: str | Sequence[str], since: int) -> list[StoredObject]:
+        """Return the newest visible write of each key changed after ``since``."""
+        limit = self.visible_version()
+        newest = {
+            entry.key: entry
+            for entry in self.log
+            if since < entry.version <= limit and _matches(entry.key, prefix)
+        }
+        return sorted(newest.values(), key=lambda entry: entry.version)
+
+
+class FakePlatformClient(PlatformClient):
+    """A ``PlatformClient`` whose calls go to a ``FakePlatform``."""
+
+    def __init__(self, platform: FakePlatform, host_id: str) -> None:
+        self.platform = platform
+        self.host_id = host_id
+        self.call_count = 0
+        self.timeout_s = 2.0
+
+    async def get(self, key: str) -> StoredObject | None:
+        await self._begin("get")
+        return self.platform.as_of(self.platform.visible_version()).get(key)
+
+    async def list(self, prefix: str | Sequence[str]) -> WatchBatch:
+        await self._begin("list")
+        version = self.platform.visible_version()
+        found = self.platform.as_of(version).values()
+        return WatchBatch(
+            [entry for entry in found if _matches(entry.key, prefix)], version
+        )
+
+    async def put(
+        self, key: str, value: Any, *, expected_version: int, write_id: str
+    ) -> StoredObject:
+        await self._begin("put")
+        self._check(key, expected_version)
+        stored = self.platform.write(key, value, write_id=write_id)
+        self._answer_write(key)
+        return stored
+
+    async def delete(self, key: str, *, expected_version: int) -> StoredObject:
+        await self._begin("delete")
+        self._check(key, expected_version)
+        stored = self.platform.write(key, None, deleted=True)
+        self._answer_write(key)
+        return stored
+
+    async def watch(
+        self, prefix: str | Sequence[str], *, since: int, timeout_s: float
+    ) -> WatchBatch:
+        await self._begin("watch")
+        platform = self.platform
+        if since < platform.version - platform.history_count:
+            return WatchBatch(version=since, reset=True)
+        await platform.wait(prefix, since, timeout_s)
+        self._check_link("watch")
+        return WatchBatch(platform.changes(prefix, since), platform.visible_version())
+
+    async def hosts(self) -> list[PlatformHost]:
+        await self._begin("hosts")
+        return list(self.platform.host_list)
+
+    def close(self) -> None:
+        """Do nothing; there is no connection."""
+
+    async def _begin(self, step: str) -> None:
+        self.call_count += 1
+        self._check_link(step)
+        slow_s = self.platform.slow_s
+        if slow_s:
+            await asyncio.sleep(min(slow_s, self.timeout_s))
+        if slow_s > self.timeout_s:
+            raise PlatformError("no answer in time", step=step, peer="platform")
+        self._check_link(step)
+
+    def _check_link(self, step: str) -> None:
+        if self.platform.down or self.host_id in self.platform.cut_hosts:
+            raise PlatformError("connection refused", step=step, peer="platform")
+
+    def _check(self, key: str, expected_version: int) -> None:
+        present = self.platform.objects.get(key)
+        version = 0 if present is None or present.deleted else present.version
+        if version != expected_version:
+            raise ConflictError(
+                f"expected version {expected_version}, found {version}",
+                version=version,
+                step="put",
+                peer=key,
+            )
+
+    def _answer_write(self, key: str) -> None:
+        if self.platform.lose_write_answers > 0:
+            self.platform.lose_write_answers -= 1
+            raise PlatformError("answer lost", step="put", peer=key)
