--- /dev/null
+++ b/src/sesameknot/coordination/_fan_out.py
@@ -0,0 +1,167 @@
+"""Push of objects to all live hosts, directly or through a tree."""
+
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any
+
+import numpy as np
+import structlog
+import xxhash
+
+from sesameknot.coordination._object_records import batches
+from sesameknot.coordination.freshness import Freshness
+from sesameknot.errors import RouterError
+from sesameknot.protocol._objects import LEAF_HOP_COUNT
+from sesameknot.protocol.messages import Done, MemberInfo, ObjectPush, ObjectRecord
+from sesameknot.protocol.objects import StoredObject
+from sesameknot.state.member_table import MemberState
+from sesameknot.state.object_store import ObjectStore
+from sesameknot.transport.peer_client import PeerClient
+
+DIRECT_LIMIT = 27
+FAN_OUT_BITS = 3
+POSITION_BITS = 64
+
+# Hosts of a subtree that are tried as its root before the subtree is given up.
+ROOT_ATTEMPTS = 3
+
+log = structlog.get_logger(__name__)
+
+
+def subtrees(
+    members: Iterable[MemberInfo], own_id: str, *, salt: int, hop_count: int
+) -> list[list[MemberInfo]]:
+    """Return the subtrees below ``own_id``, each in the order to try its hosts.
+
+    A host's position is a hash of its id with ``salt``. The host that has the first
+    ``3 * hop_count`` bits of its position in common with others passes a push on to
+    these, split into eight subtrees by the next three bits. Hosts with different
+    views of the membership thus agree on all subtrees but for the hosts that only
+    one of them knows.
+    """
+    shared = FAN_OUT_BITS * hop_count
+    own_prefix = _position(own_id, salt) >> (POSITION_BITS - shared)
+    groups: dict[int, list[tuple[bool, int, MemberInfo]]] = {}
+    for member in members:
+        position = _position(member.host_id, salt)
+        if member.host_id == own_id:
+            continue
+        if position >> (POSITION_BITS - shared) != own_prefix:
+            continue
+        group = position >> (POSITION_BITS - shared - FAN_OUT_BITS)
+        suspect = member.state != MemberState.ALIVE
+        groups.setdefault(group, []).append((suspect, position, member))
+    return [
+        [member for *_, member in sorted(group, key=lambda entry: entry[:2])]
+        for group in groups.values()
+    ]
+
+
+def _position(host_id: str, salt: int) -> int:
+    return xxhash.xxh3_64_intdigest(f"{salt}\0{host_id}".encode())
+
+
+class FanOut:
+    """Send pushes to the hosts for which this one is responsible.
+
+    Parameters
+    ----------
+    host_id : str
+        This host.
+    store : ObjectStore
+        Gives the digest that each push carries.
+    freshness : Freshness
+        Gives the age that each push carries.
+    client : PeerClient
+        Client for calls to peers.
+    live : callable
+        Returns the live hosts.
+    spawn : callable
+        Runs a coroutine in the background.
+    random_state : numpy.random.Generator
+        Chooses the shape of each tree, so that inner positions rotate.
+    timeout_s : float
+        Time for one push.
+    """
+
+    __slots__ = (
+        "_client",
+        "_freshness",
+        "_live",
+        "_spawn",
+        "_store",
+        "host_id",
+        "random_state",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        store: ObjectStore,
+        freshness: Freshness,
+        client: PeerClient,
+        *,
+        live: Callable[[], list[MemberInfo]],
+        spawn: Callable[[Coroutine[Any, Any, Any]], None],
+        random_state: np.random.Generator,
+        timeout_s: float,
+    ) -> None:
+        self.host_id = host_id
+        self.random_state = random_state
+        self.timeout_s = timeout_s
+        self._store = store
+        self._freshness = freshness
+        self._client = client
+        self._live = live
+        self._spawn = spawn
+
+    def publish(self, objects: Iterable[StoredObject]) -> None:
+        """Push ``objects``, digest and age to all live hosts."""
+        live = [member for member in self._live() if member.host_id != self.host_id]
+        direct = len(live) <= DIRECT_LIMIT
+        salt = int(self.random_state.integers(1 << 32))
+        groups = (
+            [[member] for member in live]
+            if direct
+            else subtrees(live, self.host_id, salt=salt, hop_count=0)
+        )
+        for records in [*batches(objects)] or [[]]:
+            self._send(groups, records, salt=salt, hop_count=0)
+
+    def forward(self, push: ObjectPush, records: list[ObjectRecord]) -> None:
+        """Pass a push with ``records`` on to the subtrees below this host."""
+        if push.hop_count >= POSITION_BITS // FAN_OUT_BITS:
+            return
+        groups = subtrees(
+            self._live(), self.host_id, salt=push.salt, hop_count=push.hop_count
+        )
+        self._send(groups, records, salt=push.salt, hop_count=push.hop_count)
+
+    def _send(
+        self,
+        groups: list[list[MemberInfo]],
+        records: list[ObjectRecord],
+        *,
+        salt: int,
+        hop_count: int,
+    ) -> None:
+        for group in groups:
+            push = ObjectPush(
+                objects=records,
+                hop_count=hop_count + 1 if len(group) > 1 else LEAF_HOP_COUNT,
+                host_id=self.host_id,
+                salt=salt,
+                digest=self._store.digest(),
+                config_age_ms=self._freshness.age_ms(),
+            )
+            self._spawn(self._deliver(group, push))
+
+    async def _deliver(self, group: list[MemberInfo], push: ObjectPush) -> None:
+        for member in group[:ROOT_ATTEMPTS]:
+            try:
+                await self._client.call(
+                    member.address, push, expect=Done, timeout_s=self.timeout_s
+                )
+                return
+            except RouterError as error:
+                log.debug("push_failed", peer=member.host_id, reason=str(error))
--- /dev/null
+++ b/src/sesameknot/protocol/object_records.py
@@ -0,0 +1,44 @@
+"""Conversion between stored objects and the records that messages carry."""
+
+import json
+
+from sesameknot.errors import FrameError
+from sesameknot.protocol.messages import ObjectRecord
+from sesameknot.protocol.objects import SPREAD_PREFIXES, StoredObject
+
+
+def record_from_object(stored: StoredObject) -> ObjectRecord:
+    """Return the record that carries ``stored`` to a peer."""
+    value = b"" if stored.deleted else json.dumps(stored.value).encode()
+    return ObjectRecord(
+        key=stored.key,
+        version=stored.version,
+        value=value,
+        deleted=stored.deleted,
+        write_id=stored.write_id,
+    )
+
+
+def object_from_record(record: ObjectRecord) -> StoredObject:
+    """Return the object in ``record``.
+
+    Raises
+    ------
+    FrameError
+        If the key is of no spread kind or the value is not JSON.
+    """
+    if not record.key.startswith(SPREAD_PREFIXES):
+        raise FrameError(
+            f"key {record.key!r:.80}, expected one of {', '.join(SPREAD_PREFIXES)}",
+            step="object",
+        )
+    try:
+        value = None if record.deleted else json.loads(record.value)
+    except (ValueError, RecursionError) as error:
+        raise FrameError(
+            f"value of {record.key!r} at version {record.version} is not JSON: {error}",
+            step="object",
+        ) from error
+    return StoredObject(
+        record.key, record.version, value, record.write_id, record.deleted
+    )
--- a/src/sesameknot/protocol/objects.py
+++ b/src/sesameknot/protocol/objects.py
@@ -19,6 +19,9 @@
     "roster/",
 )
 
+# One list or watch call covers all of them.
+SPREAD_QUERY = ",".join(SPREAD_PREFIXES)
+
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
--- a/src/sesameknot/transport/platform_client.py
+++ b/src/sesameknot/transport/platform_client.py
@@ -3,20 +3,19 @@
 The API is HTTP with JSON bodies:
 
 - ``GET /v1/objects/<key>``: one object, 404 if absent.
-- ``GET /v1/objects?prefix=P``: all objects below ``P`` and the store's version;
-  ``prefix`` may be repeated, and objects below any of them are meant.
+- ``GET /v1/objects?prefix=P``: all objects below ``P`` and the store's version.
 - ``PUT /v1/objects/<key>`` with ``If-Match: <version>`` (0 creates): conditional
   update; 409 carries the present object.
 - ``DELETE /v1/objects/<key>`` with ``If-Match``.
 - ``GET /v1/watch?prefix=P&since=V&timeout_ms=T``: long poll for changes after ``V``;
-  410 if ``V`` is older than the retained history. ``prefix`` may be repeated.
+  410 if ``V`` is older than the retained history.
+- ``P`` may be several prefixes separated by commas.
 - ``GET /v1/hosts``: live and leaving hosts, lagging.
 
 An object is ``{"key", "version", "value", "write_id", "deleted"}``.
 """
 
 import json
-from collections.abc import Sequence
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -67,9 +66,21 @@
             return None
         return _object(self._body(response, "get"))
 
-    async def list(self, prefix: str | Sequence[str]) -> WatchBatch:
+    async def hosts(self) -> list[PlatformHost]:
+        """Return the platform's list of live and leaving hosts."""
+        response = await self._fetch("GET", "/v1/hosts", step="hosts")
+        return [
+            PlatformHost(
+                host_id=entry["host_id"],
+                address=entry["address"],
+                state=entry["state"],
+            )
+            for entry in self._body(response, "hosts")["hosts"]
+        ]
+
+    async def list(self, prefix: str) -> WatchBatch:
         """Return all objects below ``prefix`` and the version of the store."""
-        query = urlencode({"prefix": prefix}, doseq=True)
+        query = urlencode({"prefix": prefix})
         response = await self._fetch("GET", f"/v1/objects?{query}", step="list")
         return _batch(self._body(response, "list"))
 
@@ -164,20 +175,9 @@
                 return present
             raise error
 
-    async def watch(
-        self, prefix: str | Sequence[str], *, since: int, timeout_s: float
-    ) -> WatchBatch:
+    async def watch(self, prefix: str, *, since: int, timeout_s: float) -> WatchBatch:
         """Wait for changes below ``prefix`` after version ``since``.
 
-        Parameters
-        ----------
-        prefix : str or sequence of str
-            Start of the keys to watch, or several of them.
-        since : int
-            Version of the store that the caller has seen.
-        timeout_s : float
-            Longest wait for a change.
-
         Returns
         -------
         WatchBatch
@@ -185,8 +185,7 @@
             platform no longer keeps the history, and the caller must list.
         """
         query = urlencode(
-            {"prefix": prefix, "since": since, "timeout_ms": int(timeout_s * 1000)},
-            doseq=True,
+            {"prefix": prefix, "since": since, "timeout_ms": int(timeout_s * 1000)}
         )
         response = await self._fetch(
             "GET",
@@ -198,18 +197,6 @@
             return WatchBatch(objects=[], version=since, reset=True)
         return _batch(self._body(response, "watch"))
 
-    async def hosts(self) -> list[PlatformHost]:
-        """Return the platform's list of live and leaving hosts."""
-        response = await self._fetch("GET", "/v1/hosts", step="hosts")
-        return [
-            PlatformHost(
-                host_id=entry["host_id"],
-                address=entry["address"],
-                state=entry["state"],
-            )
-            for entry in self._body(response, "hosts")["hosts"]
-        ]
-
     async def _fetch(
         self,
         method: str,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,7 +1,6 @@
 """In-memory stand-in for the platform client, with faults that tests switch on."""
 
 import asyncio
-from collections.abc import Sequence
 from typing import Any
 
 from sesameknot.errors import ConflictError, PlatformError
@@ -11,9 +10,8 @@
 DEFAULT_HISTORY = 1000
 
 
-def _matches(key: str, prefix: str | Sequence[str]) -> bool:
-    prefixes = (prefix,) if isinstance(prefix, str) else tuple(prefix)
-    return key.startswith(prefixes)
+def _matches(key: str, prefix: str) -> bool:
+    return key.startswith(tuple(prefix.split(",")))
 
 
 class FakePlatform:
@@ -58,12 +56,7 @@
         """Return the version as of which reads are answered."""
         return self.version if self.lag_version is None else self.lag_version
 
-    def as_of(self, version: int) -> dict[str, StoredObject]:
-        """Return the live objects at ``version``."""
-        objects = {entry.key: entry for entry in self.log if entry.version <= version}
-        return {key: entry for key, entry in objects.items() if not entry.deleted}
-
-    async def wait(self, prefix: str | Sequence[str], since: int, limit_s: float):
+    async def wait(self, prefix: str, since: int, limit_s: float):
         """Wait until a visible change below ``prefix`` follows ``since``."""
         event = asyncio.Event()
         self._waiters.add(event)
@@ -77,8 +70,8 @@
         finally:
             self._waiters.discard(event)
 
-    def changes(self, prefix: str | Sequence[str], since: int) -> list[StoredObject]:
-        """Return the newest visible write of each key changed after ``since``."""
+    def changes(self, prefix: str, since: int) -> list[StoredObject]:
+        """Return the newest visible write of each key, tombstones included."""
         limit = self.visible_version()
         newest = {
             entry.key: entry
@@ -99,15 +92,18 @@
 
     async def get(self, key: str) -> StoredObject | None:
         await self._begin("get")
-        return self.platform.as_of(self.platform.visible_version()).get(key)
+        found = self.platform.changes(key, 0)
+        exact = [entry for entry in found if entry.key == key and not entry.deleted]
+        return exact[0] if exact else None
+
+    async def hosts(self) -> list[PlatformHost]:
+        await self._begin("hosts")
+        return list(self.platform.host_list)
 
-    async def list(self, prefix: str | Sequence[str]) -> WatchBatch:
+    async def list(self, prefix: str) -> WatchBatch:
         await self._begin("list")
-        version = self.platform.visible_version()
-        found = self.platform.as_of(version).values()
-        return WatchBatch(
-            [entry for entry in found if _matches(entry.key, prefix)], version
-        )
+        platform = self.platform
+        return WatchBatch(platform.changes(prefix, 0), platform.visible_version())
 
     async def put(
         self, key: str, value: Any, *, expected_version: int, write_id: str
@@ -125,9 +121,7 @@
         self._answer_write(key)
         return stored
 
-    async def watch(
-        self, prefix: str | Sequence[str], *, since: int, timeout_s: float
-    ) -> WatchBatch:
+    async def watch(self, prefix: str, *, since: int, timeout_s: float) -> WatchBatch:
         await self._begin("watch")
         platform = self.platform
         if since < platform.version - platform.history_count:
@@ -136,10 +130,6 @@
         self._check_link("watch")
         return WatchBatch(platform.changes(prefix, since), platform.visible_version())
 
-    async def hosts(self) -> list[PlatformHost]:
-        await self._begin("hosts")
-        return list(self.platform.host_list)
-
     def close(self) -> None:
         """Do nothing; there is no connection."""
 
