--- /dev/null
+++ b/src/sesameknot/router/catalogue.py
@@ -0,0 +1,199 @@
+"""The settings in force, indexed for the request path."""
+
+import hashlib
+from dataclasses import dataclass, field
+
+import structlog
+
+from sesameknot.errors import RouterError
+from sesameknot.protocol.objects import (
+    DOMAINS_PREFIX,
+    ROLLOUTS_PREFIX,
+    SETTINGS_PREFIX,
+    WITHDRAWALS_PREFIX,
+    StoredObject,
+)
+from sesameknot.protocol.rollout_object import RolloutObject, rollout_from_value
+from sesameknot.settings.loader import team_from_value
+from sesameknot.settings.tree import (
+    ALL_VERSIONS,
+    CascadeSettings,
+    CustomerSettings,
+    EndpointSettings,
+    ModelSettings,
+    ServiceSettings,
+    TeamSettings,
+)
+from sesameknot.state.object_store import ObjectStore
+
+DOMAIN_OUT = "out"
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class Customer:
+    """A customer and the team whose subtree defines it."""
+
+    team: str
+    settings: CustomerSettings
+
+
+@dataclass(slots=True, frozen=True)
+class Service:
+    """A plain service and the team whose subtree defines it."""
+
+    team: str
+    settings: ServiceSettings
+
+
+@dataclass(slots=True)
+class Catalogue:
+    """Indexes over the last good version of each object."""
+
+    customers: dict[str, Customer] = field(default_factory=dict)
+    models: dict[tuple[str, str], ModelSettings] = field(default_factory=dict)
+    cascades: dict[tuple[str, str], CascadeSettings] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    endpoints: dict[str, EndpointSettings] = field(default_factory=dict)
+    endpoint_ids_by_model: dict[tuple[str, str], list[str]] = field(
+        default_factory=dict
+    )
+    endpoint_ids_by_service: dict[str, list[str]] = field(default_factory=dict)
+    withdrawn: set[str] = field(default_factory=set)
+    domains_out: set[str] = field(default_factory=set)
+    rollouts: dict[tuple[str, str], RolloutObject] = field(default_factory=dict)
+
+    def customer_by_token(self, token: str) -> Customer | None:
+        """Return the customer with a bearer token or None."""
+        return self.customers.get(hashlib.sha256(token.encode()).hexdigest())
+
+    def is_withdrawn(self, team: str, model: str, version: str) -> bool:
+        """Return whether a version is withdrawn."""
+        return f"{team}.{model}.{version}" in self.withdrawn
+
+    def usable_versions(self, customer: Customer, model: str) -> list[str]:
+        """Return the versions of ``model`` that the customer may use now."""
+        settings = self.models.get((customer.team, model))
+        if settings is None:
+            return []
+        permitted: set[str] = set()
+        for allowance in customer.settings.allow:
+            if allowance.model == model:
+                permitted.update(allowance.versions)
+        return [
+            version.name
+            for version in settings.versions
+            if (ALL_VERSIONS in permitted or version.name in permitted)
+            and not self.is_withdrawn(customer.team, model, version.name)
+        ]
+
+    def is_domain_out(self, domain: str) -> bool:
+        """Return whether operators took a failure domain out."""
+        return domain in self.domains_out
+
+
+class CatalogueKeeper:
+    """Keep the catalogue in step with the object store.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Source of objects; this object subscribes to it.
+    """
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self._teams: dict[str, TeamSettings] = {}
+        self._current = Catalogue()
+        self._stale = True
+        for prefix in (
+            SETTINGS_PREFIX,
+            DOMAINS_PREFIX,
+            WITHDRAWALS_PREFIX,
+            ROLLOUTS_PREFIX,
+        ):
+            store.subscribe(prefix, self._on_change)
+
+    @property
+    def current(self) -> Catalogue:
+        """The catalogue over the objects held now."""
+        if self._stale:
+            self._current = self._build()
+            self._stale = False
+        return self._current
+
+    def _on_change(self, changed: StoredObject) -> None:
+        self._stale = True
+        if changed.key.startswith(SETTINGS_PREFIX):
+            self._read_team(changed)
+
+    def _read_team(self, changed: StoredObject) -> None:
+        team = changed.key.removeprefix(SETTINGS_PREFIX)
+        if changed.deleted:
+            self._teams.pop(team, None)
+            return
+        try:
+            self._teams[team] = team_from_value(changed.value, place=changed.key)
+        except (RouterError, ExceptionGroup) as error:
+            log.error(
+                "settings_rejected",
+                key=changed.key,
+                version=changed.version,
+                reason=str(error),
+                in_force="previous" if team in self._teams else "none",
+            )
+
+    def _build(self) -> Catalogue:
+        catalogue = Catalogue()
+        for name in sorted(self._teams):
+            _add_team(catalogue, self._teams[name])
+        for item in self._store.list(WITHDRAWALS_PREFIX):
+            if _flag(item, "withdrawn", True):
+                catalogue.withdrawn.add(item.key.removeprefix(WITHDRAWALS_PREFIX))
+        for item in self._store.list(DOMAINS_PREFIX):
+            if _flag(item, "state", DOMAIN_OUT):
+                catalogue.domains_out.add(item.key.removeprefix(DOMAINS_PREFIX))
+        for item in self._store.list(ROLLOUTS_PREFIX):
+            _add_rollout(catalogue, item)
+        return catalogue
+
+
+def _flag(item: StoredObject, name: str, expected: object) -> bool:
+    if item.deleted or not isinstance(item.value, dict):
+        return False
+    return item.value.get(name) == expected
+
+
+def _add_team(catalogue: Catalogue, team: TeamSettings) -> None:
+    for customer in team.customers:
+        catalogue.customers[customer.token_sha256] = Customer(team.team, customer)
+    for model in team.models:
+        catalogue.models[team.team, model.name] = model
+    for cascade in team.cascades:
+        catalogue.cascades[team.team, cascade.name] = cascade
+    for service in team.services:
+        catalogue.services[service.name] = Service(team.team, service)
+    for endpoint in team.endpoints:
+        catalogue.endpoints[endpoint.endpoint_id] = endpoint
+        if endpoint.service:
+            catalogue.endpoint_ids_by_service.setdefault(endpoint.service, []).append(
+                endpoint.endpoint_id
+            )
+        for model_name in endpoint.models:
+            catalogue.endpoint_ids_by_model.setdefault(
+                (team.team, model_name), []
+            ).append(endpoint.endpoint_id)
+
+
+def _add_rollout(catalogue: Catalogue, item: StoredObject) -> None:
+    if item.deleted:
+        return
+    try:
+        rollout = rollout_from_value(item.value)
+    except RouterError as error:
+        log.error("rollout_rejected", key=item.key, reason=str(error))
+        return
+    present = catalogue.rollouts.get((rollout.team, rollout.model))
+    if present is None or present.updated_wall_ms <= rollout.updated_wall_ms:
+        catalogue.rollouts[rollout.team, rollout.model] = rollout
--- /dev/null
+++ b/src/sesameknot/router/metrics.py
@@ -0,0 +1,55 @@
+"""Metrics of the request path and of coordination."""
+
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram
+from aioprometheus.collectors import Registry
+
+LATENCY_BUCKETS_S = [0.01, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 5.0, 10.0, 30.0]
+TOKEN_GAP_BUCKETS_S = [0.005, 0.01, 0.02, 0.03, 0.047, 0.07, 0.1, 0.2, 0.5, 1.0]
+
+
+class RouterMetrics:
+    """All metrics of one router.
+
+    Parameters
+    ----------
+    registry : aioprometheus.collectors.Registry, default=REGISTRY
+        Where the metrics are registered.
+    """
+
+    def __init__(self, registry: Registry = REGISTRY) -> None:
+        self.registry = registry
+        self.requests = Counter(
+            "sesameknot_requests_total", "Requests by outcome", registry=registry
+        )
+        self.attempts = Counter(
+            "sesameknot_attempts_total", "Attempts by result", registry=registry
+        )
+        self.latency_s = Histogram(
+            "sesameknot_request_seconds",
+            "Time to the whole answer",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.first_token_s = Histogram(
+            "sesameknot_first_token_seconds",
+            "Time to the first token",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.token_gap_s = Histogram(
+            "sesameknot_token_gap_seconds",
+            "Time between tokens",
+            buckets=TOKEN_GAP_BUCKETS_S,
+            registry=registry,
+        )
+        self.config_age_s = Gauge(
+            "sesameknot_config_age_seconds",
+            "Upper bound of the configuration's age",
+            registry=registry,
+        )
+        self.in_flight = Gauge(
+            "sesameknot_requests_in_flight", "Requests in flight", registry=registry
+        )
+        self.platform_calls = Gauge(
+            "sesameknot_platform_calls", "Calls to the platform", registry=registry
+        )
--- /dev/null
+++ b/src/sesameknot/router/ratings.py
@@ -0,0 +1,131 @@
+"""Send a share of the answers to the rating service and collect the scores."""
+
+import asyncio
+import json
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+import structlog
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+PENDING_LIMIT_COUNT = 5_000
+POLL_INTERVAL_S = 1.0
+CALL_TIMEOUT_S = 5.0
+QUEUE_LIMIT_COUNT = 1_000
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class RatedAnswer:
+    """An answer that was sent to the rating service."""
+
+    request_id: str
+    team: str
+    model: str
+    version: str
+    kind: str
+    cost_microunits: int
+    text: str
+
+
+class Ratings:
+    """Sample answers, send them for rating and report the scores.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the rating service; empty turns ratings off.
+    share : float
+        Share of answers that are sent.
+    generator : numpy.random.Generator
+        Source of the sample.
+    on_rating : callable
+        Called with the answer and its score between 0 and 1.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        share: float,
+        generator: np.random.Generator,
+        on_rating: Callable[[RatedAnswer, float], None],
+    ) -> None:
+        self.url = url.rstrip("/")
+        self.share = share
+        self._generator = generator
+        self._on_rating = on_rating
+        self._pending: OrderedDict[str, RatedAnswer] = OrderedDict()
+        self._queue: asyncio.Queue[RatedAnswer] = asyncio.Queue(QUEUE_LIMIT_COUNT)
+        self._since = 0
+        self._http = SimpleAsyncHTTPClient(force_instance=True)
+
+    def offer(self, answer: RatedAnswer) -> None:
+        """Send the answer for rating if the sample takes it."""
+        if not self.url or self._generator.random() >= self.share:
+            return
+        if self._queue.full():
+            log.info("rating_dropped", request_id=answer.request_id, step="queue")
+            return
+        self._queue.put_nowait(answer)
+
+    async def run(self) -> None:
+        """Send and poll until cancelled."""
+        if not self.url:
+            return
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._send_all())
+            group.create_task(self._poll_all())
+
+    async def _send_all(self) -> None:
+        while True:
+            answer = await self._queue.get()
+            body = {
+                "request_id": answer.request_id,
+                "model": answer.model,
+                "version": answer.version,
+                "kind": answer.kind,
+                "text": answer.text,
+            }
+            if await self._fetch("POST", "/ratings", json.dumps(body)) is None:
+                continue
+            self._pending[answer.request_id] = answer
+            while len(self._pending) > PENDING_LIMIT_COUNT:
+                self._pending.popitem(last=False)
+
+    async def _poll_all(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            batch = await self._fetch("GET", f"/ratings?since={self._since}", None)
+            if batch is not None:
+                self._take(batch)
+
+    def _take(self, batch: Any) -> None:
+        try:
+            for entry in batch["ratings"]:
+                answer = self._pending.pop(entry["request_id"], None)
+                if answer is not None:
+                    self._on_rating(answer, float(entry["score"]))
+            self._since = int(batch["next"])
+        except (KeyError, TypeError, ValueError) as error:
+            log.warning("ratings_rejected", peer=self.url, reason=repr(error))
+
+    async def _fetch(self, method: str, path: str, body: str | None) -> Any:
+        request = HTTPRequest(
+            self.url + path, method=method, body=body, request_timeout=CALL_TIMEOUT_S
+        )
+        try:
+            response = await self._http.fetch(request)
+            return json.loads(response.body)
+        except (HTTPClientError, OSError, ValueError) as error:
+            log.info("rating_service_failed", step=method, reason=str(error))
+            return None
+
+    def close(self) -> None:
+        """Close the HTTP client."""
+        self._http.close()
