--- a/src/sesameknot/transport/platform_client.py
+++ b/src/sesameknot/transport/platform_client.py
@@ -65,6 +65,18 @@
             return None
         return _object(self._body(response, "get"))
 
+    async def hosts(self) -> list[PlatformHost]:
+        """Return the platform's list of live and leaving hosts."""
+        response = await self._fetch("GET", "/v1/hosts", step="hosts")
+        return [
+            PlatformHost(
+                host_id=entry["host_id"],
+                address=entry["address"],
+                state=entry["state"],
+            )
+            for entry in self._body(response, "hosts")["hosts"]
+        ]
+
     async def list(self, prefix: str) -> WatchBatch:
         """Return all objects below ``prefix`` and the version of the store."""
         query = urlencode({"prefix": prefix})
@@ -184,18 +196,6 @@
             return WatchBatch(objects=[], version=since, reset=True)
         return _batch(self._body(response, "watch"))
 
-    async def hosts(self) -> list[PlatformHost]:
-        """Return the platform's list of live and leaving hosts."""
-        response = await self._fetch("GET", "/v1/hosts", step="hosts")
-        return [
-            PlatformHost(
-                host_id=entry["host_id"],
-                address=entry["address"],
-                state=entry["state"],
-            )
-            for entry in self._body(response, "hosts")["hosts"]
-        ]
-
     async def _fetch(
         self,
         method: str,
