Add the operators' command line

Cause: operators need to check and apply settings, run roll-outs, withdraw versions and change failure domains without overwriting each other, and to learn where a change is in force.

Ruled out: a plain put (a lost answer is reported as a failure), reading the version right before the write (an operator who read earlier overwrites a colleague), and counting only the routers that the operator listed (a roster member that is unreachable looks served).

The loader's check for names that two teams define is public as team_overlaps, because apply also runs it against the teams on the platform.

The layout of a bill batch (object with a list bills) is an assumption until the bill writer is merged.

--- /dev/null
+++ b/src/sesameknot/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool: commands, changes to objects, and the routers' answers."""
--- /dev/null
+++ b/src/sesameknot/protocol/operator_api.py
@@ -0,0 +1,87 @@
+"""JSON records of a router's HTTP endpoints for operators.
+
+- ``POST /operator/objects``: list of :class:`PushedObject`.
+- ``GET /operator/status``: one :class:`RouterStatus`.
+- ``GET /operator/traffic``: list of
+  :class:`~sesameknot.protocol.messages.VersionStats`.
+
+All three take the operator token as bearer token.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import msgspec
+
+from sesameknot.errors import RouterError
+from sesameknot.protocol.objects import StoredObject
+
+OBJECTS_PATH = "/operator/objects"
+STATUS_PATH = "/operator/status"
+TRAFFIC_PATH = "/operator/traffic"
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class PushedObject:
+    """One platform object that an operator's tool pushes to routers."""
+
+    key: str
+    version: int
+    value: Any = None
+    write_id: str = ""
+    deleted: bool = False
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RouterStatus:
+    """What a router says about itself.
+
+    Parameters
+    ----------
+    host_id : str
+        Name of the host.
+    incarnation : int
+        Process start number.
+    config_age_ms : float
+        Upper bound on the age of its configuration.
+    verdict : str
+        Its freshness verdict, for example ``"fresh"`` or ``"stale"``.
+    versions : dict
+        Versions of the objects that it holds, by key.
+    draining : bool, default=False
+        Whether it is leaving.
+    """
+
+    host_id: str
+    incarnation: int = 0
+    config_age_ms: float = 0.0
+    verdict: str = ""
+    versions: dict[str, int] = field(default_factory=dict)
+    draining: bool = False
+
+
+def pushed(stored: StoredObject) -> PushedObject:
+    """Return the pushed form of a platform object."""
+    return PushedObject(
+        key=stored.key,
+        version=stored.version,
+        value=stored.value,
+        write_id=stored.write_id,
+        deleted=stored.deleted,
+    )
+
+
+def read_json(data: bytes, kind: type[T], *, peer: str) -> T:
+    """Return the record of class ``kind`` in a JSON text.
+
+    Raises
+    ------
+    RouterError
+        If the text is not such a record.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError as error:
+        raise RouterError(str(error), step="parse", peer=peer) from error
--- a/src/sesameknot/settings/loader.py
+++ b/src/sesameknot/settings/loader.py
@@ -73,13 +73,14 @@
             errors.append(error)
     if not teams and not errors:
         errors.append(SettingsError("no *.yaml file found", step=str(directory)))
-    errors.extend(_overlaps(teams))
+    errors.extend(team_overlaps(teams))
     if errors:
         raise ExceptionGroup(f"{directory}: invalid settings tree", errors)
     return teams
 
 
-def _overlaps(teams: list[TeamSettings]) -> list[SettingsError]:
+def team_overlaps(teams: list[TeamSettings]) -> list[SettingsError]:
+    """Return a fault for each name that two teams define."""
     owners: dict[tuple[str, str], str] = {}
     faults = []
     for team in teams:
--- /dev/null
+++ b/tests/operator/test_commands.py
@@ -0,0 +1,352 @@
+"""Tests of the operators' commands against a platform core and fake routers."""
+
+import asyncio
+import copy
+import tempfile
+from pathlib import Path
+
+import yaml
+from testtools.matchers import Contains, Equals, HasLength, Not
+from tornado.httpserver import HTTPServer
+from tornado.testing import gen_test
+
+from sesameknot.clock import SystemClock
+from sesameknot.operator.commands import run_command
+from sesameknot.operator.context import OperatorContext
+from sesameknot.operator.fleet import RouterFleet
+from sesameknot.operator.results import ExitCode
+from sesameknot.protocol.roster import Roster, RosterMember
+from sesameknot.standins.platform import InProcessPlatform, PlatformCore
+from tests.operator.fakes import TOKEN, FakeRouter
+from tests.settings.test_loader import TEAM
+from tests.support import LoopTestCase
+
+FEED = {
+    **copy.deepcopy(TEAM),
+    "models": [
+        {
+            "name": "small",
+            "versions": [{"name": "v1"}, {"name": "v2"}],
+            "stable_version": "v1",
+        }
+    ],
+    "rollouts": [{"name": "july", "model": "small", "to_version": "v2"}],
+}
+
+
+class CommandTestCase(LoopTestCase):
+    def setUp(self):
+        super().setUp()
+        self.core = PlatformCore(clock=SystemClock(), host_lag_s=0.0)
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+        self.addresses = []
+
+    def router(self, host_id, **options):
+        router = FakeRouter(host_id, **options)
+        self.addresses.append(self.listen(HTTPServer(router.application)))
+        return router
+
+    def context(self, operator="ana", **options):
+        fleet = RouterFleet(self.addresses, clock=SystemClock(), token=TOKEN)
+        self.closing(fleet.close)
+        return OperatorContext(
+            platform=InProcessPlatform(self.core),
+            fleet=fleet,
+            clock=SystemClock(),
+            operator=operator,
+            **{"wait_s": 5.0, **options},
+        )
+
+    async def run_ctl(self, line, context=None):
+        return await run_command(context or self.context(), line.split())
+
+    def write(self, value, name="feed.yaml"):
+        path = self.directory / name
+        path.write_text(yaml.safe_dump(value))
+        return path
+
+    def present(self, key):
+        return self.core.table.get(key)
+
+
+def _then_wait(call, barrier):
+    async def wrapped(*arguments):
+        result = await call(*arguments)
+        await barrier.wait()
+        return result
+
+    return wrapped
+
+
+class ApplyTest(CommandTestCase):
+    @gen_test
+    async def test_apply_reports_acceptance_and_the_routers_that_miss_it(self):
+        """Guards against "done" while a router still uses the old settings."""
+        first = self.router("h1")
+        self.router("h2", deaf=True)
+        self.router("h3", deaf=True, draining=True)
+        path = self.write(FEED)
+        report = await self.run_ctl(f"apply {path}", self.context(wait_s=0.2))
+        self.assertThat(
+            report.lines,
+            Equals(
+                [
+                    "settings/feed: accepted at version 1",
+                    "in force on 1 of 2 hosts, missing: h2",
+                ]
+            ),
+        )
+        self.assertThat(report.exit_code, Equals(ExitCode.NOT_IN_FORCE))
+        self.assertThat(first.objects["settings/feed"].version, Equals(1))
+
+    @gen_test
+    async def test_a_roster_member_without_an_address_is_named_as_missing(self):
+        """Guards against counting only the routers that the operator listed."""
+        self.router("h1")
+        members = tuple(
+            RosterMember(name, 1, "127.0.0.1:1", "r", "d") for name in ("h1", "h9")
+        )
+        self.core.table.put(
+            "roster/main",
+            Roster(members=members).to_value(),
+            expected_version=0,
+            write_id="w",
+        )
+        path = self.write(FEED)
+        report = await self.run_ctl(f"apply {path}", self.context(wait_s=0.0))
+        self.assertThat(
+            report.lines[-1], Equals("in force on 1 of 2 hosts, missing: h9")
+        )
+
+    @gen_test
+    async def test_unchanged_teams_are_not_written(self):
+        """Guards against writes that use up the platform's limit."""
+        path = self.write(FEED)
+        await self.run_ctl(f"apply {path}")
+        writes = self.core.counts.calls["put"]
+        report = await self.run_ctl(f"apply {path}", self.context("ben"))
+        self.assertThat(
+            report.lines[0], Equals("settings/feed: unchanged at version 1")
+        )
+        self.assertThat(self.core.counts.calls["put"], Equals(writes))
+
+    @gen_test
+    async def test_of_two_racing_operators_one_wins_and_the_other_is_told(self):
+        """Guards against two operators who overwrite each other's team."""
+        paths = []
+        for name in ("ana", "ben"):
+            value = copy.deepcopy(FEED)
+            value["customers"][0]["value_weight"] = float(len(paths) + 2)
+            paths.append((name, self.write(value, f"{name}.yaml")))
+        both_read = asyncio.Barrier(2)
+        contexts = [self.context(name) for name, _ in paths]
+        for context in contexts:
+            context.platform.list = _then_wait(context.platform.list, both_read)
+        reports = await asyncio.gather(
+            *(
+                self.run_ctl(f"apply {path}", context)
+                for (_, path), context in zip(paths, contexts, strict=True)
+            )
+        )
+        codes = [report.exit_code for report in reports]
+        self.assertThat(sorted(codes), Equals([ExitCode.DONE, ExitCode.CONFLICT]))
+        winner = paths[codes.index(ExitCode.DONE)][0]
+        loser = reports[codes.index(ExitCode.CONFLICT)]
+        self.assertThat(loser.lines[-1], Contains(f"written by '{winner}/"))
+        self.assertThat(
+            self.present("settings/feed").write_id.split("/")[0], Equals(winner)
+        )
+
+    @gen_test
+    async def test_files_based_on_an_old_version_are_refused(self):
+        """Guards against an edit of an old copy that reverts a colleague's change."""
+        path = self.write(FEED)
+        await self.run_ctl(f"apply {path}", self.context("ben"))
+        value = copy.deepcopy(FEED)
+        value["customers"][0]["value_weight"] = 2.0
+        path = self.write(value)
+        stale = self.context(base_versions={"feed": 0})
+        report = await self.run_ctl(f"apply {path}", stale)
+        self.assertThat(report.exit_code, Equals(ExitCode.CONFLICT))
+        self.assertThat(report.lines[-1], Contains("written by 'ben/"))
+        self.assertThat(self.present("settings/feed").version, Equals(1))
+
+    @gen_test
+    async def test_a_lost_write_answer_is_reported_as_accepted(self):
+        """Guards against an error for a change that took effect."""
+        self.core.switch(lose_write_answers=1)
+        report = await self.run_ctl(f"apply {self.write(FEED)}")
+        self.assertThat(report.lines[0], Equals("settings/feed: accepted at version 1"))
+
+    @gen_test
+    async def test_a_write_without_any_answer_is_reported_as_unknown(self):
+        """Guards against "nothing was written" when a write took effect."""
+        await self.run_ctl(f"apply {self.write(FEED)}")
+        context = self.context()
+        put = context.platform.put
+
+        async def put_then_outage(*arguments, **options):
+            await put(*arguments, **options)
+            self.core.switch(outage="refuse")
+            return await put(*arguments, **options)
+
+        context.platform.put = put_then_outage
+        report = await self.run_ctl("withdraw feed small v2", context)
+        self.assertThat(report.exit_code, Equals(ExitCode.OUTCOME_UNKNOWN))
+        self.assertThat(report.lines[0], Contains("may or may not have taken effect"))
+
+    @gen_test
+    async def test_an_outage_gives_one_clear_error(self):
+        """Guards against a trace or a hang when the platform is down."""
+        path = self.write(FEED)
+        self.core.switch(outage="refuse")
+        report = await self.run_ctl(f"apply {path}")
+        self.assertThat(report.exit_code, Equals(ExitCode.PLATFORM_UNAVAILABLE))
+        self.assertThat(
+            report.lines, Equals(["error: list in-process: connection closed"])
+        )
+
+    @gen_test
+    async def test_wrong_settings_are_refused_with_their_places(self):
+        """Guards against a forbidden cascade or a misspelt key reaching routers."""
+        large = {"name": "large", "versions": [{"name": "v1"}], "stable_version": "v1"}
+        value = copy.deepcopy(FEED)
+        value["models"].append(large)
+        value["cascades"][0]["models"].append("large")
+        self.write(value)
+        self.write({"team": "lace", "modles": []}, "lace.yaml")
+        report = await self.run_ctl(f"apply {self.directory}")
+        self.assertThat(report.exit_code, Equals(ExitCode.INVALID_SETTINGS))
+        self.assertThat(report.lines, HasLength(2))
+        self.assertThat(report.lines[0], Contains("$.customers[0].cascade"))
+        self.assertThat(report.lines[0], Contains("'large'"))
+        self.assertThat(report.lines[1], Contains("`modles`"))
+        self.assertThat(self.core.table.version, Equals(0))
+
+    @gen_test
+    async def test_a_customer_of_another_team_is_refused(self):
+        """Guards against two teams that define one customer."""
+        await self.run_ctl(f"apply {self.write(FEED)}")
+        value = {**copy.deepcopy(FEED), "team": "lace"}
+        report = await self.run_ctl(f"apply {self.write(value, 'lace.yaml')}")
+        self.assertThat(report.exit_code, Equals(ExitCode.INVALID_SETTINGS))
+        self.assertThat(report.lines[0], Contains("'barge-1' is defined by"))
+
+    @gen_test
+    async def test_diff_names_paths_and_ignores_order(self):
+        """Guards against a difference shown for a record that only moved."""
+        await self.run_ctl(f"apply {self.write(FEED)}")
+        value = copy.deepcopy(FEED)
+        value["models"][0]["versions"].reverse()
+        value["cascades"][0]["quality_target"] = 0.9
+        report = await self.run_ctl(f"diff {self.write(value)}")
+        self.assertThat(
+            report.lines,
+            Equals(
+                [
+                    "settings/feed at version 1: 1 changes",
+                    "  ~ $.cascades/advice.quality_target: 0.8 -> 0.9",
+                ]
+            ),
+        )
+
+
+class ObjectCommandTest(CommandTestCase):
+    async def _apply(self, **parts):
+        await self.run_ctl(f"apply {self.write({**copy.deepcopy(FEED), **parts})}")
+
+    @gen_test
+    async def test_withdraw_restore_and_domain_write_their_objects(self):
+        """Guards against values that routers do not understand."""
+        endpoint = {"endpoint_id": "e1", "url": "http://10.0.0.1:1", "domain": "idku"}
+        await self._apply(endpoints=[{**endpoint, "models": ["small"]}])
+        await self.run_ctl("withdraw feed small v2")
+        key = "withdrawals/feed.small.v2"
+        self.assertThat(self.present(key).value, Equals({"withdrawn": True}))
+        await self.run_ctl("restore feed small v2")
+        self.assertThat(self.present(key).value, Equals({"withdrawn": False}))
+        await self.run_ctl("domain out idku")
+        self.assertThat(self.present("domains/idku").value, Equals({"state": "out"}))
+
+    @gen_test
+    async def test_unknown_names_are_refused_with_the_known_ones(self):
+        """Guards against a misspelt name that silently changes nothing."""
+        await self._apply()
+        for line, code in [
+            ("withdraw feed small v9", ExitCode.REFUSED),
+            ("withdraw fed small v1", ExitCode.REFUSED),
+            ("domain out manzla", ExitCode.REFUSED),
+            ("rollout start feed june", ExitCode.REFUSED),
+            ("domain off idku", ExitCode.USAGE),
+            ("withdraw feed", ExitCode.USAGE),
+        ]:
+            report = await self.run_ctl(line)
+            self.assertThat(report.exit_code, Equals(code), line)
+        self.assertThat(self.core.table.version, Equals(1))
+
+    @gen_test
+    async def test_a_rollout_is_started_paused_and_stopped(self):
+        """Guards against a stop that leaves the new version in service."""
+        router = self.router("h1")
+        await self._apply()
+        await self.run_ctl("rollout start feed july")
+        again = await self.run_ctl("rollout start feed july")
+        self.assertThat(again.exit_code, Equals(ExitCode.REFUSED))
+        await self.run_ctl("rollout pause feed july")
+        self.assertThat(
+            self.present("rollouts/feed.july").value["state"], Equals("paused")
+        )
+        await self.run_ctl("rollout stop feed july")
+        value = self.present("rollouts/feed.july").value
+        self.assertThat(value["state"], Equals("stopped"))
+        withdrawal = self.present("withdrawals/feed.small.v2")
+        self.assertThat(withdrawal.value, Equals({"withdrawn": True}))
+        self.assertThat(
+            withdrawal.version < self.present("rollouts/feed.july").version,
+            Equals(True),
+        )
+        self.assertThat(router.objects, Contains("withdrawals/feed.small.v2"))
+        refused = await self.run_ctl("rollout start feed july")
+        self.assertThat(refused.lines[0], Contains("is withdrawn, restore it first"))
+
+    @gen_test
+    async def test_a_pause_wins_against_a_renewal_in_between(self):
+        """Guards against a pause that fails because the holder renewed its lease."""
+        await self._apply()
+        await self.run_ctl("rollout start feed july")
+        context = self.context()
+        get = context.platform.get
+
+        async def get_then_renew(key):
+            found = await get(key)
+            if key.startswith("rollouts/") and found.value["fence"] == 0:
+                self.core.table.put(
+                    key,
+                    {**found.value, "fence": 1, "holder": "h1", "step": 1},
+                    expected_version=found.version,
+                    write_id="renewal",
+                )
+            return found
+
+        context.platform.get = get_then_renew
+        await self.run_ctl("rollout pause feed july", context)
+        value = self.present("rollouts/feed.july").value
+        self.assertThat((value["state"], value["step"]), Equals(("paused", 1)))
+
+    @gen_test
+    async def test_bills_in_two_batches_count_once(self):
+        """Guards against billing a customer twice for a replicated bill."""
+        bill = {"bill_id": "b1", "customer": "barge-1", "cost_microunits": 7}
+        settled = {**bill, "outcome": "answered"}
+        other = {"bill_id": "b2", "customer": "barge-2", "cost_microunits": 5}
+        for key, bills in [("h1.1.0", [settled, other]), ("h2.1.0", [settled])]:
+            self.core.table.put(
+                f"bills/{key}", {"bills": bills}, expected_version=0, write_id="w"
+            )
+        report = await self.run_ctl("bills")
+        costs = {row["customer"]: row["cost_microunits"] for row in report.value}
+        self.assertThat(costs, Equals({"barge-1": 7, "barge-2": 5}))
+        report = await self.run_ctl("bills", self.context(customer="barge-2"))
+        self.assertThat(str(report.lines), Not(Contains("barge-1")))
