Add the decision functions of the request path

Cause: the request path needs typed decisions: model, version, endpoint, admission, retries, crashing requests, and the test of a roll-out.

Change: cascade (cheapest, costliest, fixed_mix, adaptive), version_choice, endpoint_choice (random, least_loaded, power_of_two, adaptive), admission with a token bucket per customer, retry_budget, crash_guard, rollout_test. They take a clock and a numpy generator and do no input or output.

Ruled out for the crash guard: taking the newest age on each merge, because two hosts renew each other's entries by the transit time.

--- /dev/null
+++ b/src/sesameknot/policy/_mix.py
@@ -0,0 +1,70 @@
+"""Cheapest mix of models that meets a quality target."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class ModelPoint:
+    """Estimated quality and cost of one model."""
+
+    model: str
+    quality: float
+    cost: float
+
+
+@dataclass(slots=True, frozen=True)
+class Mix:
+    """Traffic shares of at most two models.
+
+    Parameters
+    ----------
+    low, high : str
+        Models; the same one if a single model is cheapest.
+    high_share : float
+        Share of ``high``; ``low`` gets the rest.
+    cost : float
+        Expected cost per request.
+    """
+
+    low: str
+    high: str
+    high_share: float
+    cost: float
+
+
+def cheapest_mix(points: Sequence[ModelPoint], quality_target: float) -> Mix:
+    """Return the cheapest mix whose expected quality is at least the target.
+
+    Parameters
+    ----------
+    points : sequence of ModelPoint
+        At least one model.
+    quality_target : float
+        Least expected quality.
+
+    Returns
+    -------
+    Mix
+        The model of highest quality alone if none reaches the target.
+
+    Notes
+    -----
+    This is a linear program with two constraints, so an optimum with at most two
+    models exists; with few models, all pairs are compared.
+    """
+    good = [point for point in points if point.quality >= quality_target]
+    if not good:
+        best = max(points, key=lambda point: (point.quality, -point.cost))
+        return Mix(best.model, best.model, 1.0, best.cost)
+    single = min(good, key=lambda point: (point.cost, -point.quality))
+    chosen = Mix(single.model, single.model, 1.0, single.cost)
+    for low in points:
+        if low.quality >= quality_target or low.cost >= single.cost:
+            continue
+        for high in good:
+            share = (quality_target - low.quality) / (high.quality - low.quality)
+            cost = low.cost + share * (high.cost - low.cost)
+            if cost < chosen.cost:
+                chosen = Mix(low.model, high.model, share, cost)
+    return chosen
--- /dev/null
+++ b/src/sesameknot/policy/registry.py
@@ -0,0 +1,8 @@
+"""Registries of the decision variants."""
+
+from collections.abc import Callable
+
+from sesameknot.registry import Registry
+
+CASCADE_POLICIES: Registry[Callable] = Registry("cascade policy")
+ENDPOINT_CHOICES: Registry[Callable] = Registry("endpoint choice")
--- /dev/null
+++ b/tests/policy/test_choices.py
@@ -0,0 +1,145 @@
+"""Tests of the cascade, version and endpoint choices."""
+
+import numpy as np
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from sesameknot.clock import ManualClock
+from sesameknot.policy._mix import ModelPoint, cheapest_mix
+from sesameknot.policy.cascade import AdaptivePolicy, Candidate
+from sesameknot.policy.endpoint_choice import EndpointView, RequestShape
+from sesameknot.policy.registry import ENDPOINT_CHOICES
+from sesameknot.policy.version_choice import VersionOptions, choose_version
+
+VERSIONS = ["v1", "v2", "v3"]
+UNIT = st.floats(0.0, 1.0)
+
+
+class MixTest(TestCase):
+    @given(
+        st.lists(st.tuples(UNIT, st.floats(0.1, 10.0)), min_size=1, max_size=4), UNIT
+    )
+    def test_no_mix_on_a_grid_is_cheaper(self, pairs, target):
+        """Guards against a pair of models that the search overlooks."""
+        points = [ModelPoint(str(i), q, c) for i, (q, c) in enumerate(pairs)]
+        mix = cheapest_mix(points, target)
+        best = max(quality for quality, _ in pairs)
+        grid = np.linspace(0.0, 1.0, 21)
+        for low_quality, low_cost in pairs:
+            for high_quality, high_cost in pairs:
+                quality = low_quality + grid * (high_quality - low_quality)
+                cost = low_cost + grid * (high_cost - low_cost)
+                enough = cost[quality >= min(target, best)]
+                if target <= best and enough.size:
+                    self.assertThat(mix.cost, LessThan(float(enough.min()) + 1e-6))
+
+    @given(
+        st.lists(st.tuples(UNIT, st.floats(0.1, 10.0)), min_size=1, max_size=4), UNIT
+    )
+    def test_the_mix_reaches_the_target_where_a_model_does(self, pairs, target):
+        """Guards against a cheap mix below the target."""
+        points = [ModelPoint(str(i), q, c) for i, (q, c) in enumerate(pairs)]
+        mix = cheapest_mix(points, target)
+        low, high = pairs[int(mix.low)], pairs[int(mix.high)]
+        quality = low[0] + mix.high_share * (high[0] - low[0])
+        best = max(quality for quality, _ in pairs)
+        self.assertThat(quality, GreaterThan(min(target, best) - 1e-9))
+
+
+class AdaptivePolicyTest(TestCase):
+    def test_a_model_that_turns_bad_loses_its_traffic(self):
+        """Guards against estimates that never forget the time before a shift."""
+        clock, generator = ManualClock(), np.random.default_rng(7)
+        policy = AdaptivePolicy(
+            quality_target=0.8, clock=clock, random_generator=generator
+        )
+        candidates = [Candidate("small", 1.0, 0.5), Candidate("large", 10.0, 0.9)]
+        shares = []
+        for small_quality in (0.9, 0.4):
+            counts = {"small": 0, "large": 0}
+            for index in range(4000):
+                clock.advance(0.1)
+                model = policy.choose("note", candidates)
+                quality = small_quality if model == "small" else 0.9
+                rated = quality if generator.random() < 0.25 else None
+                policy.observe("note", model, rated, 1.0 if model == "small" else 10.0)
+                counts[model] += index >= 2000
+            shares.append(counts["small"] / 2000)
+        self.assertThat(shares[0], GreaterThan(0.9))
+        self.assertThat(shares[1], LessThan(0.35))
+
+
+class VersionChoiceTest(TestCase):
+    @given(
+        allowed=st.sets(st.sampled_from([*VERSIONS, "*"])),
+        withdrawn=st.sets(st.sampled_from(VERSIONS)),
+        pinned=st.sampled_from(["", "gone", *VERSIONS]),
+        share=UNIT,
+        key=st.text(max_size=8),
+    )
+    def test_only_a_usable_version_is_chosen(
+        self, allowed, withdrawn, pinned, share, key
+    ):
+        """Guards against new work on a withdrawn or forbidden version."""
+        options = VersionOptions(
+            "m", VERSIONS, "v1", allowed, withdrawn, "v2", rollout_share=share
+        )
+        usable = {
+            v
+            for v in VERSIONS
+            if v not in withdrawn and ("*" in allowed or v in allowed)
+        }
+        chosen = choose_version(options, key, pinned_version=pinned)
+        if not usable:
+            self.assertThat(chosen, Equals(None))
+            return
+        self.assertTrue(chosen in usable)
+        if pinned in usable:
+            self.assertThat(chosen, Equals(pinned))
+        elif "v1" in usable and share == 0.0:
+            self.assertThat(chosen, Equals("v1"))
+
+    def test_a_larger_share_keeps_the_sessions_of_a_smaller_one(self):
+        """Guards against sessions that change version at each step."""
+        chosen = [
+            {
+                key
+                for key in map(str, range(5000))
+                if choose_version(
+                    VersionOptions("m", VERSIONS, "v1", {"*"}, (), "v2", share), key
+                )
+                == "v2"
+            }
+            for share in (0.01, 0.25)
+        ]
+        self.assertTrue(chosen[0] <= chosen[1])
+        self.assertThat(abs(len(chosen[1]) - 1250), LessThan(125))
+
+
+class EndpointChoiceTest(TestCase):
+    def test_each_variant_returns_a_given_endpoint_or_none(self):
+        """Guards against a choice outside the available endpoints."""
+        generator = np.random.default_rng(1)
+        for name in ENDPOINT_CHOICES:
+            choice = ENDPOINT_CHOICES.get(name)(random_generator=generator)
+            self.assertThat(choice.choose([], RequestShape()), Equals(None))
+            for size in (1, 2, 9):
+                views = [EndpointView(f"e{i}", 16, i) for i in range(size)]
+                self.assertTrue(choice.choose(views, RequestShape(100)) in views)
+
+    def test_own_requests_count_until_a_report_holds_them(self):
+        """Guards against a burst that follows one stale report to one endpoint."""
+        choice = ENDPOINT_CHOICES.get("adaptive")(
+            random_generator=np.random.default_rng(3)
+        )
+        sent = [0, 0, 0]
+        for _ in range(48):
+            views = [
+                EndpointView(f"e{i}", 16, report, 0, 1.0, sent[i], sent[i])
+                for i, report in enumerate((0, 4, 8))
+            ]
+            sent[int(choice.choose(views, RequestShape()).endpoint_id[1])] += 1
+        loads = [count + report for count, report in zip(sent, (0, 4, 8), strict=True)]
+        self.assertThat(max(loads) - min(loads), LessThan(2))
--- /dev/null
+++ b/tests/policy/test_limits.py
@@ -0,0 +1,199 @@
+"""Tests of admission, retry budget, crash guard and the roll-out test."""
+
+import numpy as np
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from sesameknot.clock import ManualClock
+from sesameknot.policy.admission import (
+    Admission,
+    AdmissionReason,
+    AdmissionRequest,
+    Pressure,
+    ValueRanks,
+)
+from sesameknot.policy.crash_guard import CrashGuard
+from sesameknot.policy.retry_budget import RetryBudget
+from sesameknot.policy.rollout_test import RolloutTest, Verdict, VersionSample
+
+
+def _admission(seed=1):
+    return Admission(clock=ManualClock(), random_generator=np.random.default_rng(seed))
+
+
+class AdmissionTest(TestCase):
+    @given(
+        values=st.lists(st.sampled_from([0.5, 1.0, 2.0, 8.0]), min_size=20),
+        in_flight=st.integers(0, 120),
+        wait_s=st.floats(0.0, 12.0),
+    )
+    def test_shed_work_is_never_more_valuable_than_admitted_work(
+        self, values, in_flight, wait_s
+    ):
+        """Guards against valuable work that is refused while cheap work runs."""
+        admission = _admission()
+        for value in values:
+            admission.admit(AdmissionRequest("c", value, 10.0, 1e9), Pressure(0, 100))
+        pressure = Pressure(in_flight, 100, wait_s)
+        # Each value sees the same ranks, so the window must hold all values equally.
+        outcomes = {
+            value: admission._reason(AdmissionRequest("c", value, 10.0, 1e9), pressure)
+            is AdmissionReason.ADMITTED
+            for value in sorted(set(values))
+        }
+        admitted = [value for value, ok in outcomes.items() if ok]
+        shed = [value for value, ok in outcomes.items() if not ok]
+        if admitted and shed:
+            self.assertTrue(max(shed) <= min(admitted))
+        if in_flight >= 100 or wait_s >= 10.0:
+            self.assertThat(admitted, Equals([]))
+
+    def test_a_rate_limit_names_the_wait_and_spends_nothing_when_shed(self):
+        """Guards against tokens that refused requests use up."""
+        admission = _admission()
+        request = AdmissionRequest("c", 1.0, 10.0, 1.0)
+        full, idle = Pressure(100, 100), Pressure(0, 100)
+        for _ in range(5):
+            reason = admission.admit(request, full).reason
+            self.assertThat(reason, Equals(AdmissionReason.CONCURRENCY_LIMIT))
+        self.assertTrue(admission.admit(request, idle).admitted)
+        self.assertTrue(admission.admit(request, idle).admitted)
+        refused = admission.admit(request, idle)
+        self.assertThat(refused.reason, Equals(AdmissionReason.RATE_LIMIT))
+        self.assertThat(refused.retry_after_s, Equals(1.0))
+        admission.clock.advance(1.0)
+        self.assertTrue(admission.admit(request, idle).admitted)
+
+    @given(st.lists(st.integers(0, 9), min_size=1, max_size=60), st.integers(0, 9))
+    def test_ranks_equal_those_of_a_naive_window(self, values, probe):
+        """Guards against a sorted window that loses step with the recent values."""
+        ranks = ValueRanks(16)
+        for value in values:
+            ranks.add(float(value))
+        window = values[-16:]
+        below = sum(value < probe for value in window) / len(window)
+        not_above = sum(value <= probe for value in window) / len(window)
+        self.assertThat(ranks.rank(float(probe)), Equals((below, not_above)))
+
+
+class RetryBudgetTest(TestCase):
+    @given(st.lists(st.booleans(), max_size=300))
+    def test_retries_stay_within_the_ratio(self, steps):
+        """Guards against retries that multiply an overload."""
+        budget, requests, retries = RetryBudget(0.2, burst_count=3.0), 0, 0
+        for is_request in steps:
+            if is_request:
+                requests += 1
+                budget.deposit()
+            else:
+                retries += budget.try_spend()
+            self.assertTrue(retries <= 0.2 * requests + 3.0 + 1e-9)
+
+
+class CrashGuardMachine(RuleBasedStateMachine):
+    """Three hosts that record and gossip, against a log of all crashes."""
+
+    RETENTION_S = 100.0
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.hosts = [
+            CrashGuard(clock=self.clock, retention_s=self.RETENTION_S) for _ in range(3)
+        ]
+        self.log = {}
+
+    @rule(host=st.integers(0, 2), key=st.integers(0, 1), endpoint=st.integers(0, 2))
+    def crash(self, host, key, endpoint):
+        self.hosts[host].record(key, f"e{endpoint}")
+        self.log.setdefault(key, []).append((self.clock.monotonic_s(), endpoint))
+
+    @rule(
+        source=st.integers(0, 2), receiver=st.integers(0, 2), transit_s=st.floats(0, 3)
+    )
+    def gossip(self, source, receiver, transit_s):
+        entries = self.hosts[source].entries()
+        self.clock.advance(transit_s)
+        self.hosts[receiver].merge(entries)
+
+    @rule(duration_s=st.sampled_from([1.0, 40.0, 101.0, 250.0]))
+    def wait(self, duration_s):
+        self.clock.advance(duration_s)
+        for host in self.hosts:
+            host.expire()
+
+    @invariant()
+    def refusals_are_founded(self):
+        now_s = self.clock.monotonic_s()
+        for host in self.hosts:
+            for key in (0, 1):
+                if host.refuses(key):
+                    crashes = self.log[key]
+                    # Transit time may extend an entry, by the margin at most.
+                    age_s = now_s - max(at_s for at_s, _ in crashes)
+                    assert age_s < self.RETENTION_S + host.REFRESH_MARGIN_S
+                    assert len({endpoint for _, endpoint in crashes}) >= 2
+
+
+CrashGuardTest = CrashGuardMachine.TestCase
+
+
+class CrashMergeTest(TestCase):
+    def test_counts_of_two_hosts_add_up_and_expire(self):
+        """Guards against one crash per host that no host refuses."""
+        clock = ManualClock()
+        first, second = CrashGuard(clock=clock), CrashGuard(clock=clock)
+        first.record(7, "e1")
+        second.record(7, "e2")
+        self.assertFalse(first.refuses(7))
+        first.merge(second.entries())
+        self.assertTrue(first.refuses(7))
+        clock.advance(600.0)
+        self.assertFalse(first.refuses(7))
+        self.assertThat(first.entries(), Equals([]))
+
+
+class RolloutTestTest(TestCase):
+    def _run(self, test, generator, *, drop=0.0, rise=0.0, batch_count=20, limit=400):
+        new, stable = np.zeros(5), np.zeros(5)
+        for _ in range(limit):
+            new += _batch(generator, batch_count, 0.8 - drop, 0.01 + rise)
+            stable += _batch(generator, 4 * batch_count, 0.8, 0.01)
+            verdict = test.verdict(_sample(new), _sample(stable))
+            if verdict is not Verdict.CONTINUE:
+                return verdict
+        return Verdict.CONTINUE
+
+    def _share(self, wanted, trials=1000, **change):
+        generator = np.random.default_rng(11)
+        test = RolloutTest(false_alarm_rate=0.05, miss_rate=0.05)
+        hits = sum(
+            self._run(test, generator, **change) is wanted for _ in range(trials)
+        )
+        return hits / trials
+
+    def test_a_good_version_is_stopped_within_the_false_alarm_rate(self):
+        """Guards against a bound that repeated looks overrun."""
+        self.assertThat(self._share(Verdict.STOP), LessThan(0.05 + 1e-9))
+
+    def test_a_bad_version_is_advanced_within_the_miss_rate(self):
+        """Guards against a test that lets bad ratings or errors pass."""
+        for change in ({"drop": 0.05}, {"rise": 0.02}, {"drop": 0.2}):
+            share = self._share(Verdict.ADVANCE, **change)
+            self.assertThat(share, LessThan(0.05 + 1e-9), str(change))
+
+
+def _batch(generator, count, quality, error_rate):
+    errors = generator.binomial(count, error_rate)
+    ratings = generator.beta(8 * quality, 8 * (1 - quality), max(1, count // 4))
+    return np.array(
+        [count, errors, len(ratings), ratings.sum(), (ratings**2).sum()], dtype=float
+    )
+
+
+def _sample(values):
+    requests, errors, ratings, total, squares = values.tolist()
+    return VersionSample(int(requests), int(errors), int(ratings), total, squares)
