--- /dev/null
+++ b/src/sesameknot/protocol/prefix.py
@@ -0,0 +1,33 @@
+"""Hashes of prompt prefixes, as engines publish them for their caches."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+BLOCK_CHARS = 64
+BLOCK_LIMIT_COUNT = 64
+
+
+def prefix_hashes(messages: Iterable[tuple[str, str]]) -> list[int]:
+    """Return one hash per complete block of the prompt, each covering all before it.
+
+    Parameters
+    ----------
+    messages : iterable of (role, content)
+        Messages of a chat request in order.
+
+    Returns
+    -------
+    list of int
+        At most ``BLOCK_LIMIT_COUNT`` hashes; equal leading hashes mean equal text.
+    """
+    text = "".join(f"{role}\0{content}\0" for role, content in messages)
+    hashes: list[int] = []
+    digest = 0
+    for end in range(BLOCK_CHARS, len(text) + 1, BLOCK_CHARS):
+        if len(hashes) == BLOCK_LIMIT_COUNT:
+            break
+        block = text[end - BLOCK_CHARS : end].encode("utf-8", "surrogatepass")
+        digest = xxhash.xxh3_64_intdigest(block, seed=digest)
+        hashes.append(digest)
+    return hashes
