Add the stand-ins of the rating service and the weight store

Cause: roll-out tests need ratings that are late, noisy and sparse, and a rate-limited source of weights.

--- /dev/null
+++ b/src/sesameknot/apps/rating_standin.py
@@ -0,0 +1,58 @@
+"""Run the stand-in of the rating service and the weight store."""
+
+import asyncio
+import signal
+
+from absl import app, flags
+
+from sesameknot.standins.rating import RatingOptions, RatingStandin
+
+FLAGS = flags.FLAGS
+
+flags.DEFINE_string("address", "127.0.0.1", "IP number to listen on.")
+flags.DEFINE_integer("port", 9200, "TCP port to listen on.")
+flags.DEFINE_list("qualities", [], "Mean scores as model/version=score.")
+flags.DEFINE_float("default_quality", 0.9, "Mean score of other versions.")
+flags.DEFINE_float("noise", 0.1, "Standard deviation of a score.")
+flags.DEFINE_float("delay_s", 0.0, "Time until a score is published.")
+flags.DEFINE_float("gap_share", 0.0, "Share of answers that are never rated.")
+flags.DEFINE_float("weight_rate_per_s", 5.0, "Rate limit of the weight store.")
+flags.DEFINE_integer("random_state", 0, "Seed.")
+
+
+def _qualities() -> dict[str, float]:
+    pairs = (entry.partition("=") for entry in FLAGS.qualities)
+    return {name: float(score) for name, _, score in pairs}
+
+
+async def serve() -> None:
+    """Serve until the process is asked to stop."""
+    options = RatingOptions(
+        qualities=_qualities(),
+        default_quality=FLAGS.default_quality,
+        noise=FLAGS.noise,
+        delay_s=FLAGS.delay_s,
+        gap_share=FLAGS.gap_share,
+        random_state=FLAGS.random_state,
+    )
+    standin = RatingStandin(options, weight_rate_per_s=FLAGS.weight_rate_per_s)
+    server = standin.server()
+    server.listen(FLAGS.port, address=FLAGS.address)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    server.stop()
+    await server.close_all_connections()
+
+
+def main(argv: list[str]) -> None:
+    """Run the stand-in."""
+    del argv
+    asyncio.run(serve())
+
+
+def run() -> None:
+    """Entry point of the binary."""
+    app.run(main)
