--- a/src/sesameknot/standins/_platform_table.py
+++ b/src/sesameknot/standins/_platform_table.py
@@ -98,10 +98,11 @@
 
     def _after(self, prefix: str, since: int) -> list[StoredObject]:
         found = []
+        prefixes = tuple(prefix.split(","))
         for stored in reversed(self._objects.values()):
             if stored.version <= since:
                 break
-            if stored.key.startswith(prefix):
+            if stored.key.startswith(prefixes):
                 found.append(stored)
         found.reverse()
         return found
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -55,6 +55,18 @@
         )
         self.assertThat((stored.version, stored.write_id), Equals((1, "w1")))
 
+    @gen_test
+    async def test_one_call_reads_several_prefixes(self):
+        """Guards against a watcher that needs a call per kind or reads all bills."""
+        platform = self._start()
+        for key in ("settings/a", "bills/b", "domains/c"):
+            await platform.put(key, 0, expected_version=0, write_id="w")
+        expected = ["settings/a", "domains/c"]
+        listed = await platform.list("settings/,domains/")
+        self.assertThat([o.key for o in listed.objects], Equals(expected))
+        batch = await platform.watch("settings/,domains/", since=0, timeout_s=4.0)
+        self.assertThat([o.key for o in batch.objects], Equals(expected))
+
     @gen_test
     async def test_a_waiting_watch_gets_changes_and_old_ones_are_gone(self):
         """Guards against a watch that misses a change or resumes over a gap."""
