--- a/src/sesameknot/router/catalogue.py
+++ b/src/sesameknot/router/catalogue.py
@@ -190,7 +190,7 @@
     if item.deleted:
         return
     try:
-        rollout = rollout_from_value(item.value)
+        rollout = rollout_from_value(item.value, key=item.key)
     except RouterError as error:
         log.error("rollout_rejected", key=item.key, reason=str(error))
         return
