--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -58,11 +58,6 @@
         """Return the version as of which reads are answered."""
         return self.version if self.lag_version is None else self.lag_version
 
-    def as_of(self, version: int) -> dict[str, StoredObject]:
-        """Return the live objects at ``version``."""
-        objects = {entry.key: entry for entry in self.log if entry.version <= version}
-        return {key: entry for key, entry in objects.items() if not entry.deleted}
-
     async def wait(self, prefix: str | Sequence[str], since: int, limit_s: float):
         """Wait until a visible change below ``prefix`` follows ``since``."""
         event = asyncio.Event()
@@ -78,7 +73,7 @@
             self._waiters.discard(event)
 
     def changes(self, prefix: str | Sequence[str], since: int) -> list[StoredObject]:
-        """Return the newest visible write of each key changed after ``since``."""
+        """Return the newest visible write of each key, tombstones included."""
         limit = self.visible_version()
         newest = {
             entry.key: entry
@@ -99,15 +94,18 @@
 
     async def get(self, key: str) -> StoredObject | None:
         await self._begin("get")
-        return self.platform.as_of(self.platform.visible_version()).get(key)
+        found = self.platform.changes(key, 0)
+        exact = [entry for entry in found if entry.key == key and not entry.deleted]
+        return exact[0] if exact else None
+
+    async def hosts(self) -> list[PlatformHost]:
+        await self._begin("hosts")
+        return list(self.platform.host_list)
 
     async def list(self, prefix: str | Sequence[str]) -> WatchBatch:
         await self._begin("list")
-        version = self.platform.visible_version()
-        found = self.platform.as_of(version).values()
-        return WatchBatch(
-            [entry for entry in found if _matches(entry.key, prefix)], version
-        )
+        platform = self.platform
+        return WatchBatch(platform.changes(prefix, 0), platform.visible_version())
 
     async def put(
         self, key: str, value: Any, *, expected_version: int, write_id: str
@@ -136,10 +134,6 @@
         self._check_link("watch")
         return WatchBatch(platform.changes(prefix, since), platform.visible_version())
 
-    async def hosts(self) -> list[PlatformHost]:
-        await self._begin("hosts")
-        return list(self.platform.host_list)
-
     def close(self) -> None:
         """Do nothing; there is no connection."""
 
