Add claims, session pins, bills and the ledger

Cause: the request path needs first-writer-wins registers and bills that survive the loss of a host; the composition root waits for the interfaces.

ClaimSync gains the buckets and a page cursor, because a frame holds 1.5 MB and one register up to 64 KiB.

--- /dev/null
+++ b/src/sesameknot/coordination/sessions.py
@@ -0,0 +1,169 @@
+"""Pins of sessions to versions."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+from sesameknot.clock import Clock
+from sesameknot.coordination.claims import ClaimOutcome, Claims
+from sesameknot.state.claim_table import SESSION_TABLE, ClaimState
+
+PIN_TIMEOUT_S = 1.0
+CACHE_LIMIT_COUNT = 50_000
+# Pins in use are extended at their owners after this part of the retention.
+EXTEND_SHARE = 0.25
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class SessionPin:
+    """Version of a session.
+
+    Parameters
+    ----------
+    version : str
+        ``model/version``.
+    pinned : bool
+        Whether the session keeps this version; otherwise it is the stable one.
+    """
+
+    version: str
+    pinned: bool
+
+
+@dataclass(slots=True)
+class _CachedPin:
+    version: str
+    claimant: str
+    extended_s: float
+
+
+class SessionPins:
+    """Keep each session on the version that its first request got.
+
+    Parameters
+    ----------
+    claims : Claims
+        Registers that hold the pins.
+    is_withdrawn : callable
+        Tells whether a ``model/version`` is withdrawn.
+    clock : Clock
+        Source of monotonic time.
+    timeout_s : float, default=1.0
+        Time for reaching the owners of a pin.
+    """
+
+    __slots__ = ("_cache", "_tasks", "claims", "clock", "is_withdrawn", "timeout_s")
+
+    def __init__(
+        self,
+        claims: Claims,
+        *,
+        is_withdrawn: Callable[[str], bool],
+        clock: Clock,
+        timeout_s: float = PIN_TIMEOUT_S,
+    ) -> None:
+        self.claims = claims
+        self.is_withdrawn = is_withdrawn
+        self.clock = clock
+        self.timeout_s = timeout_s
+        self._cache: OrderedDict[str, _CachedPin] = OrderedDict()
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def pin(self, session_id: str, proposed: str, *, stable: str) -> SessionPin:
+        """Return the version of a session, which is ``proposed`` if it has none.
+
+        Parameters
+        ----------
+        session_id : str
+            Identifier that the caller chose.
+        proposed : str
+            ``model/version`` to pin if the session has no pin.
+        stable : str
+            ``model/version`` to use without a pin if no owners can be reached.
+        """
+        cached = self._cached(session_id)
+        if cached is not None and not self.is_withdrawn(cached.version):
+            self._extend(session_id, cached)
+            return SessionPin(cached.version, pinned=True)
+        if cached is not None:
+            await self._release(session_id, cached.version, cached.claimant)
+        outcome = await self._claim(session_id, proposed)
+        if outcome.status not in ("claimed", "exists") or not outcome.value:
+            log.warning("session_unpinned", session=session_id, reason=outcome.reason)
+            return SessionPin(stable, pinned=False)
+        version = outcome.value.decode()
+        self._remember(session_id, version, outcome.claimant)
+        return SessionPin(version, pinned=True)
+
+    def version_withdrawn(self, version: str) -> None:
+        """Release the cached pins of a withdrawn version."""
+        for session_id, cached in list(self._cache.items()):
+            if cached.version == version:
+                del self._cache[session_id]
+                self._spawn(self._release(session_id, version, cached.claimant))
+
+    async def close(self) -> None:
+        """Cancel calls that are still under way."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _claim(self, session_id: str, proposed: str) -> ClaimOutcome:
+        deadline_s = self.clock.monotonic_s() + self.timeout_s
+        while True:
+            outcome = await self.claims.claim(
+                SESSION_TABLE, session_id, proposed.encode(), deadline_s
+            )
+            version = outcome.value.decode()
+            if outcome.status != "exists" or not self.is_withdrawn(version):
+                return outcome
+            if self.clock.monotonic_s() >= deadline_s:
+                return ClaimOutcome("unknown", reason="held")
+            await self._release(session_id, version, outcome.claimant)
+
+    async def _release(self, session_id: str, version: str, claimant: str) -> None:
+        self._cache.pop(session_id, None)
+        log.info("session_released", session=session_id, version=version)
+        await self.claims.settle(
+            SESSION_TABLE, session_id, ClaimState.RELEASED, claimant=claimant
+        )
+
+    def _cached(self, session_id: str) -> _CachedPin | None:
+        cached = self._cache.get(session_id)
+        if cached is None:
+            return None
+        unused_s = self.clock.monotonic_s() - cached.extended_s
+        if unused_s >= self.claims.local.retention_s:
+            del self._cache[session_id]
+            return None
+        return cached
+
+    def _remember(self, session_id: str, version: str, claimant: str) -> None:
+        now_s = self.clock.monotonic_s()
+        self._cache[session_id] = _CachedPin(version, claimant, now_s)
+        self._cache.move_to_end(session_id)
+        if len(self._cache) > CACHE_LIMIT_COUNT:
+            self._cache.popitem(last=False)
+
+    def _extend(self, session_id: str, cached: _CachedPin) -> None:
+        now_s = self.clock.monotonic_s()
+        interval_s = self.claims.local.retention_s * EXTEND_SHARE
+        self._cache.move_to_end(session_id)
+        if now_s - cached.extended_s < interval_s:
+            return
+        # Without owners the cached pin stays in use, so this counts as a use too.
+        cached.extended_s = now_s
+        deadline_s = now_s + self.timeout_s
+        self._spawn(self.claims.read(SESSION_TABLE, session_id, deadline_s))
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/sesameknot/protocol/_claims.py
+++ b/src/sesameknot/protocol/_claims.py
@@ -56,18 +56,32 @@
 @message("claimSync")
 @dataclass(slots=True, kw_only=True)
 class ClaimSync:
-    """Ask for the claims that the requester owns under a roster."""
+    """Ask for the claims in buckets that the requester owns under a roster.
+
+    ``after`` is the ``table/key`` of the last entry of the page before this one. The
+    roster is empty unless the peer answered that it does not know the version.
+    """
 
     host_id: str = ""
     roster_version: int = 0
     roster: ObjectRecord = field(default_factory=ObjectRecord)
+    buckets: list[int] = field(default_factory=list)
+    after: str = ""
 
 
 @message("claimSyncReply")
 @dataclass(slots=True, kw_only=True)
 class ClaimSyncReply:
-    """Claims that the requester owns; ``ready`` is false while the peer lacks them."""
+    """Claims that the requester owns.
+
+    ``ready`` is false if the peer does not know the roster or was no owner before it.
+    The peer lacks ``missing_buckets``, of which ``lost_buckets`` have lost custody.
+    ``more`` tells that entries follow the last one.
+    """
 
     ready: bool = False
     roster_version: int = 0
     entries: list[ClaimEntry] = field(default_factory=list)
+    missing_buckets: list[int] = field(default_factory=list)
+    lost_buckets: list[int] = field(default_factory=list)
+    more: bool = False
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -159,12 +159,17 @@
   hostId @0 :Text;
   rosterVersion @1 :UInt64;
   roster @2 :ObjectRecord;
+  buckets @3 :List(UInt16);
+  after @4 :Text;
 }
 
 struct ClaimSyncReply {
   ready @0 :Bool;
   rosterVersion @1 :UInt64;
   entries @2 :List(ClaimEntry);
+  missingBuckets @3 :List(UInt16);
+  lostBuckets @4 :List(UInt16);
+  more @5 :Bool;
 }
 
 struct GrantRequest {
@@ -198,10 +203,14 @@
 struct BillReplicate {
   batchId @0 :Text;
   bills @1 :List(BillRecord);
+  holder @2 :Text;
+  holderIncarnation @3 :UInt64;
 }
 
 struct BillConfirm {
   batchId @0 :Text;
+  holder @1 :Text;
+  holderIncarnation @2 :UInt64;
 }
 
 struct StatsRequest {
