--- a/src/sesameknot/router/call.py
+++ b/src/sesameknot/router/call.py
@@ -61,6 +61,8 @@
         0 (least) to 9 (most urgent).
     bill_id : str, default=""
         Identifier of the bill; that of the first request with the key.
+    claimant : str, default=""
+        Claim attempt that holds the key; empty without one.
     sent : bool, default=False
         Whether any byte may have reached an endpoint.
     """
@@ -74,6 +76,7 @@
     kind: str = DEFAULT_KIND
     priority: int = PRIORITY_NORMAL
     bill_id: str = ""
+    claimant: str = ""
     sent: bool = False
     tried_endpoint_ids: list[str] = field(default_factory=list)
 
--- /dev/null
+++ b/src/sesameknot/router/keyed.py
@@ -0,0 +1,150 @@
+"""Requests with an idempotency key: claim, replay and settle."""
+
+import msgspec
+import structlog
+
+from sesameknot.coordination.claims import ClaimOutcome, Claims
+from sesameknot.errors import RequestError
+from sesameknot.router.call import NOT_RUN, UNKNOWN, AnswerSink, Call, StoredAnswer
+from sesameknot.state.claim_table import IDEMPOTENCY_TABLE, ClaimState
+
+_FINGERPRINT_BYTES = 8
+REPLAYED_HEADER = "X-Replayed"
+
+log = structlog.get_logger(__name__)
+
+
+class KeyedCalls:
+    """Claim the key of a call before it runs and settle it afterwards.
+
+    Parameters
+    ----------
+    claims : Claims
+        Registers that hold the keys.
+    """
+
+    __slots__ = ("_claims",)
+
+    def __init__(self, claims: Claims) -> None:
+        self._claims = claims
+
+    async def begin(self, call: Call, *, idempotent: bool) -> StoredAnswer | None:
+        """Claim the key of ``call``, if it has one.
+
+        Parameters
+        ----------
+        call : Call
+            Its ``bill_id`` and ``claimant`` are set.
+        idempotent : bool
+            Whether the request may run again when the fate of an earlier one with
+            the same key is unknown.
+
+        Returns
+        -------
+        StoredAnswer or None
+            Answer of an earlier request with the key; None if the call is to run.
+
+        Raises
+        ------
+        RequestError
+            If the call must not run.
+        """
+        call.bill_id = call.request_id
+        if not call.key:
+            return None
+        outcome = await self._claims.claim_or_wait(
+            IDEMPOTENCY_TABLE,
+            _register(call),
+            call.fingerprint.to_bytes(_FINGERPRINT_BYTES, "big"),
+            call.deadline_s,
+        )
+        log.info(
+            "key_claim",
+            request_id=call.request_id,
+            customer=call.customer_name,
+            status=outcome.status,
+            reason=outcome.reason,
+        )
+        if outcome.status == "claimed":
+            call.claimant = call.bill_id = outcome.claimant
+            return None
+        if outcome.status == "done":
+            return _decode(call, outcome.value)
+        return self._undecided(call, outcome, idempotent=idempotent)
+
+    def _undecided(
+        self, call: Call, outcome: ClaimOutcome, *, idempotent: bool
+    ) -> None:
+        if outcome.status == "not-run":
+            raise RequestError(
+                "no quorum of hosts took the idempotency key",
+                status=503,
+                outcome=NOT_RUN,
+                error_type="claim-unavailable",
+                step="claim",
+                retry_after_s=1.0,
+            )
+        if idempotent and outcome.claimant:
+            # Running it again is harmless, and the bill has the first one's id.
+            call.bill_id = outcome.claimant
+            return
+        raise RequestError(
+            f"an earlier request with this key may have run ({outcome.reason})",
+            status=409,
+            outcome=UNKNOWN,
+            error_type="outcome-unknown",
+            step="claim",
+        )
+
+    async def finish(self, call: Call, answer: StoredAnswer) -> None:
+        """Store the whole answer with the claim."""
+        if call.claimant:
+            value = msgspec.msgpack.encode(answer)
+            await self._settle(call, ClaimState.DONE, value)
+
+    async def fail(self, call: Call) -> None:
+        """Release the claim of a call that did not run, or mark it unknown."""
+        if call.claimant:
+            state = ClaimState.UNKNOWN if call.sent else ClaimState.RELEASED
+            await self._settle(call, state, b"")
+
+    async def _settle(self, call: Call, state: ClaimState, value: bytes) -> None:
+        settled = await self._claims.settle(
+            IDEMPOTENCY_TABLE, _register(call), state, value, claimant=call.claimant
+        )
+        if not settled:
+            log.warning(
+                "key_unsettled", request_id=call.request_id, state=state.value
+            )
+
+
+async def replay(answer: StoredAnswer, sink: AnswerSink) -> None:
+    """Send a stored answer."""
+    sink.start(answer.status, {**answer.headers, REPLAYED_HEADER: "true"})
+    await sink.write(answer.body)
+
+
+def _register(call: Call) -> str:
+    return f"{call.customer_name}/{call.key}"
+
+
+def _decode(call: Call, value: bytes) -> StoredAnswer:
+    try:
+        answer = msgspec.msgpack.decode(value, type=StoredAnswer)
+    except msgspec.MsgspecError as error:
+        raise RequestError(
+            f"stored answer is malformed: {error}",
+            status=409,
+            outcome=UNKNOWN,
+            error_type="outcome-unknown",
+            step="replay",
+        ) from error
+    if answer.fingerprint != call.fingerprint:
+        raise RequestError(
+            "idempotency key was used for another request",
+            status=422,
+            outcome=NOT_RUN,
+            error_type="key-reused",
+            step="claim",
+        )
+    return answer
--- /dev/null
+++ b/src/sesameknot/router/version_picker.py
@@ -0,0 +1,237 @@
+"""Choose the model and the version of a chat request."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import structlog
+
+from sesameknot.coordination.sessions import SessionPins
+from sesameknot.errors import RequestError
+from sesameknot.policy.cascade import Candidate, CascadePolicy
+from sesameknot.policy.version_choice import VersionOptions, choose_version
+from sesameknot.protocol.chat import ChatRequest
+from sesameknot.protocol.rollout_object import RolloutObject
+from sesameknot.router.call import Call
+from sesameknot.router.catalogue import Catalogue, CatalogueKeeper
+from sesameknot.settings.tree import CascadeSettings, ModelSettings
+
+AUTO_MODEL = "auto"
+CHARS_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+SERVING_STATES = ("running", "paused", "complete")
+
+PolicyFactory = Callable[[float], CascadePolicy]
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class ModelChoice:
+    """A model, the version of the call and what it costs."""
+
+    settings: ModelSettings
+    version: str
+    pinned: bool = True
+
+    @property
+    def name(self) -> str:
+        """``model/version``."""
+        return f"{self.settings.name}/{self.version}"
+
+    def cost_microunits(self, prompt_tokens: int, output_tokens: int) -> int:
+        """Return the price of an answer."""
+        return (
+            prompt_tokens * self.settings.prompt_microunits_per_token
+            + output_tokens * self.settings.output_microunits_per_token
+        )
+
+
+class VersionPicker:
+    """Apply the cascade, the customer's allowances, roll-outs and session pins.
+
+    Parameters
+    ----------
+    catalogue : CatalogueKeeper
+        Settings in force.
+    new_policy : callable
+        Makes a policy for a quality target.
+    sessions : SessionPins
+        Versions of sessions.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalogue: CatalogueKeeper,
+        new_policy: PolicyFactory,
+        sessions: SessionPins,
+    ) -> None:
+        self._catalogue = catalogue
+        self._new_policy = new_policy
+        self._sessions = sessions
+        self._policies: dict[str, CascadePolicy] = {}
+
+    def models(self, call: Call, request: ChatRequest) -> list[ModelSettings]:
+        """Return the models to try, the preferred one first.
+
+        Raises
+        ------
+        RequestError
+            If the customer may use no version of what it asks for.
+        """
+        catalogue = self._catalogue.current
+        if request.model != AUTO_MODEL:
+            return [self._named(call, catalogue, request.model)]
+        cascade = catalogue.cascades.get((call.team, call.customer.settings.cascade))
+        if cascade is None:
+            raise self._refused(call, "customer has no cascade for model 'auto'")
+        usable = [
+            catalogue.models[call.team, name]
+            for name in cascade.models
+            if catalogue.usable_versions(call.customer, name)
+        ]
+        if not usable:
+            raise self._refused(call, f"no model of cascade {cascade.name!r} is usable")
+        return self._order(call, request, cascade, usable)
+
+    def _order(
+        self,
+        call: Call,
+        request: ChatRequest,
+        cascade: CascadeSettings,
+        usable: Sequence[ModelSettings],
+    ) -> list[ModelSettings]:
+        policy = self.policy(call.team, cascade)
+        chosen = policy.choose(
+            call.kind, [_candidate(model, request) for model in usable]
+        )
+        position = next(i for i, model in enumerate(usable) if model.name == chosen)
+        # A costlier model keeps the quality target when the chosen one has no room.
+        return [*usable[position:], *reversed(usable[:position])]
+
+    def policy(self, team: str, cascade: CascadeSettings) -> CascadePolicy:
+        """Return the policy of a cascade."""
+        key = f"{team}/{cascade.name}/{cascade.quality_target}"
+        policy = self._policies.get(key)
+        if policy is None:
+            policy = self._policies[key] = self._new_policy(cascade.quality_target)
+        return policy
+
+    def observe(
+        self, call: Call, model: str, quality: float | None, cost_microunits: int
+    ) -> None:
+        """Tell the cascade's policy about an answer to ``auto``."""
+        cascade = self._catalogue.current.cascades.get(
+            (call.team, call.customer.settings.cascade)
+        )
+        if cascade is not None:
+            self.policy(call.team, cascade).observe(
+                call.kind, model, quality, cost_microunits
+            )
+
+    async def version(self, call: Call, model: ModelSettings) -> ModelChoice:
+        """Return the version of ``model`` for a call.
+
+        Raises
+        ------
+        RequestError
+            If no version is allowed and in service.
+        """
+        options = self._options(call, model)
+        affinity = call.session_id or call.request_id
+        proposed = choose_version(options, affinity)
+        if proposed is None:
+            raise self._refused(call, f"no version of model {model.name!r} is usable")
+        if not call.session_id:
+            return ModelChoice(model, proposed)
+        return await self._pinned(call, model, options, proposed)
+
+    async def _pinned(
+        self, call: Call, model: ModelSettings, options: VersionOptions, proposed: str
+    ) -> ModelChoice:
+        stable = options.stable_version
+        if not options.usable(stable):
+            stable = proposed
+        session = f"{call.team}/{call.customer_name}/{call.session_id}/{model.name}"
+        pin = await self._sessions.pin(
+            session,
+            f"{call.team}.{model.name}/{proposed}",
+            stable=f"{call.team}.{model.name}/{stable}",
+        )
+        version = choose_version(
+            self._options(call, model),
+            call.session_id,
+            pinned_version=pin.version.rpartition("/")[2],
+        )
+        if version is None:
+            raise self._refused(call, f"no version of model {model.name!r} is usable")
+        return ModelChoice(model, version, pinned=pin.pinned)
+
+    def still_usable(self, call: Call, choice: ModelChoice) -> bool:
+        """Return whether the version may still get new work."""
+        versions = self._catalogue.current.usable_versions(
+            call.customer, choice.settings.name
+        )
+        return choice.version in versions
+
+    def _options(self, call: Call, model: ModelSettings) -> VersionOptions:
+        catalogue = self._catalogue.current
+        rollout = catalogue.rollouts.get((call.team, model.name))
+        usable = catalogue.usable_versions(call.customer, model.name)
+        serving = _serving(rollout)
+        return VersionOptions(
+            model=model.name,
+            versions=_fallback_order(model),
+            stable_version=model.stable_version,
+            allowed=usable,
+            rollout_version=rollout.to_version if rollout and serving else "",
+            rollout_share=rollout.share if rollout and serving else 0.0,
+        )
+
+    def _named(self, call: Call, catalogue: Catalogue, name: str) -> ModelSettings:
+        model = catalogue.models.get((call.team, name))
+        if model is None or not any(
+            allowance.model == name for allowance in call.customer.settings.allow
+        ):
+            raise self._refused(call, f"customer may not use model {name!r}")
+        return model
+
+    def _refused(self, call: Call, message: str) -> RequestError:
+        log.info(
+            "route_refused",
+            request_id=call.request_id,
+            customer=call.customer_name,
+            reason=message,
+        )
+        return RequestError(
+            message,
+            status=403,
+            outcome=call.outcome_if_failed,
+            error_type="not-allowed",
+            step="choose_version",
+        )
+
+
+def _serving(rollout: RolloutObject | None) -> bool:
+    return rollout is not None and rollout.state in SERVING_STATES
+
+
+def _fallback_order(model: ModelSettings) -> list[str]:
+    # If the stable version is withdrawn, the version before it is tried first and
+    # versions after it, which may never have been rolled out, last.
+    names = [version.name for version in model.versions]
+    position = names.index(model.stable_version)
+    return [*reversed(names[position + 1 :]), *names[: position + 1]]
+
+
+def _candidate(model: ModelSettings, request: ChatRequest) -> Candidate:
+    characters = sum(len(message.content) for message in request.messages)
+    output_tokens = request.max_tokens or DEFAULT_OUTPUT_TOKENS
+    return Candidate(
+        model=model.name,
+        cost_microunits=(
+            characters / CHARS_PER_TOKEN * model.prompt_microunits_per_token
+            + output_tokens * model.output_microunits_per_token
+        ),
+        prior_quality=model.expected_quality,
+    )
