--- /dev/null
+++ b/src/sesameknot/protocol/orders.py
@@ -0,0 +1,135 @@
+"""Orders to engines, the load that endpoints publish, and cache events."""
+
+from dataclasses import dataclass, field
+from typing import Annotated, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from sesameknot.errors import FrameError, RouterError
+from sesameknot.protocol.messages import EndpointReport
+
+LIST_LIMIT_COUNT = 1024
+
+_Count = Annotated[int, Meta(ge=0, le=2**31)]
+_Hash = Annotated[int, Meta(ge=0)]
+T = TypeVar("T")
+
+
+class OrderFencedError(RouterError):
+    """An engine refused an order because its fence is old."""
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineOrder:
+    """A control command to an engine.
+
+    Parameters
+    ----------
+    kind : {"load", "unload", "role"}
+        What to do.
+    model, version : str
+        Version to load or unload.
+    role : str
+        New role.
+    fence : int
+        Fencing token of the roll-out.
+    weights_url : str
+        Where the engine finds the weights.
+    """
+
+    kind: Literal["load", "unload", "role"]
+    model: str = ""
+    version: str = ""
+    role: str = ""
+    fence: int = 0
+    weights_url: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineState:
+    """What an engine holds after an order."""
+
+    versions: list[str] = field(default_factory=list)
+    role: str = ""
+    fence: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class CacheEvent:
+    """A change of an engine's prefix cache; ``kind`` is added or evicted."""
+
+    sequence: int
+    kind: str
+    hash: int
+
+
+class _Load(msgspec.Struct):
+    state: Literal["cold", "warm", "leaving"]
+    running: _Count
+    queued: _Count
+    capacity: _Count = 0
+    versions: Annotated[list[str], Meta(max_length=LIST_LIMIT_COUNT)] = []
+    prefix_hashes: Annotated[list[_Hash], Meta(max_length=LIST_LIMIT_COUNT)] = []
+    age_ms: _Count = 0
+
+
+class _CacheEvents(msgspec.Struct):
+    events: list[CacheEvent]
+
+
+def build_order(order: EngineOrder) -> bytes:
+    """Return the JSON body of an order."""
+    return msgspec.json.encode(order)
+
+
+def parse_engine_state(body: bytes, *, peer: str = "") -> EngineState:
+    """Return the engine's state in the answer to an order.
+
+    Raises
+    ------
+    FrameError
+        If ``body`` is not such an answer.
+    """
+    return _decode(body, EngineState, "parse order answer", peer)
+
+
+def parse_load(endpoint_id: str, body: bytes) -> EndpointReport:
+    """Return the report in the answer of ``/load``.
+
+    Raises
+    ------
+    FrameError
+        If ``body`` is not a load report.
+    """
+    load = _decode(body, _Load, "parse load", endpoint_id)
+    return EndpointReport(
+        endpoint_id=endpoint_id,
+        state=load.state,
+        running_count=load.running,
+        queued_count=load.queued,
+        capacity_count=load.capacity,
+        versions=load.versions,
+        prefix_hashes=load.prefix_hashes,
+        age_ms=load.age_ms,
+    )
+
+
+def parse_cache_events(body: bytes, *, peer: str = "") -> list[CacheEvent]:
+    """Return the events in the answer of ``/cache-events``.
+
+    Raises
+    ------
+    FrameError
+        If ``body`` is not a list of events.
+    """
+    return _decode(body, _CacheEvents, "parse cache events", peer).events
+
+
+def _decode(body: bytes, cls: type[T], step: str, peer: str) -> T:
+    try:
+        return msgspec.json.decode(body, type=cls)
+    except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
+        raise FrameError(
+            f"malformed body of {len(body)} bytes: {error}", step=step, peer=peer
+        ) from error
--- a/src/sesameknot/standins/_chat_handler.py
+++ b/src/sesameknot/standins/_chat_handler.py
@@ -53,6 +53,7 @@
 
     def on_connection_close(self) -> None:
         """Stop generating when the caller goes away."""
+        super().on_connection_close()
         self._closed_by_caller = True
 
     async def post(self) -> None:
--- a/src/sesameknot/standins/_endpoint_handlers.py
+++ b/src/sesameknot/standins/_endpoint_handlers.py
@@ -23,6 +23,10 @@
         """The stream that carries this request."""
         return self.request.connection.stream
 
+    def on_connection_close(self) -> None:
+        """Release output that waits on a silent connection."""
+        self.engine.connections.discard(self.stream)
+
     def json_body(self) -> dict[str, Any] | None:
         """Return the JSON object in the body, or answer 400 and return None."""
         try:
--- /dev/null
+++ b/src/sesameknot/transport/_endpoint_call.py
@@ -0,0 +1,136 @@
+"""Values of calls to endpoints."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tornado.httputil import HTTPHeaders
+
+from sesameknot.errors import RouterError
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CallLimits:
+    """Deadlines of one attempt.
+
+    Parameters
+    ----------
+    connect_timeout_s : float, default=1.0
+        Time to open the connection.
+    first_byte_timeout_s : float, default=5.0
+        Time until the first byte of the answer's body.
+    progress_timeout_s : float, default=2.0
+        Time between parts of the body.
+    deadline_s : float, default=30.0
+        Time for the whole attempt.
+    """
+
+    connect_timeout_s: float = 1.0
+    first_byte_timeout_s: float = 5.0
+    progress_timeout_s: float = 2.0
+    deadline_s: float = 30.0
+
+
+@dataclass(slots=True, kw_only=True)
+class EndpointCall:
+    """One attempt of a request at an endpoint.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the endpoint.
+    path : str
+        Path with query.
+    method : str, default="POST"
+        HTTP method.
+    headers : dict of str to str
+        Request headers.
+    body : bytes or None, default=None
+        Request body.
+    limits : CallLimits
+        Deadlines.
+    before_send : callable or None, default=None
+        Called when the connection is open, before the first byte is written; an
+        error that it raises ends the attempt and is passed on.
+    """
+
+    url: str
+    path: str
+    method: str = "POST"
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes | None = None
+    limits: CallLimits = field(default_factory=CallLimits)
+    before_send: Callable[[], None] | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class ObservedLoad:
+    """Load and state in the headers of an answer."""
+
+    state: str
+    running_count: int
+    queued_count: int
+
+
+def observed_load(headers: HTTPHeaders) -> ObservedLoad | None:
+    """Return the load in ``headers``, or None if they carry none."""
+    try:
+        return ObservedLoad(
+            state=headers["X-State"],
+            running_count=int(headers["X-Load-Running"]),
+            queued_count=int(headers["X-Load-Queued"]),
+        )
+    except (KeyError, ValueError):
+        return None
+
+
+@dataclass(slots=True, kw_only=True)
+class EndpointAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+    @property
+    def load(self) -> ObservedLoad | None:
+        """Load in the headers, if any."""
+        return observed_load(self.headers)
+
+    @property
+    def error_type(self) -> str:
+        """Type in a JSON error body; empty if there is none."""
+        if self.status < 400:
+            return ""
+        try:
+            return str(json.loads(self.body)["error"]["type"])
+        except (ValueError, KeyError, TypeError, RecursionError):
+            return ""
+
+
+NOT_RUN_TYPES = frozenset({"cold", "leaving"})
+
+
+class EndpointStatusError(RouterError):
+    """An endpoint answered a streamed request with an error status.
+
+    Parameters
+    ----------
+    answer : EndpointAnswer
+        The answer.
+    peer : str
+        URL of the endpoint.
+    """
+
+    def __init__(self, answer: EndpointAnswer, *, peer: str) -> None:
+        super().__init__(
+            f"answered status {answer.status} {answer.error_type}".rstrip(),
+            step="status",
+            peer=peer,
+        )
+        self.answer = answer
+
+    @property
+    def refused(self) -> bool:
+        """Whether the endpoint refused the request without running it."""
+        return self.answer.status == 503 and self.answer.error_type in NOT_RUN_TYPES
