--- a/src/sesameknot/coordination/_fan_out.py
+++ b/src/sesameknot/coordination/_fan_out.py
@@ -28,7 +28,12 @@
 
 
 def subtrees(
-    members: Iterable[MemberInfo], own_id: str, *, salt: int, hop_count: int
+    members: Iterable[MemberInfo],
+    own_id: str,
+    *,
+    salt: int,
+    hop_count: int,
+    sender_id: str = "",
 ) -> list[list[MemberInfo]]:
     """Return the subtrees below ``own_id``, each in the order to try its hosts.
 
@@ -36,14 +41,15 @@
     ``3 * hop_count`` bits of its position in common with others passes a push on to
     these, split into eight subtrees by the next three bits. Hosts with different
     views of the membership thus agree on all subtrees but for the hosts that only
-    one of them knows.
+    one of them knows. The sender of the push, a root above, is left out; a root
+    further above may get the push again.
     """
     shared = FAN_OUT_BITS * hop_count
     own_prefix = _position(own_id, salt) >> (POSITION_BITS - shared)
     groups: dict[int, list[tuple[bool, int, MemberInfo]]] = {}
     for member in members:
         position = _position(member.host_id, salt)
-        if member.host_id == own_id:
+        if member.host_id in (own_id, sender_id):
             continue
         if position >> (POSITION_BITS - shared) != own_prefix:
             continue
@@ -133,7 +139,11 @@
         if push.hop_count >= POSITION_BITS // FAN_OUT_BITS:
             return
         groups = subtrees(
-            self._live(), self.host_id, salt=push.salt, hop_count=push.hop_count
+            self._live(),
+            self.host_id,
+            salt=push.salt,
+            hop_count=push.hop_count,
+            sender_id=push.host_id,
         )
         self._send(groups, records, salt=push.salt, hop_count=push.hop_count)
 
--- a/src/sesameknot/coordination/replication.py
+++ b/src/sesameknot/coordination/replication.py
@@ -25,7 +25,7 @@
 from sesameknot.protocol._objects import LEAF_HOP_COUNT
 from sesameknot.protocol.messages import Done, MemberInfo, ObjectPush, ObjectSync
 from sesameknot.protocol.object_records import record_from_object
-from sesameknot.protocol.objects import SPREAD_QUERY, StoredObject
+from sesameknot.protocol.objects import SPREAD_PREFIXES, StoredObject
 from sesameknot.settings.process import RouterSettings
 from sesameknot.state.object_store import ObjectStore
 from sesameknot.transport.peer_client import PeerClient
@@ -188,12 +188,12 @@
         """Make one list or watch call and return the pause before the next."""
         sent_s = self._clock.monotonic_s()
         if self._since is None:
-            batch = await self._platform.list(SPREAD_QUERY)
+            batch = await self._platform.list(SPREAD_PREFIXES)
         else:
             # A host that is about to become stale cannot wait for a change.
             wait_s = 0.0 if self._late() else self.settings.timing.watch_timeout_s
             batch = await self._platform.watch(
-                SPREAD_QUERY, since=self._since, timeout_s=wait_s
+                SPREAD_PREFIXES, since=self._since, timeout_s=wait_s
             )
         if batch.reset:
             log.info("watch_reset", since=self._since)
--- a/src/sesameknot/protocol/objects.py
+++ b/src/sesameknot/protocol/objects.py
@@ -19,9 +19,6 @@
     "roster/",
 )
 
-# One list or watch call covers all of them.
-SPREAD_QUERY = ",".join(SPREAD_PREFIXES)
-
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
--- a/src/sesameknot/standins/_platform_core.py
+++ b/src/sesameknot/standins/_platform_core.py
@@ -39,6 +39,7 @@
     kind: str
     key: str = ""
     query: dict[str, str] = field(default_factory=dict)
+    prefixes: tuple[str, ...] = ("",)
     body: bytes = b""
     if_match: str | None = None
 
@@ -123,7 +124,7 @@
             "calls": dict(self.counts.calls),
             "limited": dict(self.counts.limited),
             "version": self.table.version,
-            "objects": [object_json(o) for o in self.table.below("").objects],
+            "objects": [object_json(o) for o in self.table.below(("",)).objects],
             "hosts": [dataclasses.asdict(h) for h in self.hosts.visible()],
         }
 
@@ -156,7 +157,7 @@
         return Answer(200, object_json(found))
 
     async def _list(self, call: Call) -> Answer:
-        return _batch_answer(self._readable().below(call.query.get("prefix", "")))
+        return _batch_answer(self._readable().below(call.prefixes))
 
     async def _put(self, call: Call) -> Answer:
         if len(call.body) > VALUE_LIMIT_BYTES + BODY_OVERHEAD_BYTES:
@@ -198,18 +199,17 @@
             timeout_s = min(WATCH_LIMIT_S, int(call.query["timeout_ms"]) / 1000)
         except (KeyError, ValueError):
             return _error(400, "expected since and timeout_ms as integers")
-        prefix = call.query.get("prefix", "")
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
-                    batch = self._readable().changes(prefix, since)
+                    batch = self._readable().changes(call.prefixes, since)
                     if batch.objects or batch.reset:
                         break
                     await self._changed.wait()
                     await self._pass_outage()
         except TimeoutError:
             await self._pass_outage()
-            batch = self._readable().changes(prefix, since)
+            batch = self._readable().changes(call.prefixes, since)
         if batch.reset:
             return _error(410, f"history before version {since} is gone")
         return _batch_answer(batch)
--- a/src/sesameknot/standins/_platform_table.py
+++ b/src/sesameknot/standins/_platform_table.py
@@ -52,15 +52,15 @@
         self._check(key, expected_version)
         return self._store(StoredObject(key, self.version + 1, None, deleted=True))
 
-    def below(self, prefix: str) -> WatchBatch:
-        """Return all objects and tombstones below ``prefix`` in version order."""
-        return WatchBatch(objects=self._after(prefix, 0), version=self.version)
+    def below(self, prefixes: tuple[str, ...]) -> WatchBatch:
+        """Return all objects and tombstones below ``prefixes`` in version order."""
+        return WatchBatch(objects=self._after(prefixes, 0), version=self.version)
 
-    def changes(self, prefix: str, since: int) -> WatchBatch:
-        """Return the objects below ``prefix`` that changed after ``since``."""
+    def changes(self, prefixes: tuple[str, ...], since: int) -> WatchBatch:
+        """Return the objects below ``prefixes`` that changed after ``since``."""
         if since < self._dropped_version:
             return WatchBatch(version=self.version, reset=True)
-        return WatchBatch(objects=self._after(prefix, since), version=self.version)
+        return WatchBatch(objects=self._after(prefixes, since), version=self.version)
 
     def copy(self) -> "ObjectTable":
         """Return a table with the same objects that changes independently."""
@@ -96,9 +96,8 @@
             self._dropped_version = self._history.popleft()
         return stored
 
-    def _after(self, prefix: str, since: int) -> list[StoredObject]:
+    def _after(self, prefixes: tuple[str, ...], since: int) -> list[StoredObject]:
         found = []
-        prefixes = tuple(prefix.split(","))
         for stored in reversed(self._objects.values()):
             if stored.version <= since:
                 break
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """In-memory stand-in for the platform client, with faults that tests switch on."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Any
 
 from sesameknot.errors import ConflictError, PlatformError
@@ -10,8 +11,9 @@
 DEFAULT_HISTORY = 1000
 
 
-def _matches(key: str, prefix: str) -> bool:
-    return key.startswith(tuple(prefix.split(",")))
+def _matches(key: str, prefix: str | Sequence[str]) -> bool:
+    prefixes = (prefix,) if isinstance(prefix, str) else tuple(prefix)
+    return key.startswith(prefixes)
 
 
 class FakePlatform:
@@ -56,7 +58,7 @@
         """Return the version as of which reads are answered."""
         return self.version if self.lag_version is None else self.lag_version
 
-    async def wait(self, prefix: str, since: int, limit_s: float):
+    async def wait(self, prefix: str | Sequence[str], since: int, limit_s: float):
         """Wait until a visible change below ``prefix`` follows ``since``."""
         event = asyncio.Event()
         self._waiters.add(event)
@@ -70,7 +72,7 @@
         finally:
             self._waiters.discard(event)
 
-    def changes(self, prefix: str, since: int) -> list[StoredObject]:
+    def changes(self, prefix: str | Sequence[str], since: int) -> list[StoredObject]:
         """Return the newest visible write of each key, tombstones included."""
         limit = self.visible_version()
         newest = {
@@ -100,7 +102,7 @@
         await self._begin("hosts")
         return list(self.platform.host_list)
 
-    async def list(self, prefix: str) -> WatchBatch:
+    async def list(self, prefix: str | Sequence[str]) -> WatchBatch:
         await self._begin("list")
         platform = self.platform
         return WatchBatch(platform.changes(prefix, 0), platform.visible_version())
@@ -121,7 +123,9 @@
         self._answer_write(key)
         return stored
 
-    async def watch(self, prefix: str, *, since: int, timeout_s: float) -> WatchBatch:
+    async def watch(
+        self, prefix: str | Sequence[str], *, since: int, timeout_s: float
+    ) -> WatchBatch:
         await self._begin("watch")
         platform = self.platform
         if since < platform.version - platform.history_count:
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -61,10 +61,10 @@
         platform = self._start()
         for key in ("settings/a", "bills/b", "domains/c"):
             await platform.put(key, 0, expected_version=0, write_id="w")
-        expected = ["settings/a", "domains/c"]
-        listed = await platform.list("settings/,domains/")
+        expected, prefixes = ["settings/a", "domains/c"], ("settings/", "domains/")
+        listed = await platform.list(prefixes)
         self.assertThat([o.key for o in listed.objects], Equals(expected))
-        batch = await platform.watch("settings/,domains/", since=0, timeout_s=4.0)
+        batch = await platform.watch(prefixes, since=0, timeout_s=4.0)
         self.assertThat([o.key for o in batch.objects], Equals(expected))
 
     @gen_test
