--- a/tests/virtual_hosts.py
+++ b/tests/virtual_hosts.py
@@ -86,7 +86,7 @@
         self.addresses: dict[str, str] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.frozen: set[str] = set()
-        self.bytes_sent: dict[str, int] = {}
+        self.bytes_moved: dict[str, int] = {}
         self.messages_sent: dict[str, int] = {}
         self.on_step: list[Callable[[], None]] = []
         self.check_interval_s = 0.0
@@ -98,7 +98,7 @@
         self.loops[host_id] = loop
         self.addresses[address] = host_id
         self.servers[host_id] = VirtualServer(self, host_id)
-        self.bytes_sent.setdefault(host_id, 0)
+        self.bytes_moved.setdefault(host_id, 0)
         self.messages_sent.setdefault(host_id, 0)
         return loop
 
@@ -172,9 +172,11 @@
         delay_s = self.delay_s * self.random.uniform(1.0, 2.0)
         loop.call_at(self.clock.monotonic_s() + delay_s, action)
 
-    def count(self, source: str, payload: bytes) -> None:
-        """Count a sent message."""
-        self.bytes_sent[source] += len(payload) + 4
+    def count(self, source: str, target: str, payload: bytes) -> None:
+        """Count a message with its frame header for its sender and receiver."""
+        for host_id in (source, target):
+            if host_id in self.bytes_moved:
+                self.bytes_moved[host_id] += len(payload) + 4
         self.messages_sent[source] += 1
 
 
@@ -229,11 +231,11 @@
                 future.set_result(payload)
 
         def reply_to(payload: bytes) -> None:
-            world.count(target, payload)
+            world.count(target, self.host_id, payload)
             world.deliver(target, self.host_id, lambda: settle(payload))
 
         payload = encode(Envelope(1, self.host_id, body))
-        world.count(self.host_id, payload)
+        world.count(self.host_id, target, payload)
         server = world.servers.get(target)
         if server is not None:
             world.deliver(
