Judge a large roster by a sample of all its hosts and raise reported incarnations

Cause: above 27 hosts a side with a quarter of the roster could take its loss for a platform outage for some seconds, until membership noticed. A host that restarted with its clock set back kept an incarnation below the one that peers hold, so they ignored its records.

Failed before: test_a_small_part_of_a_large_fleet_refuses_in_seconds.

--- a/src/sesameknot/coordination/freshness.py
+++ b/src/sesameknot/coordination/freshness.py
@@ -14,9 +14,11 @@
 SIGHT_WINDOW_S = 2.5
 
 # Each host of a roster up to this size is asked directly during an outage. Above it
-# the messages would grow with the square of the hosts, and a sample is asked.
+# the messages would grow with the square of the hosts, and a sample is asked. With
+# 16 hosts, a side with a quarter of the roster takes itself for the majority in less
+# than 1 of 100 rounds.
 DIRECT_SIGHT_LIMIT = 27
-SAMPLE_COUNT = 8
+SAMPLE_COUNT = 16
 
 
 class Verdict(Enum):
@@ -61,13 +63,15 @@
     A majority of the roster is in sight if so many of its hosts (this one included)
     answered within ``SIGHT_WINDOW_S`` and have the same configuration. For a roster
     above ``DIRECT_SIGHT_LIMIT`` the hosts that membership holds for alive count, if
-    ``SAMPLE_COUNT`` hosts of the roster answered so.
+    more than half of a random sample of the roster answered so. Membership alone
+    needs seconds to notice a partition.
     """
 
     __slots__ = (
         "_clock",
         "_confirmed_s",
         "_reports",
+        "_sample",
         "host_id",
         "live_ids",
         "on_platform_loss",
@@ -93,6 +97,7 @@
         self._clock = clock
         self._confirmed_s = -math.inf
         self._reports: dict[str, _Report] = {}
+        self._sample: frozenset[str] = frozenset()
 
     def confirmed(self, age_s: float) -> bool:
         """Note that the configuration is at most ``age_s`` old; tell if that is news.
@@ -128,6 +133,10 @@
         if held is None or sent_s >= held.sent_s:
             self._reports[host_id] = _Report(config_age_s, sent_s, same_config)
 
+    def sampled(self, host_ids: Iterable[str]) -> None:
+        """Note the peers that were last asked, once their time to answer has passed."""
+        self._sample = frozenset(host_ids)
+
     def age_s(self) -> float:
         """Return the upper bound on the age; infinite before the first read."""
         return self._clock.monotonic_s() - self._confirmed_s
@@ -169,7 +178,7 @@
         seen = agreeing | {self.host_id}
         if len(roster) <= DIRECT_SIGHT_LIMIT:
             return holds_majority(roster, seen)
-        if len(agreeing & roster) < SAMPLE_COUNT:
+        if 2 * len(self._sample & agreeing & roster) <= len(self._sample):
             return False
         return holds_majority(roster, {*self.live_ids(), self.host_id})
 
--- a/src/sesameknot/coordination/membership.py
+++ b/src/sesameknot/coordination/membership.py
@@ -36,6 +36,7 @@
     LIVE_STATES,
     MemberState,
     MemberTable,
+    must_refute,
     precedence,
 )
 from sesameknot.transport.peer_client import PeerClient
@@ -243,7 +244,7 @@
     # Messages
 
     async def _ping(self, address: str, target: MemberInfo | None = None) -> Ack | None:
-        ping = Ping(**self._content(target.host_id if target else ""))
+        ping = Ping(**self._content(target))
         sent_s = self._clock.monotonic_s()
         timeout_s = self.settings.timing.ping_timeout_s
         try:
@@ -280,11 +281,10 @@
             return False
         return answer.reached
 
-    def _content(self, receiver: str) -> dict[str, Any]:
+    def _content(self, receiver: MemberInfo | None) -> dict[str, Any]:
         updates = self._gossip.take(len(self._table) + 1)
-        held = self._table.get(receiver)
-        if held is not None and held.state != MemberState.ALIVE:
-            # The receiver must learn that it is thought dead, or it never refutes.
+        held = self._table.get(receiver.host_id) if receiver else None
+        if held is not None and receiver is not None and must_refute(held, receiver):
             updates.append(held)
         return {
             "member": self._self,
@@ -296,7 +296,7 @@
 
     async def _handle_ping(self, ping: Ping) -> Ack:
         self._take(ping, None)
-        return Ack(**self._content(ping.member.host_id))
+        return Ack(**self._content(ping.member))
 
     async def _handle_indirect_ping(self, request: IndirectPing) -> IndirectAck:
         ack = await self._ping(request.target_address)
--- a/src/sesameknot/coordination/replication.py
+++ b/src/sesameknot/coordination/replication.py
@@ -23,7 +23,7 @@
 from sesameknot.coordination.ownership import owners
 from sesameknot.errors import PlatformError
 from sesameknot.protocol._objects import LEAF_HOP_COUNT
-from sesameknot.protocol.messages import Done, MemberInfo, ObjectPush, ObjectSync
+from sesameknot.protocol.messages import Done, ObjectPush, ObjectSync
 from sesameknot.protocol.object_records import record_from_object
 from sesameknot.protocol.objects import SPREAD_PREFIXES, StoredObject
 from sesameknot.settings.process import RouterSettings
@@ -243,20 +243,28 @@
                 await asyncio.sleep(CHECK_S)
                 continue
             asked_s = self._clock.monotonic_s()
-            for member in self._to_ask():
+            asked_ids = self._to_ask()
+            for member in filter(None, map(self._membership.member, asked_ids)):
                 self._background.spawn(self._exchange.run(member))
             await asyncio.sleep(answer_s)
+            self._freshness.sampled(asked_ids)
             self._reached = self._freshness.answered_since(asked_s)
             await asyncio.sleep(max(0.0, ASK_INTERVAL_S - answer_s))
 
-    def _to_ask(self) -> list[MemberInfo]:
+    def _to_ask(self) -> list[str]:
+        """Return the roster's hosts, or a sample; all live ones before a roster.
+
+        Dead hosts stay in the sample, since a side that has lost many would
+        otherwise see a majority of the rest.
+        """
         own_id = self.settings.host_id
-        roster_ids = set(self._freshness.roster_ids())
-        peers = [m for m in self._membership.live() if m.host_id != own_id]
-        owning = [m for m in peers if m.host_id in roster_ids] or peers
-        if len(roster_ids) <= DIRECT_SIGHT_LIMIT and len(owning) <= DIRECT_SIGHT_LIMIT:
-            return owning
-        return sample(self.random_state, owning, 2 * SAMPLE_COUNT)
+        live_ids = {member.host_id for member in self._membership.live()} - {own_id}
+        roster_ids = set(self._freshness.roster_ids()) - {own_id}
+        if not roster_ids:
+            return sample(self.random_state, sorted(live_ids), SAMPLE_COUNT)
+        if len(roster_ids) <= DIRECT_SIGHT_LIMIT:
+            return sorted(roster_ids & live_ids)
+        return sample(self.random_state, sorted(roster_ids), SAMPLE_COUNT)
 
     def _observe(self, observation: PeerObservation) -> None:
         if observation.sent_s is None:
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -245,6 +245,69 @@
 
         self.assertThat(fleet.world.run_until(recovered, limit_s=20.0), Is(True))
 
+    def test_a_host_that_restarts_with_its_clock_set_back_raises_its_incarnation(self):
+        """Guards against a new process that others take for the one before."""
+        fleet = self._fleet(5, seed=13)
+        for name in ("h00", "h03"):
+            old = fleet.hosts[name].membership.self_info
+            fleet.kill(name)
+            new = fleet.start(name, wall_offset_ms=-500_000)
+
+            def known(name=name, new=new, old=old):
+                records = [h.membership.member(name) for h in fleet.hosts.values()]
+                in_roster = fleet.hosts["h01"].roster_keeper.roster.member(name)
+                incarnation = new.membership.self_info.incarnation
+                return (
+                    incarnation > old.incarnation
+                    and {r.incarnation for r in records if r} == {incarnation}
+                    and in_roster is not None
+                    and in_roster.incarnation == incarnation
+                )
+
+            self.assertThat(fleet.world.run_until(known, limit_s=20.0), Is(True))
+
+    def test_a_slow_platform_stops_no_host(self):
+        """Guards against a watch that waits although answers already come late.
+
+        A host above the stale limit may refuse for the milliseconds between another
+        host's read of a change and its own.
+        """
+        fleet = self._fleet(9, seed=14)
+        clock = fleet.world.clock
+        refused_s, before_s = dict.fromkeys(fleet.names, 0.0), [clock.monotonic_s()]
+
+        def check():
+            now_s = clock.monotonic_s()
+            for name, host in fleet.hosts.items():
+                if not host.freshness.may_accept():
+                    refused_s[name] += now_s - before_s[0]
+            before_s[0] = now_s
+
+        fleet.world.on_step.append(check)
+        for slow_s in (0.5, 1.0, 1.5, 1.9, 2.5, 0.0):
+            fleet.platform.slow_s = slow_s
+            self._write(fleet, f"settings/slow-{slow_s}")
+            fleet.world.run_for(15.0)
+        self.assertThat(max(refused_s.values()), LessThan(0.05))
+
+    def test_a_small_part_of_a_large_fleet_refuses_in_seconds(self):
+        """Guards against an outage verdict from a member table that is behind."""
+        fleet = self._fleet(40, seed=15)
+        fleet.world.check_interval_s = 0.05
+        lost, rest = fleet.names[:10], fleet.names[10:]
+        fleet.platform.cut_hosts |= set(lost)
+        fleet.world.cut(lost, rest)
+        fleet.world.run_for(STALE_LIMIT_S)
+        accepting = set()
+
+        def check():
+            accepting.update(n for n in lost if fleet.hosts[n].freshness.may_accept())
+
+        fleet.world.on_step.append(check)
+        fleet.world.run_for(15.0)
+        self.assertThat(accepting, Equals(set()))
+        self.assertThat(self._verdicts(fleet, rest), Equals({Verdict.FRESH}))
+
     def test_a_leaving_host_is_out_of_the_roster_in_seconds(self):
         """Guards against a leaving host that counts as live while it drains."""
         fleet = self._fleet(9, seed=12)
