--- a/src/sesameknot/coordination/membership.py
+++ b/src/sesameknot/coordination/membership.py
@@ -262,12 +262,8 @@
         request = IndirectPing(
             target_host_id=member.host_id, target_address=member.address
         )
-        answers = await asyncio.gather(
-            *(
-                self._ask(helper, request)
-                for helper in sample(self.random_state, helpers, INDIRECT_PINGS)
-            )
-        )
+        chosen = sample(self.random_state, helpers, INDIRECT_PINGS)
+        answers = await asyncio.gather(*(self._ask(peer, request) for peer in chosen))
         return any(answers)
 
     async def _ask(self, helper: MemberInfo, request: IndirectPing) -> bool:
@@ -284,7 +280,7 @@
     def _content(self, receiver: MemberInfo | None) -> dict[str, Any]:
         updates = self._gossip.take(len(self._table) + 1)
         held = self._table.get(receiver.host_id) if receiver else None
-        if held is not None and receiver is not None and must_refute(held, receiver):
+        if receiver and held and must_refute(held, receiver):
             updates.append(held)
         return {
             "member": self._self,
