--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- /dev/null
+++ b/src/sesameknot/_wiring_requests.py
@@ -0,0 +1,204 @@
+"""Build the request path."""
+
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from aioprometheus.collectors import Registry
+
+from sesameknot._wiring_coordination import Coordination
+from sesameknot.clock import Clock
+from sesameknot.coordination.sessions import SessionPins
+from sesameknot.policy.admission import Admission
+from sesameknot.policy.cascade import CascadePolicy
+from sesameknot.policy.crash_guard import CrashGuard
+from sesameknot.policy.registry import CASCADE_POLICIES, ENDPOINT_CHOICES
+from sesameknot.policy.retry_budget import RetryBudget
+from sesameknot.protocol.objects import SETTINGS_PREFIX, WITHDRAWALS_PREFIX
+from sesameknot.router.attempts import AttemptRules
+from sesameknot.router.bills import Billing
+from sesameknot.router.catalogue import CatalogueKeeper
+from sesameknot.router.chat_pipeline import ChatPipeline
+from sesameknot.router.endpoint_picker import EndpointPicker
+from sesameknot.router.gate import Gate
+from sesameknot.router.keyed import KeyedCalls
+from sesameknot.router.metrics import RouterMetrics
+from sesameknot.router.ratings import RatedAnswer, Ratings
+from sesameknot.router.service_pipeline import ServicePipeline
+from sesameknot.router.traffic import TrafficCounters
+from sesameknot.router.version_picker import VersionPicker
+from sesameknot.settings.process import RouterSettings
+from sesameknot.state.endpoint_table import EndpointSpec
+
+
+@dataclass(slots=True)
+class RequestPath:
+    """Parts of the request path that others use."""
+
+    catalogue: CatalogueKeeper
+    traffic: TrafficCounters
+    ratings: Ratings
+    crash_guard: CrashGuard
+    metrics: RouterMetrics
+    picker: EndpointPicker
+    chat: ChatPipeline
+    services: ServicePipeline
+
+
+def build_request_path(
+    settings: RouterSettings,
+    clock: Clock,
+    parts: Coordination,
+    stack: contextlib.AsyncExitStack,
+    *,
+    registry: Registry,
+    in_flight: Callable[[], int],
+) -> RequestPath:
+    """Return the connected request path; ``stack`` closes what it holds open."""
+    catalogue = CatalogueKeeper(parts.store)
+    _follow_endpoints(parts, catalogue)
+    metrics = RouterMetrics(registry)
+    traffic = TrafficCounters()
+    sessions = _sessions(clock, parts, catalogue)
+    stack.push_async_callback(sessions.close)
+    versions = VersionPicker(
+        catalogue=catalogue, new_policy=_policy_factory(clock, parts), sessions=sessions
+    )
+    ratings = Ratings(
+        settings.rating_url,
+        share=settings.rating_share,
+        generator=parts.generator,
+        on_rating=_rating_taker(traffic, versions),
+    )
+    stack.callback(ratings.close)
+    gate = Gate(
+        catalogue=catalogue,
+        admission=Admission(clock=clock, random_generator=parts.generator),
+        crash_guard=parts.crash_guard,
+        clock=clock,
+        in_flight=in_flight,
+        limit_count=settings.requests.concurrent_limit_count,
+    )
+    picker = EndpointPicker(
+        settings.host_id,
+        catalogue=catalogue,
+        table=parts.endpoint_table,
+        grants=parts.grant_holder,
+        choice=ENDPOINT_CHOICES.get("adaptive")(random_generator=parts.generator),
+        clock=clock,
+    )
+    rules = AttemptRules(
+        picker=picker,
+        client=parts.endpoint_client,
+        budget=RetryBudget(settings.requests.retry_ratio),
+        crash_guard=parts.crash_guard,
+        settings=settings.requests,
+        clock=clock,
+        metrics=metrics,
+    )
+    keyed = KeyedCalls(parts.claims)
+    billing = Billing(parts.bill_writer, clock=clock)
+    chat = ChatPipeline(
+        gate=gate,
+        keyed=keyed,
+        versions=versions,
+        picker=picker,
+        rules=rules,
+        grants=parts.grant_holder,
+        client=parts.endpoint_client,
+        billing=billing,
+        catalogue=catalogue,
+        traffic=traffic,
+        ratings=ratings,
+        clock=clock,
+        metrics=metrics,
+    )
+    services = ServicePipeline(
+        gate=gate,
+        keyed=keyed,
+        picker=picker,
+        rules=rules,
+        client=parts.endpoint_client,
+        billing=billing,
+        catalogue=catalogue,
+        traffic=traffic,
+    )
+    return RequestPath(
+        catalogue=catalogue,
+        traffic=traffic,
+        ratings=ratings,
+        crash_guard=parts.crash_guard,
+        metrics=metrics,
+        picker=picker,
+        chat=chat,
+        services=services,
+    )
+
+
+def _follow_endpoints(parts: Coordination, catalogue: CatalogueKeeper) -> None:
+    def configure(_: object) -> None:
+        parts.endpoint_table.configure(
+            EndpointSpec(
+                endpoint_id=endpoint.endpoint_id,
+                url=endpoint.url,
+                domain=endpoint.domain,
+                service=endpoint.service,
+                models=tuple(endpoint.models),
+                capacity_count=endpoint.capacity_count,
+                cold_slot_count=endpoint.cold_slot_count,
+            )
+            for endpoint in catalogue.current.endpoints.values()
+        )
+
+    parts.store.subscribe(SETTINGS_PREFIX, configure)
+
+
+def _sessions(
+    clock: Clock, parts: Coordination, catalogue: CatalogueKeeper
+) -> SessionPins:
+    def is_withdrawn(pin: str) -> bool:
+        name, _, version = pin.rpartition("/")
+        team, _, model = name.partition(".")
+        return catalogue.current.is_withdrawn(team, model, version)
+
+    sessions = SessionPins(parts.claims, is_withdrawn=is_withdrawn, clock=clock)
+
+    def release(changed: list) -> None:
+        for stored in changed:
+            if not stored.deleted and stored.value.get("withdrawn"):
+                name = stored.key.removeprefix(WITHDRAWALS_PREFIX)
+                team_and_model, _, version = name.rpartition(".")
+                sessions.version_withdrawn(f"{team_and_model}/{version}")
+
+    parts.store.subscribe(WITHDRAWALS_PREFIX, release)
+    return sessions
+
+
+def _policy_factory(
+    clock: Clock, parts: Coordination
+) -> Callable[[float], CascadePolicy]:
+    def make(quality_target: float) -> CascadePolicy:
+        return CASCADE_POLICIES.get("adaptive")(
+            quality_target=quality_target,
+            clock=clock,
+            random_generator=parts.generator,
+        )
+
+    return make
+
+
+def _rating_taker(
+    traffic: TrafficCounters, versions: VersionPicker
+) -> Callable[[RatedAnswer, float], None]:
+    def take(answer: RatedAnswer, score: float) -> None:
+        traffic.count_rating(answer.team, answer.model, answer.version, score)
+        versions.observe(
+            answer.team,
+            answer.cascade,
+            answer.kind,
+            answer.model,
+            score,
+            answer.cost_microunits,
+        )
+
+    return take
--- a/src/sesameknot/apps/ctl.py
+++ b/src/sesameknot/apps/ctl.py
@@ -114,3 +114,7 @@
 def run() -> None:
     """Run the binary."""
     app.run(_main, flags_parser=_parse_flags)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/sesameknot/apps/platform_standin.py
+++ b/src/sesameknot/apps/platform_standin.py
@@ -51,3 +51,7 @@
 def run() -> None:
     """Run the binary."""
     app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/sesameknot/apps/rating_standin.py
+++ b/src/sesameknot/apps/rating_standin.py
@@ -56,3 +56,7 @@
 def run() -> None:
     """Entry point of the binary."""
     app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/sesameknot/policy/crash_guard.py
+++ b/src/sesameknot/policy/crash_guard.py
@@ -80,12 +80,16 @@
         now_s = self.clock.monotonic_s()
         self._merge_one(fingerprint, {endpoint_id}, now_s, margin_s=0.0)
 
-    def refuses(self, fingerprint: int) -> bool:
-        """Return whether a request took down as many endpoints as the limit."""
+    def count(self, fingerprint: int) -> int:
+        """Return how many endpoints a request took down."""
         crashes = self._crashes.get(fingerprint)
         if crashes is None or self._expired(crashes):
-            return False
-        return len(crashes.endpoint_ids) >= self.limit_count
+            return 0
+        return len(crashes.endpoint_ids)
+
+    def refuses(self, fingerprint: int) -> bool:
+        """Return whether a request took down as many endpoints as the limit."""
+        return self.count(fingerprint) >= self.limit_count
 
     def merge(self, entries: Iterable[CrashEntry]) -> None:
         """Take over the counts of another host."""
--- /dev/null
+++ b/src/sesameknot/router/chat_pipeline.py
@@ -0,0 +1,373 @@
+"""Serve chat completions: choose, attempt, stream, resume and bill."""
+
+import structlog
+
+from sesameknot.clock import Clock
+from sesameknot.coordination.grant_holder import GrantHolder, SlotOutcome
+from sesameknot.errors import FrameError, RequestError, RouterError, TransportError
+from sesameknot.policy.endpoint_choice import RequestShape
+from sesameknot.protocol.chat import ChatRequest, build_request, parse_request
+from sesameknot.router.attempts import AttemptRules, Failure
+from sesameknot.router.bills import CANCELLED, Billing
+from sesameknot.router.call import NOT_RUN, AnswerSink, Call, CallHeaders
+from sesameknot.router.catalogue import CatalogueKeeper
+from sesameknot.router.chat_answer import ChatAnswerWriter
+from sesameknot.router.endpoint_picker import EndpointPicker, Picked, Target
+from sesameknot.router.gate import Gate
+from sesameknot.router.keyed import KeyedCalls, replay
+from sesameknot.router.metrics import RouterMetrics
+from sesameknot.router.ratings import RatedAnswer, Ratings
+from sesameknot.router.traffic import TrafficCounters
+from sesameknot.router.version_picker import (
+    CHARS_PER_TOKEN,
+    DEFAULT_OUTPUT_TOKENS,
+    ModelChoice,
+    VersionPicker,
+)
+from sesameknot.settings.tree import ModelSettings
+from sesameknot.transport.endpoint_client import EndpointCall, EndpointClient
+
+PATH = "/v1/chat/completions"
+
+log = structlog.get_logger(__name__)
+
+
+class CallerGoneError(RouterError):
+    """The caller closed its connection before the answer was whole."""
+
+
+class ChatPipeline:
+    """Serve chat completion requests.
+
+    Parameters
+    ----------
+    gate : Gate
+        Authorises and admits.
+    keyed : KeyedCalls
+        Idempotency keys.
+    versions : VersionPicker
+        Models and versions.
+    picker : EndpointPicker
+        Endpoints and slots.
+    rules : AttemptRules
+        What permits an attempt and what its failure means.
+    grants : GrantHolder
+        Learns load and first-token times.
+    client : EndpointClient
+        Sends attempts.
+    billing : Billing
+        Records bills.
+    catalogue : CatalogueKeeper
+        Settings in force.
+    traffic : TrafficCounters
+        Counters per version.
+    ratings : Ratings
+        Sends answers for rating.
+    clock : Clock
+        Source of monotonic time.
+    metrics : RouterMetrics
+        Observes latency.
+    """
+
+    def __init__(
+        self,
+        *,
+        gate: Gate,
+        keyed: KeyedCalls,
+        versions: VersionPicker,
+        picker: EndpointPicker,
+        rules: AttemptRules,
+        grants: GrantHolder,
+        client: EndpointClient,
+        billing: Billing,
+        catalogue: CatalogueKeeper,
+        traffic: TrafficCounters,
+        ratings: Ratings,
+        clock: Clock,
+        metrics: RouterMetrics,
+    ) -> None:
+        self._gate = gate
+        self._keyed = keyed
+        self._versions = versions
+        self._picker = picker
+        self._rules = rules
+        self._grants = grants
+        self._client = client
+        self._billing = billing
+        self._catalogue = catalogue
+        self._traffic = traffic
+        self._ratings = ratings
+        self._clock = clock
+        self._metrics = metrics
+
+    async def serve(self, headers: CallHeaders, body: bytes, sink: AnswerSink) -> None:
+        """Serve one request.
+
+        Raises
+        ------
+        RequestError
+            If the request is refused or failed.
+        TransportError
+            If the caller left.
+        """
+        request = _parse(body)
+        call = self._gate.open(headers, PATH, body)
+        stored = await self._keyed.begin(call, idempotent=True)
+        if stored is not None:
+            await replay(stored, sink)
+            return
+        writer = ChatAnswerWriter(
+            call, request, sink, clock=self._clock, metrics=self._metrics
+        )
+        try:
+            self._gate.admit(call)
+            await self._run(call, request, writer)
+        except BaseException:
+            await self._keyed.fail(call)
+            raise
+
+    async def _run(
+        self, call: Call, request: ChatRequest, writer: ChatAnswerWriter
+    ) -> None:
+        self._rules.first_attempt()
+        models = self._versions.models(call, request)
+        model = self._with_room(call, models)
+        choice = await self._versions.version(call, model)
+        while True:
+            picked = await self._picker.pick(
+                call,
+                self._target(call, request, choice),
+                suspected=self._rules.suspected(call),
+            )
+            failure = await self._attempt(call, request, choice, picked, writer)
+            if failure is None:
+                return
+            if not self._rules.may_retry(call, failure):
+                raise self._rules.exhausted(call, failure)
+            if not self._versions.still_usable(call, choice):
+                choice = await self._replace_version(call, choice, writer)
+
+    def _with_room(self, call: Call, models: list[ModelSettings]) -> ModelSettings:
+        """Return the first model that has a usable endpoint."""
+        for model in models:
+            if any(map(self._picker.usable, self._endpoint_ids(call, model.name))):
+                return model
+        return models[0]
+
+    async def _replace_version(
+        self, call: Call, choice: ModelChoice, writer: ChatAnswerWriter
+    ) -> ModelChoice:
+        if writer.token_count:
+            # Another version would not continue the same text.
+            raise RequestError(
+                f"version {choice.name!r} was withdrawn during the answer",
+                status=503,
+                outcome=call.outcome_if_failed,
+                error_type="version-withdrawn",
+                step="resume",
+            )
+        return await self._versions.version(call, choice.settings)
+
+    def _endpoint_ids(self, call: Call, model: str) -> list[str]:
+        index = self._catalogue.current.endpoint_ids_by_model
+        return index.get((call.team, model), [])
+
+    def _target(self, call: Call, request: ChatRequest, choice: ModelChoice) -> Target:
+        characters = sum(len(message.content) for message in request.messages)
+        return Target(
+            name=f"{call.team}/{choice.settings.name}",
+            endpoint_ids=lambda: self._endpoint_ids(call, choice.settings.name),
+            version=choice.name,
+            shape=RequestShape(
+                prompt_tokens=characters // CHARS_PER_TOKEN,
+                output_tokens=request.max_tokens or DEFAULT_OUTPUT_TOKENS,
+                priority=call.priority,
+            ),
+            prefix_hashes=request.prefix_hashes(),
+        )
+
+    async def _attempt(
+        self,
+        call: Call,
+        request: ChatRequest,
+        choice: ModelChoice,
+        picked: Picked,
+        writer: ChatAnswerWriter,
+    ) -> Failure | None:
+        """Make one attempt; return its failure, or None once the caller has it all."""
+        endpoint_id = picked.endpoint.endpoint_id
+        sent_before = call.sent
+        call.tried_endpoint_ids.append(endpoint_id)
+        writer.set_route(choice.name, _answer_headers(call, choice, endpoint_id))
+        self._log_route(call, choice, picked, writer.token_count)
+        try:
+            await self._stream(call, request, choice, picked, writer)
+        except CallerGoneError as error:
+            picked.slot.release(SlotOutcome.CANCELLED)
+            await self._bill(call, choice, endpoint_id, writer, outcome=CANCELLED)
+            raise TransportError(error.message, step="answer") from error
+        except RouterError as error:
+            failure = await self._rules.judge(call, picked, error)
+            picked.slot.release(failure.outcome)
+            call.sent = sent_before or failure.may_have_run
+            self._picker.slot_freed(f"{call.team}/{choice.settings.name}")
+            if failure.may_have_run:
+                self._traffic.count_error(
+                    call.team, choice.settings.name, choice.version
+                )
+            return failure
+        except BaseException:
+            picked.slot.release(SlotOutcome.CANCELLED)
+            raise
+        picked.slot.release()
+        self._picker.slot_freed(f"{call.team}/{choice.settings.name}")
+        await self._complete(call, choice, endpoint_id, writer)
+        return None
+
+    def _log_route(
+        self, call: Call, choice: ModelChoice, picked: Picked, offset: int
+    ) -> None:
+        log.info(
+            "route",
+            request_id=call.request_id,
+            customer=call.customer_name,
+            kind=call.kind,
+            model=choice.settings.name,
+            version=choice.version,
+            pinned=choice.pinned,
+            endpoint=picked.endpoint.endpoint_id,
+            domain=picked.endpoint.domain,
+            attempt=len(call.tried_endpoint_ids),
+            offset=offset,
+        )
+
+    async def _stream(
+        self,
+        call: Call,
+        request: ChatRequest,
+        choice: ModelChoice,
+        picked: Picked,
+        writer: ChatAnswerWriter,
+    ) -> None:
+        attempt = EndpointCall(
+            url=picked.endpoint.url,
+            path=PATH,
+            headers=_engine_headers(call, choice, writer.token_count),
+            body=build_request(request, model=choice.settings.name, stream=True),
+            limits=self._rules.limits(call),
+            before_send=self._rules.before_send(
+                call, picked, lambda: self._versions.still_usable(call, choice)
+            ),
+        )
+        sent_s = self._clock.monotonic_s()
+        endpoint_id = picked.endpoint.endpoint_id
+        async with self._client.stream(attempt) as stream:
+            if stream.load is not None:
+                self._grants.observe(endpoint_id, stream.load)
+            first = True
+            async for chunk in stream:
+                if first:
+                    first = False
+                    elapsed_s = self._clock.monotonic_s() - sent_s
+                    self._grants.first_token(endpoint_id, elapsed_s)
+                try:
+                    await writer.take(chunk)
+                except TransportError as error:
+                    raise CallerGoneError(error.message, step="answer") from error
+
+    async def _complete(
+        self,
+        call: Call,
+        choice: ModelChoice,
+        endpoint_id: str,
+        writer: ChatAnswerWriter,
+    ) -> None:
+        cost = await self._bill(call, choice, endpoint_id, writer)
+        stored = await writer.finish()
+        await self._keyed.finish(call, stored)
+        self._count(call, choice, writer, cost)
+
+    async def _bill(
+        self,
+        call: Call,
+        choice: ModelChoice,
+        endpoint_id: str,
+        writer: ChatAnswerWriter,
+        *,
+        outcome: str = "answered",
+    ) -> int:
+        usage = writer.usage
+        cost = choice.cost_microunits(usage.prompt_tokens, usage.output_tokens)
+        await self._billing.answered(
+            call,
+            endpoint_id=endpoint_id,
+            cost_microunits=cost,
+            model=choice.settings.name,
+            version=choice.version,
+            prompt_tokens=usage.prompt_tokens,
+            output_tokens=usage.output_tokens,
+            outcome=outcome,
+        )
+        return cost
+
+    def _count(
+        self, call: Call, choice: ModelChoice, writer: ChatAnswerWriter, cost: int
+    ) -> None:
+        team, model, version = call.team, choice.settings.name, choice.version
+        caller = call.session_id or call.customer_name
+        self._traffic.count_request(team, model, version, caller)
+        self._traffic.count_cost(team, model, version, cost)
+        if writer.first_token_ms is not None:
+            self._traffic.count_first_token(team, model, version, writer.first_token_ms)
+        self._ratings.offer(
+            RatedAnswer(
+                request_id=call.request_id,
+                team=team,
+                model=model,
+                version=version,
+                kind=call.kind,
+                cascade=call.customer.settings.cascade,
+                cost_microunits=cost,
+                text=writer.text,
+            )
+        )
+
+
+def _parse(body: bytes) -> ChatRequest:
+    try:
+        return parse_request(body)
+    except FrameError as error:
+        raise RequestError(
+            error.message,
+            status=400,
+            outcome=NOT_RUN,
+            error_type="bad-request",
+            step=error.step or "parse",
+        ) from error
+
+
+def _engine_headers(call: Call, choice: ModelChoice, offset: int) -> dict[str, str]:
+    headers = {
+        "Content-Type": "application/json",
+        "X-Request-Id": call.request_id,
+        "X-Customer": call.customer_name,
+        "X-Version": choice.version,
+        "X-Priority": str(call.priority),
+    }
+    if offset:
+        headers["X-Resume-Offset"] = str(offset)
+    return headers
+
+
+def _answer_headers(
+    call: Call, choice: ModelChoice, endpoint_id: str
+) -> dict[str, str]:
+    headers = {
+        "X-Request-Id": call.request_id,
+        "X-Model": choice.settings.name,
+        "X-Version": choice.version,
+        "X-Endpoint": endpoint_id,
+    }
+    if not choice.pinned:
+        headers["X-Session-Pin"] = "none"
+    return headers
--- a/src/sesameknot/router/endpoint_picker.py
+++ b/src/sesameknot/router/endpoint_picker.py
@@ -14,13 +14,15 @@
     EndpointView,
     RequestShape,
 )
+from sesameknot.protocol.prefix import BLOCK_CHARS
 from sesameknot.router.call import Call
 from sesameknot.router.catalogue import CatalogueKeeper
-from sesameknot.router.wait_queue import Turn, WaitQueue
+from sesameknot.router.wait_queue import WaitQueue
 from sesameknot.settings.tree import EndpointSettings
 from sesameknot.state.endpoint_table import EndpointState, EndpointTable
 
 RETRY_INTERVAL_S = 0.05
+CHARS_PER_TOKEN = 4
 UNUSABLE_STATES = (EndpointState.LEAVING, EndpointState.DOWN)
 
 log = structlog.get_logger(__name__)
@@ -129,74 +131,91 @@
         queue = self._queues.setdefault(target.name, WaitQueue())
         with queue.enter(call.priority) as turn:
             while True:
+                picked = None
                 if turn.is_first:
                     picked = await self._try(call, target, suspected=suspected)
-                    if picked is not None:
-                        return picked
-                await self._wait(call, target, turn)
-
-    async def _wait(self, call: Call, target: Target, turn: Turn) -> None:
-        remaining_s = call.remaining_s(self._clock)
-        if remaining_s <= 0.0:
-            log.info("route_no_capacity", request_id=call.request_id, name=target.name)
-            raise RequestError(
-                f"no endpoint for {target.name!r} had a free slot before the deadline",
-                status=503,
-                outcome=call.outcome_if_failed,
-                error_type="no-capacity",
-                step="pick",
-                retry_after_s=1.0,
-            )
-        await turn.wait(min(remaining_s, RETRY_INTERVAL_S))
+                if picked is not None:
+                    return picked
+                self._check_deadline(call, target)
+                if not turn.is_first:
+                    await turn.wait(self._pause_s(call))
+
+    def _pause_s(self, call: Call) -> float:
+        return max(0.001, min(call.remaining_s(self._clock), RETRY_INTERVAL_S))
+
+    def _check_deadline(self, call: Call, target: Target) -> None:
+        if call.remaining_s(self._clock) > 0.0:
+            return
+        log.info("route_no_capacity", request_id=call.request_id, name=target.name)
+        raise RequestError(
+            f"no endpoint for {target.name!r} had a free slot before the deadline",
+            status=503,
+            outcome=call.outcome_if_failed,
+            error_type="no-capacity",
+            step="pick",
+            retry_after_s=1.0,
+        )
 
     async def _try(
         self, call: Call, target: Target, *, suspected: bool
     ) -> Picked | None:
         views = self._views(call, target)
-        if suspected:
-            return await self._first_free(
-                sorted(
-                    views,
-                    key=lambda v: -weight("suspect", self.host_id, v.endpoint_id),
-                )
+        slot = self._acquire(views, target, suspected=suspected)
+        if slot is None:
+            slot = await self._grants.acquire_any(
+                [view.endpoint_id for view in views], timeout_s=self._pause_s(call)
             )
+        if slot is None:
+            return None
+        return Picked(self._catalogue.current.endpoints[slot.endpoint_id], slot)
+
+    def _acquire(
+        self, views: list[EndpointView], target: Target, *, suspected: bool
+    ) -> Slot | None:
         while views:
-            view = self._choice.choose(views, target.shape)
+            if suspected:
+                view = max(views, key=self._suspect_weight)
+            else:
+                view = self._choice.choose(views, target.shape)
             if view is None:
                 return None
-            picked = await self._first_free([view])
-            if picked is not None:
-                return picked
+            slot = self._grants.acquire(view.endpoint_id)
+            if slot is not None:
+                return slot
             views = [other for other in views if other is not view]
         return None
 
-    async def _first_free(self, views: Sequence[EndpointView]) -> Picked | None:
-        for view in views:
-            slot = await self._grants.acquire(view.endpoint_id)
-            if slot is not None:
-                endpoint = self._catalogue.current.endpoints[view.endpoint_id]
-                return Picked(endpoint, slot)
-        return None
+    def _suspect_weight(self, view: EndpointView) -> int:
+        return weight("suspect", self.host_id, view.endpoint_id)
 
     def _views(self, call: Call, target: Target) -> list[EndpointView]:
-        usable = [
-            endpoint_id
+        views = [
+            view
             for endpoint_id in target.endpoint_ids()
             if self.usable(endpoint_id)
-            and self._table.may_serve(endpoint_id, target.version)
-        ]
-        if not usable:
-            return []
-        fresh = [e for e in usable if e not in call.tried_endpoint_ids]
-        endpoints = self._catalogue.current.endpoints
-        return [
-            self._table.view(
-                endpoint_id,
-                capacity_count=endpoints[endpoint_id].capacity_count,
-                prefix_hashes=target.prefix_hashes,
-            )
-            for endpoint_id in fresh or usable
+            and (view := self._view(endpoint_id, target)) is not None
         ]
+        fresh = [v for v in views if v.endpoint_id not in call.tried_endpoint_ids]
+        return fresh or views
+
+    def _view(self, endpoint_id: str, target: Target) -> EndpointView | None:
+        """Return what is known of an endpoint, or None if it lacks the version."""
+        known = self._table.summary(endpoint_id)
+        if known is None:
+            return None
+        if target.version and known.versions and target.version not in known.versions:
+            return None
+        blocks = self._table.cached_block_count(endpoint_id, target.prefix_hashes)
+        return EndpointView(
+            endpoint_id=endpoint_id,
+            capacity_count=known.spec.capacity_count,
+            running_count=known.running_count,
+            queued_count=known.queued_count,
+            report_age_s=known.report_age_s,
+            in_flight_count=known.in_flight_count,
+            sent_since_report_count=known.sent_since_report_count,
+            cached_tokens=blocks * BLOCK_CHARS // CHARS_PER_TOKEN,
+        )
 
     def slot_freed(self, name: str) -> None:
         """Wake the first request that waits for a model or service."""
--- a/src/sesameknot/router/ratings.py
+++ b/src/sesameknot/router/ratings.py
@@ -29,6 +29,7 @@
     model: str
     version: str
     kind: str
+    cascade: str
     cost_microunits: int
     text: str
 
--- a/src/sesameknot/router/version_picker.py
+++ b/src/sesameknot/router/version_picker.py
@@ -118,16 +118,19 @@
         return policy
 
     def observe(
-        self, call: Call, model: str, quality: float | None, cost_microunits: int
+        self,
+        team: str,
+        cascade_name: str,
+        kind: str,
+        model: str,
+        quality: float | None,
+        cost_microunits: int,
     ) -> None:
-        """Tell the cascade's policy about an answer to ``auto``."""
-        cascade = self._catalogue.current.cascades.get(
-            (call.team, call.customer.settings.cascade)
-        )
-        if cascade is not None:
-            self.policy(call.team, cascade).observe(
-                call.kind, model, quality, cost_microunits
-            )
+        """Tell a cascade's policy about an answer."""
+        cascade = self._catalogue.current.cascades.get((team, cascade_name))
+        if cascade is not None and model in cascade.models:
+            policy = self.policy(team, cascade)
+            policy.observe(kind, model, quality, cost_microunits)
 
     async def version(self, call: Call, model: ModelSettings) -> ModelChoice:
         """Return the version of ``model`` for a call.
--- a/src/sesameknot/settings/process.py
+++ b/src/sesameknot/settings/process.py
@@ -45,6 +45,7 @@
     concurrent_limit_count: PositiveCount = 512
     retry_ratio: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.2
     crash_limit_count: PositiveCount = 2
+    drain_notice_s: DurationS = 1.0
     drain_limit_s: DurationS = 60.0
     endpoint_subset_count: PositiveCount = 24
 
