--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -50,7 +50,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class EndpointReport:
-    """Load and state of an endpoint; ``state`` is cold, warm, leaving or down."""
+    """Load and state of an endpoint; ``state`` is cold, warm, leaving or down.
+
+    ``prefix_hashes`` is left empty when the receiver has the hashes with
+    ``prefix_digest`` already.
+    """
 
     endpoint_id: str = ""
     state: str = ""
@@ -61,6 +65,7 @@
     prefix_hashes: list[int] = field(default_factory=list)
     age_ms: int = 0
     sequence: int = 0
+    prefix_digest: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/sesameknot/protocol/orders.py
+++ b/src/sesameknot/protocol/orders.py
@@ -4,6 +4,7 @@
 from typing import Annotated, Literal, TypeVar
 
 import msgspec
+import xxhash
 from msgspec import Meta
 
 from sesameknot.errors import FrameError, RouterError
@@ -12,7 +13,8 @@
 LIST_LIMIT_COUNT = 1024
 
 _Count = Annotated[int, Meta(ge=0, le=2**31)]
-_Hash = Annotated[int, Meta(ge=0)]
+# msgspec bounds integers only up to 2**63 - 1, so hashes are checked by hand.
+HASH_LIMIT = 2**64
 T = TypeVar("T")
 
 
@@ -70,7 +72,7 @@
     queued: _Count
     capacity: _Count = 0
     versions: Annotated[list[str], Meta(max_length=LIST_LIMIT_COUNT)] = []
-    prefix_hashes: Annotated[list[_Hash], Meta(max_length=LIST_LIMIT_COUNT)] = []
+    prefix_hashes: Annotated[list[int], Meta(max_length=LIST_LIMIT_COUNT)] = []
     age_ms: _Count = 0
 
 
@@ -103,6 +105,12 @@
         If ``body`` is not a load report.
     """
     load = _decode(body, _Load, "parse load", endpoint_id)
+    if any(not 0 <= value < HASH_LIMIT for value in load.prefix_hashes):
+        raise FrameError(
+            "prefix hash out of range, expected an unsigned 64-bit integer",
+            step="parse load",
+            peer=endpoint_id,
+        )
     return EndpointReport(
         endpoint_id=endpoint_id,
         state=load.state,
@@ -112,9 +120,16 @@
         versions=load.versions,
         prefix_hashes=load.prefix_hashes,
         age_ms=load.age_ms,
+        prefix_digest=_digest(load.prefix_hashes),
     )
 
 
+def _digest(hashes: list[int]) -> int:
+    if not hashes:
+        return 0
+    return xxhash.xxh3_64_intdigest(b"".join(h.to_bytes(8, "big") for h in hashes))
+
+
 def parse_cache_events(body: bytes, *, peer: str = "") -> list[CacheEvent]:
     """Return the events in the answer of ``/cache-events``.
 
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -45,6 +45,7 @@
   prefixHashes @6 :List(UInt64);
   ageMs @7 :UInt32;
   sequence @8 :UInt64;
+  prefixDigest @9 :UInt64;
 }
 
 struct BillRecord {
@@ -185,6 +186,10 @@
   inFlightCount @3 :UInt32;
   wantedCount @4 :UInt32;
   rosterVersion @5 :UInt64;
+  address @6 :Text;
+  ownerIncarnation @7 :UInt64;
+  seenNumber @8 :UInt64;
+  prefixDigest @9 :UInt64;
 }
 
 struct GrantReply {
@@ -193,11 +198,16 @@
   ttlMs @2 :UInt32;
   report @3 :EndpointReport;
   rosterVersion @4 :UInt64;
+  ownerIncarnation @5 :UInt64;
+  number @6 :UInt64;
 }
 
 struct GrantRevoke {
   report @0 :EndpointReport;
   rosterVersion @1 :UInt64;
+  ownerId @2 :Text;
+  ownerIncarnation @3 :UInt64;
+  number @4 :UInt64;
 }
 
 struct EndpointNotice {
--- a/src/sesameknot/router/keyed.py
+++ b/src/sesameknot/router/keyed.py
@@ -113,9 +113,7 @@
             IDEMPOTENCY_TABLE, _register(call), state, value, claimant=call.claimant
         )
         if not settled:
-            log.warning(
-                "key_unsettled", request_id=call.request_id, state=state.value
-            )
+            log.warning("key_unsettled", request_id=call.request_id, state=state.value)
 
 
 async def replay(answer: StoredAnswer, sink: AnswerSink) -> None:
--- /dev/null
+++ b/tests/coordination/grant_world.py
@@ -0,0 +1,306 @@
+"""Routers with grant owners and holders, one endpoint, and changing rosters."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import numpy as np
+
+from sesameknot.coordination.grant_holder import GrantError, GrantHolder, SlotOutcome
+from sesameknot.coordination.grant_owner import GrantOwner
+from sesameknot.errors import DeadlineError
+from sesameknot.protocol.messages import EndpointReport
+from sesameknot.protocol.roster import Roster, RosterMember
+from sesameknot.settings.process import TimingSettings
+from sesameknot.state.endpoint_table import EndpointSpec, EndpointState, EndpointTable
+from sesameknot.transport.endpoint_client import ObservedLoad
+from tests.virtual_hosts import VirtualClient, VirtualWorld
+
+ENDPOINT = "e1"
+LOAD_LAG_S = 0.8
+
+
+class SlowWorld(VirtualWorld):
+    """A world whose network delays a share of the messages beyond grant expiry."""
+
+    slow_share = 0.0
+
+    def deliver(self, source, target, action):
+        if self.random.random() < self.slow_share:
+            loop = self.loops.get(target)
+            if loop is not None and (source, target) not in self.cuts:
+                delay_s = self.random.uniform(0.2, 6.0)
+                loop.call_at(self.clock.monotonic_s() + delay_s, action)
+            return
+        super().deliver(source, target, action)
+
+
+@dataclass
+class FakeEndpoint:
+    """Counts requests; its load lags."""
+
+    world: VirtualWorld
+    cold_slot_count: int
+    state: str = "cold"
+    drops_work: bool = True
+    running: set[object] = field(default_factory=set)
+    arrived: list[tuple[float, str]] = field(default_factory=list)
+    refused_count: int = 0
+    largest_count: int = 0
+    history: list[tuple[float, str, int]] = field(default_factory=list)
+
+    def note(self) -> None:
+        entry = (self.world.clock.monotonic_s(), self.state, len(self.running))
+        self.history.append(entry)
+
+    def turn(self, state: str) -> None:
+        """Change the state; a cold start loses the running requests."""
+        self.state = state
+        if state == "cold":
+            self.running.clear()
+        self.note()
+
+    def arrive(self, host_id: str) -> object | None:
+        """Start a request; return None if it is refused."""
+        self.arrived.append((self.world.clock.monotonic_s(), host_id))
+        if self.state == "leaving":
+            self.refused_count += 1
+            return None
+        request = object()
+        self.running.add(request)
+        if self.state == "cold":
+            self.largest_count = max(self.largest_count, len(self.running))
+        self.note()
+        return request
+
+    def finish(self, request: object) -> bool:
+        """End a request; return False if a cold start lost it."""
+        kept = request in self.running
+        self.running.discard(request)
+        self.note()
+        return kept
+
+    def load(self) -> EndpointReport:
+        """Return the load as it was a lag ago."""
+        limit_s = self.world.clock.monotonic_s() - LOAD_LAG_S
+        state, count = self.history[0][1:]
+        for at_s, old_state, old_count in reversed(self.history):
+            if at_s <= limit_s:
+                state, count = old_state, old_count
+                break
+        return EndpointReport(endpoint_id=ENDPOINT, state=state, running_count=count)
+
+
+@dataclass
+class Router:
+    """One incarnation of a host."""
+
+    member: RosterMember
+    table: EndpointTable
+    owner: GrantOwner
+    holder: GrantHolder
+    roster: Roster
+    confirmed_s: float
+
+
+class GrantWorld:
+    """Nine routers, one endpoint and the platform's roster."""
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        count: int = 9,
+        cold_slot_count: int = 2,
+        slow_share: float = 0.0,
+        request_rate_per_s: float = 1.0,
+        longest_s: float = 8.0,
+        travel_s: float = 0.4,
+        capacity_count: int = 18,
+    ) -> None:
+        self.world = SlowWorld(seed)
+        self.world.slow_share = slow_share
+        self.random = np.random.default_rng([seed, 1])
+        self.timing = TimingSettings()
+        self.spec = EndpointSpec(
+            endpoint_id=ENDPOINT,
+            url="http://10.2.0.1:80",
+            capacity_count=capacity_count,
+            cold_slot_count=cold_slot_count,
+        )
+        self.endpoint = FakeEndpoint(self.world, cold_slot_count)
+        self.endpoint.note()
+        self.request_rate_per_s = request_rate_per_s
+        self.longest_s = longest_s
+        self.travel_s = travel_s
+        self.done_count = 0
+        self.no_platform: set[str] = set()
+        self.no_endpoint: set[str] = set()
+        self.routers: dict[str, Router] = {}
+        members = tuple(self._member(index, 1) for index in range(count))
+        self.roster = Roster(version=1, members=members)
+        for member in members:
+            self.start(member)
+
+    def _member(self, index: int, incarnation: int) -> RosterMember:
+        name = f"r{index}"
+        return RosterMember(
+            name, incarnation, f"10.0.0.{index}:7000", "region", f"d{index % 4}"
+        )
+
+    def start(self, member: RosterMember) -> None:
+        """Start a router with empty memory."""
+        name, clock = member.host_id, self.world.clock
+        loop = self.world.add(name, member.address)
+        client = VirtualClient(self.world, name)
+        table = EndpointTable(clock=clock)
+        table.configure([self.spec])
+        owner = GrantOwner(
+            name,
+            member.incarnation,
+            clock=clock,
+            table=table,
+            roster=lambda: router.roster,
+            stale=lambda: clock.monotonic_s() - router.confirmed_s > 3.0,
+            poll=lambda endpoint_id, url: self._poll(name),
+            peers=client,
+            timing=self.timing,
+        )
+        holder = GrantHolder(
+            name,
+            member.incarnation,
+            member.address,
+            clock=clock,
+            table=table,
+            roster=lambda: router.roster,
+            peers=client,
+            owner=owner,
+            timing=self.timing,
+        )
+        now_s = clock.monotonic_s()
+        router = Router(member, table, owner, holder, self.roster, now_s)
+        self.routers[name] = router
+        owner.register(self.world.servers[name])
+        holder.register(self.world.servers[name])
+        for job in (owner.run, holder.run, self._reader(router), self._demand(router)):
+            loop.call_soon(lambda job=job: loop.create_task(job()))
+
+    async def _poll(self, name: str) -> EndpointReport:
+        await asyncio.sleep(self.random.uniform(0.001, 0.05))
+        if name in self.no_endpoint:
+            raise DeadlineError("no answer", peer=ENDPOINT)
+        return self.endpoint.load()
+
+    def _reader(self, router: Router):
+        async def read():
+            while True:
+                sent_s = self.world.clock.monotonic_s()
+                roster = self.roster
+                await asyncio.sleep(self.random.uniform(0.001, 0.5))
+                if router.member.host_id not in self.no_platform:
+                    router.roster = max(router.roster, roster, key=lambda r: r.version)
+                    router.confirmed_s = max(router.confirmed_s, sent_s)
+                await asyncio.sleep(0.3)
+
+        return read
+
+    def _demand(self, router: Router):
+        async def send_all():
+            tasks = set()
+            while True:
+                await asyncio.sleep(
+                    self.random.exponential(1 / self.request_rate_per_s)
+                )
+                task = asyncio.create_task(self._request(router))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+
+        return send_all
+
+    async def _request(self, router: Router) -> None:
+        slot = await router.holder.acquire_any([ENDPOINT], timeout_s=2.0)
+        if slot is None:
+            return
+        # Time to connect, at times longer than a grant lasts.
+        slow = self.random.random() < 0.1
+        await asyncio.sleep(self.random.uniform(0.0, 3.0 if slow else 0.05))
+        try:
+            slot.check()
+        except GrantError:
+            slot.release(SlotOutcome.NOT_SENT)
+            return
+        slot.release(await self._send(router))
+
+    async def _send(self, router: Router) -> SlotOutcome:
+        """Run a request; the endpoint goes on while this host is frozen."""
+        answer = asyncio.get_running_loop().create_future()
+        name = router.member.host_id
+        clock = self.world.clock
+        there = self._endpoint_loop()
+
+        def arrive() -> None:
+            request = self.endpoint.arrive(name)
+            state = self.endpoint.state
+            if request is None:
+                self._answer(name, answer, SlotOutcome.LEAVING, state)
+                return
+            duration_s = self.random.uniform(0.05, self.longest_s)
+            there.call_at(
+                clock.monotonic_s() + duration_s, lambda: finish(request, state)
+            )
+
+        def finish(request: object, state: str) -> None:
+            kept = self.endpoint.finish(request)
+            self.done_count += kept
+            outcome = SlotOutcome.DONE if kept else SlotOutcome.BROKEN
+            self._answer(name, answer, outcome, self.endpoint.state)
+
+        travel_s = self.random.uniform(0.001, self.travel_s)
+        there.call_at(clock.monotonic_s() + travel_s, arrive)
+        outcome, state = await answer
+        if state:
+            load = ObservedLoad(state, len(self.endpoint.running), 0)
+            router.holder.observe(ENDPOINT, load)
+        return outcome
+
+    def _endpoint_loop(self):
+        if "endpoint" not in self.world.loops:
+            self.world.add("endpoint", "10.2.0.1:80")
+        return self.world.loops["endpoint"]
+
+    def _answer(self, name, answer, outcome, state) -> None:
+        def settle():
+            if not answer.done():
+                answer.set_result((outcome, state))
+
+        self.world.deliver("endpoint", name, settle)
+
+    def change_roster(self, names: set[str]) -> None:
+        """Commit a roster of the routers called ``names``."""
+        members = tuple(
+            r.member for name, r in sorted(self.routers.items()) if name in names
+        )
+        self.roster = Roster(
+            version=self.roster.version + 1,
+            members=members,
+            previous=self.roster.members,
+            previous_version=self.roster.version,
+        )
+
+    def restart(self, name: str) -> None:
+        """Kill a router and start it again with empty memory."""
+        member = self.routers[name].member
+        self.world.kill(name)
+        self.world.frozen.discard(name)
+        self.start(self._member(int(name[1:]), member.incarnation + 1))
+
+    def owner_name(self) -> str:
+        """Return the owner by the committed roster."""
+        router = next(iter(self.routers.values()))
+        held, router.roster = router.roster, self.roster
+        owner = router.owner.owners.owner(ENDPOINT)
+        router.roster = held
+        return owner.host_id
+
+    def states(self) -> dict[str, EndpointState]:
+        """Return what each router believes."""
+        return {n: r.table.state(ENDPOINT) for n, r in self.routers.items()}
