--- a/src/sesameknot/policy/cascade.py
+++ b/src/sesameknot/policy/cascade.py
@@ -1,5 +1,6 @@
 """Choice of a model per request kind: cheapest mix that meets a quality target."""
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -179,6 +180,8 @@
         Ratings per model and kind that count.
     repay_count : float, default=300.0
         Ratings over which a shortfall of quality is made up for.
+    margin_deviations : float, default=1.5
+        Margin above the target, in standard deviations of the mean rating.
 
     Notes
     -----
@@ -193,6 +196,7 @@
         "clock",
         "explore_floor",
         "explore_share",
+        "margin_deviations",
         "quality_target",
         "random_generator",
         "repay_count",
@@ -201,8 +205,14 @@
 
     # Ratings after which half of the initial exploration is over.
     EXPLORE_HALF_COUNT = 100.0
-    # The integral term may shift the target by at most this much.
+    # The integral term may raise the target by at most this much, and lower it less:
+    # a surplus from a time of easy requests must not pay for a bad time.
     SHIFT_LIMIT = 0.05
+    SURPLUS_LIMIT = 0.02
+    # Usual standard deviation of ratings, and ratings at which the margin stops to
+    # shrink, since older ratings say nothing about the present.
+    RATING_DEVIATION = 0.17
+    MARGIN_COUNT = 2000
 
     def __init__(
         self,
@@ -214,6 +224,7 @@
         explore_floor: float = 0.01,
         window_count: float = 200.0,
         repay_count: float = 300.0,
+        margin_deviations: float = 1.5,
     ) -> None:
         self.quality_target = quality_target
         self.clock = clock
@@ -222,6 +233,7 @@
         self.explore_floor = explore_floor
         self.window_count = window_count
         self.repay_count = repay_count
+        self.margin_deviations = margin_deviations
         self._kinds: dict[str, _KindState] = {}
 
     def choose(self, kind: str, candidates: Sequence[Candidate]) -> str:
@@ -248,9 +260,11 @@
             return
         estimate.add_quality(quality)
         state.rating_count += 1
-        limit = self.SHIFT_LIMIT * self.repay_count
-        shortfall = state.shortfall + self.quality_target - quality
-        state.shortfall = min(limit, max(-limit, shortfall))
+        aim = self.quality_target + self._margin(state)
+        shortfall = state.shortfall + aim - quality
+        most = self.SHIFT_LIMIT * self.repay_count
+        least = -self.SURPLUS_LIMIT * self.repay_count
+        state.shortfall = min(most, max(least, shortfall))
 
     def _estimate(
         self, state: _KindState, model: str, prior_quality: float
@@ -276,6 +290,10 @@
         decayed = self.explore_share * half / (half + state.rating_count)
         return max(self.explore_floor, decayed)
 
+    def _margin(self, state: _KindState) -> float:
+        count = min(self.MARGIN_COUNT, 30 + state.rating_count)
+        return self.margin_deviations * self.RATING_DEVIATION / math.sqrt(count)
+
     def _mix_target(
         self,
         state: _KindState,
@@ -286,6 +304,7 @@
         explored = sum(p.quality * w for p, w in zip(points, weights, strict=True))
         explored /= sum(weights)
         target = self.quality_target + state.shortfall / self.repay_count
+        target += self._margin(state)
         return (target - explore * explored) / (1.0 - explore)
 
 
