Add the roll-out runner

Cause: a roll-out needs one holder that survives deaths, pauses and platform outages without a second actor on old authority.

Ruled out: counting the lease from the answer of a renewal (a late answer gives two holders), marking a roll-out stopped before its version is withdrawn (a crash in between leaves the version in service), trusting the read-back of an engine without fencing right after a takeover (an old order may still be under way), and a fence per roll-out without repair (an engine keeps one fence for all roll-outs, so another roll-out's higher one would block the holder for good).

--- /dev/null
+++ b/src/sesameknot/coordination/rollout_runner.py
@@ -0,0 +1,236 @@
+"""Acquire, run and release roll-outs; one controller holds each of them."""
+
+import asyncio
+import dataclasses
+
+import structlog
+
+from sesameknot.clock import Clock
+from sesameknot.coordination._engine_loading import EngineOrders
+from sesameknot.coordination._held_rollout import Decide, HeldRollout
+from sesameknot.coordination._rollout_lease import (
+    Hold,
+    LeaseWatch,
+    LostHoldError,
+    new_write_id,
+    takeover_wait_s,
+)
+from sesameknot.coordination._version_counters import VersionCounters
+from sesameknot.coordination.router_view import View
+from sesameknot.errors import ConflictError, PlatformError, RouterError
+from sesameknot.protocol.objects import ROLLOUTS_PREFIX, ROSTER_KEY, StoredObject
+from sesameknot.protocol.rollout_object import (
+    RolloutObject,
+    rollout_from_value,
+    settings_key,
+)
+from sesameknot.protocol.roster import Roster, roster_from_value
+from sesameknot.settings.loader import convert
+from sesameknot.settings.tree import TeamSettings
+from sesameknot.transport.platform_client import PlatformClient
+
+TICK_INTERVAL_S = 0.5
+# Each collection asks every router; steps last tens of seconds.
+STATS_INTERVAL_S = 2.0
+
+log = structlog.get_logger(__name__)
+
+
+class RolloutRunner:
+    """Hold roll-outs and move them through their steps.
+
+    Parameters
+    ----------
+    host_id : str
+        Name of this host.
+    view : View
+        Objects and counters through the router on this host.
+    platform : PlatformClient
+        The object API.
+    orders : EngineOrders
+        Client of the engines.
+    decide : callable
+        ``decide(stable, new, settings, step_elapsed_s)`` returns ``"continue"``,
+        ``"advance"`` or ``"stop"``.
+    clock : Clock
+        Source of time.
+    lease_s : float, default=5.0
+        Duration of the lease on a running roll-out.
+    margin_s : float, default=0.5
+        Time beyond another holder's lease before a takeover.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        *,
+        view: View,
+        platform: PlatformClient,
+        orders: EngineOrders,
+        decide: Decide,
+        clock: Clock,
+        lease_s: float = 5.0,
+        margin_s: float = 0.5,
+    ) -> None:
+        self.host_id = host_id
+        self.lease_s = lease_s
+        self.margin_s = margin_s
+        self._view = view
+        self._platform = platform
+        self._orders = orders
+        self._decide = decide
+        self._clock = clock
+        self._counters = VersionCounters()
+        self._stats_s: float | None = None
+        self._watch = LeaseWatch(clock)
+        self._held: dict[str, HeldRollout] = {}
+
+    @property
+    def held(self) -> dict[str, RolloutObject]:
+        """The roll-outs that this controller holds, by key."""
+        return {key: held.hold.rollout for key, held in self._held.items()}
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            try:
+                await self.tick()
+            except* (RouterError, OSError) as errors:
+                log.warning("rollout_tick_failed", reason=str(errors.exceptions))
+            await asyncio.sleep(TICK_INTERVAL_S)
+
+    async def tick(self) -> None:
+        """Look at every roll-out once.
+
+        Raises
+        ------
+        RouterError
+            If the router on this host cannot be reached; leases then run out.
+        """
+        await self._view.refresh()
+        await self._collect()
+        rollouts = self._view.below(ROLLOUTS_PREFIX)
+        for key in self._held.keys() - {stored.key for stored in rollouts}:
+            self._drop(key)
+        await asyncio.gather(*(self._guarded(stored) for stored in rollouts))
+
+    async def release(self) -> None:
+        """Give all roll-outs back, after orders that were sent have ended."""
+        for key, held in list(self._held.items()):
+            await held.loading.finish()
+            try:
+                # A second try, for an operator's write in between.
+                await held.hold.write(holder="") or await held.hold.write(holder="")
+            except RouterError as error:
+                log.info("rollout_release_failed", rollout=key, reason=str(error))
+            del self._held[key]
+
+    async def _guarded(self, stored: StoredObject) -> None:
+        try:
+            if stored.key in self._held:
+                await self._tick_held(stored.key)
+            else:
+                await self._consider(stored)
+        except PlatformError as error:
+            log.info("rollout_holds", rollout=stored.key, reason=str(error))
+        except RouterError as error:
+            log.warning("rollout_failed", rollout=stored.key, reason=str(error))
+
+    async def _tick_held(self, key: str) -> None:
+        held = self._held[key]
+        try:
+            await held.tick()
+        except LostHoldError as error:
+            log.warning("rollout_lost", rollout=key, reason=str(error))
+            self._drop(key)
+        else:
+            rollout = held.hold.rollout
+            if rollout.state in ("complete", "stopped") and not self._wanted(rollout):
+                self._drop(key)
+
+    def _drop(self, key: str) -> None:
+        self._held.pop(key).loading.cancel()
+
+    async def _consider(self, stored: StoredObject) -> None:
+        rollout = rollout_from_value(stored.value, key=stored.key)
+        if not self._wanted(rollout):
+            return
+        wait_s = takeover_wait_s(
+            rollout,
+            self.host_id,
+            self._roster().members,
+            lease_s=self.lease_s,
+            margin_s=self.margin_s,
+        )
+        unchanged_s = self._watch.unchanged_s(stored)
+        if wait_s is not None and unchanged_s >= wait_s:
+            await self._take(stored, rollout)
+
+    async def _take(self, stored: StoredObject, rollout: RolloutObject) -> None:
+        taken = dataclasses.replace(
+            rollout,
+            holder=self.host_id,
+            fence=rollout.fence + 1,
+            lease_ms=int(self.lease_s * 1000),
+            updated_wall_ms=self._clock.wall_ms(),
+        )
+        sent_s = self._clock.monotonic_s()
+        try:
+            written = await self._platform.put_settled(
+                stored.key,
+                taken.to_value(),
+                expected_version=stored.version,
+                write_id=new_write_id(self.host_id),
+            )
+        except ConflictError:
+            return
+        log.info("rollout_taken", rollout=stored.key, fence=taken.fence)
+        hold = Hold(
+            written,
+            host_id=self.host_id,
+            platform=self._platform,
+            clock=self._clock,
+            lease_s=self.lease_s,
+            sent_s=sent_s,
+            taken_over=bool(rollout.holder),
+        )
+        self._held[stored.key] = HeldRollout(
+            hold,
+            host_id=self.host_id,
+            view=self._view,
+            platform=self._platform,
+            orders=self._orders,
+            counters=self._counters,
+            decide=self._decide,
+            clock=self._clock,
+        )
+
+    def _wanted(self, rollout: RolloutObject) -> bool:
+        if rollout.state == "stopped":
+            return False
+        stored = self._view.get(settings_key(rollout.team))
+        if stored is None:
+            return False
+        team = convert(stored.value, TeamSettings, place=stored.key)
+        if rollout.name not in [plan.name for plan in team.rollouts]:
+            return False
+        # A complete roll-out is watched until its version is the stable one.
+        stable = {model.name: model.stable_version for model in team.models}
+        return rollout.state != "complete" or (
+            stable.get(rollout.model) != rollout.to_version
+        )
+
+    def _roster(self) -> Roster:
+        stored = self._view.get(ROSTER_KEY)
+        if stored is None:
+            return Roster()
+        return roster_from_value(stored.value, stored.version)
+
+    async def _collect(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if not any(rollout.share > 0.0 for rollout in self.held.values()):
+            return
+        if self._stats_s is not None and now_s - self._stats_s < STATS_INTERVAL_S:
+            return
+        self._stats_s = now_s
+        self._counters.update(await self._view.stats())
--- /dev/null
+++ b/tests/coordination/rollout_fakes.py
@@ -0,0 +1,187 @@
+"""Fakes around the roll-out runner: routers, engines and a shared platform."""
+
+import asyncio
+
+import msgspec
+
+from sesameknot.clock import ManualClock
+from sesameknot.coordination.rollout_runner import RolloutRunner
+from sesameknot.errors import RouterError
+from sesameknot.protocol.messages import StatsReply, VersionStats
+from sesameknot.protocol.rollout_object import RolloutObject, rollout_from_value
+from sesameknot.protocol.roster import Roster, RosterMember
+from sesameknot.settings.loader import team_from_value
+from sesameknot.standins.platform import InProcessPlatform, PlatformCore
+from sesameknot.transport.order_client import EngineState, StaleFenceError
+
+SHARES = [0.01, 0.25, 1.0]
+KEY = "rollouts/feed.july"
+WITHDRAWAL_KEY = "withdrawals/feed.small.v2"
+ORDER_TIMEOUT_S = 4.0
+
+
+def team_value(fencing=True, **rollout):
+    """Return a team's settings with three engines and one roll-out."""
+    engine = {"domain": "idku", "models": ["small"], "fencing": fencing}
+    value = {
+        "team": "feed",
+        "models": [
+            {
+                "name": "small",
+                "versions": [{"name": "v1"}, {"name": "v2"}],
+                "stable_version": "v1",
+            }
+        ],
+        "endpoints": [
+            {"endpoint_id": f"e{n}", "url": f"http://10.0.0.{n}:1", **engine}
+            for n in range(3)
+        ],
+        "rollouts": [
+            {
+                "name": "july",
+                "model": "small",
+                "to_version": "v2",
+                "step_shares": SHARES,
+                **rollout,
+            }
+        ],
+    }
+    return msgspec.to_builtins(team_from_value(value, place="team"))
+
+
+class FakeEngine:
+    """An engine that may ignore fences or hold orders back."""
+
+    def __init__(self, *, fencing):
+        self.fencing = fencing
+        self.fence = 0
+        self.versions = {"small/v1"}
+        self.accepted: list[int] = []
+        self.held_back: asyncio.Event | None = None
+
+    async def load(self, name, fence):
+        if self.held_back is not None:
+            await self.held_back.wait()
+        if self.fencing and fence < self.fence:
+            raise StaleFenceError(f"fence {fence} is refused")
+        self.fence = max(self.fence, fence)
+        self.accepted.append(fence)
+        self.versions.add(name)
+
+
+class FakeOrders:
+    timeout_s = ORDER_TIMEOUT_S
+
+    def __init__(self, world):
+        self.world = world
+        self.engines = world.engines
+        self.sent: list[tuple[str, int]] = []
+        self.unauthorised: list[tuple[str, int]] = []
+
+    async def state(self, url):
+        engine = self.engines[url]
+        return EngineState(versions=tuple(engine.versions), fence=engine.fence)
+
+    async def load(self, url, *, model, version, fence):
+        self.sent.append((url, fence))
+        if fence < self.world.rollout.fence:
+            self.unauthorised.append((url, fence))
+        # The engine carries the order out even if the sender dies meanwhile.
+        await asyncio.shield(
+            asyncio.ensure_future(self.engines[url].load(f"{model}/{version}", fence))
+        )
+
+
+class FakeView:
+    """The objects of the platform; ``frozen`` keeps old ones, ``cut`` fails."""
+
+    def __init__(self, world):
+        self.world = world
+        self.frozen = False
+        self.cut = False
+        self._objects = {}
+
+    async def refresh(self):
+        if self.cut:
+            raise RouterError("cut off", step="refresh")
+        if not self.frozen:
+            table = self.world.core.table.below("")
+            self._objects = {o.key: o for o in table.objects if not o.deleted}
+
+    def get(self, key):
+        return self._objects.get(key)
+
+    def below(self, prefix):
+        return [o for key, o in sorted(self._objects.items()) if key.startswith(prefix)]
+
+    async def stats(self):
+        new = VersionStats(team="feed", model="small", version="v2", request_count=1)
+        return [StatsReply(host_id="h1", incarnation=1, versions=[new])]
+
+    async def push(self, stored):
+        return
+
+
+class World:
+    """One platform, its roll-out and controllers on hosts h0, h1 and h2."""
+
+    def __init__(self, *, fencing=True, **rollout):
+        self.clock = ManualClock()
+        self.core = PlatformCore(clock=self.clock)
+        self.verdict = "continue"
+        self.views = {}
+        team = team_value(fencing, **rollout)
+        self.engines = {
+            entry["url"]: FakeEngine(fencing=fencing) for entry in team["endpoints"]
+        }
+        self.orders = FakeOrders(self)
+        members = tuple(
+            RosterMember(f"h{n}", 1, f"10.0.1.{n}:1", "r", f"d{n}") for n in range(3)
+        )
+        planned = RolloutObject(
+            team="feed", name="july", model="small", from_version="v1", to_version="v2"
+        )
+        self.put("settings/feed", team)
+        self.put("roster/main", Roster(members=members).to_value())
+        self.put(KEY, planned.to_value())
+
+    def put(self, key, value):
+        stored = self.core.table.present(key)
+        version = 0 if stored.deleted else stored.version
+        self.core.table.put(key, value, expected_version=version, write_id="operator")
+
+    def operate(self, **changes):
+        self.put(KEY, {**self.core.table.get(KEY).value, **changes})
+
+    def runner(self, host_id):
+        self.views[host_id] = FakeView(self)
+        return RolloutRunner(
+            host_id,
+            view=self.views[host_id],
+            platform=InProcessPlatform(self.core),
+            orders=self.orders,
+            decide=lambda stable, new, settings, elapsed_s: self.verdict,
+            clock=self.clock,
+        )
+
+    @property
+    def rollout(self):
+        return rollout_from_value(self.core.table.get(KEY).value, key=KEY)
+
+    @property
+    def withdrawn(self):
+        stored = self.core.table.get(WITHDRAWAL_KEY)
+        return stored is not None and stored.value["withdrawn"]
+
+
+async def settle():
+    """Let background orders run; they take a few turns of the loop."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+async def tick(runner, times=1):
+    """Let ``runner`` tick and its orders run."""
+    for _ in range(times):
+        await runner.tick()
+        await settle()
--- /dev/null
+++ b/tests/coordination/test_rollout_runner.py
@@ -0,0 +1,380 @@
+"""Tests of the roll-out runner against failures of controllers and platform."""
+
+import asyncio
+import itertools
+
+import numpy as np
+import pytest
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from sesameknot.coordination.ownership import ranked
+from sesameknot.errors import RouterError
+from sesameknot.protocol.roster import roster_from_value
+from tests.coordination.rollout_fakes import (
+    KEY,
+    ORDER_TIMEOUT_S,
+    SHARES,
+    WITHDRAWAL_KEY,
+    World,
+    settle,
+    tick,
+)
+
+LEASE_S = 5.0
+MARGIN_S = 0.5
+
+
+def asynchronous(test):
+    """Run a test method in its own event loop."""
+
+    def run(self):
+        asyncio.run(test(self))
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+def by_rank(world):
+    """Return runners in the order in which they may take the roll-out."""
+    stored = world.core.table.get("roster/main")
+    members = roster_from_value(stored.value, stored.version).members
+    return [world.runner(m.host_id) for m in ranked("rollout", KEY, members)]
+
+
+async def run_to(world, runner, state, limit=60):
+    """Tick until the roll-out is in ``state``."""
+    for _ in range(limit):
+        if world.rollout.state == state:
+            return
+        world.clock.advance(0.5)
+        await tick(runner)
+    raise AssertionError(f"{world.rollout} did not become {state}")
+
+
+class HolderTest(TestCase):
+    @asynchronous
+    async def test_one_holder_takes_the_rollout_through_its_steps(self):
+        """Guards against steps without loaded engines and against idle successors."""
+        world = World()
+        first, second, _ = by_rank(world)
+        await tick(second)
+        self.assertThat(world.rollout.holder, Equals(""))
+        await run_to(world, first, "running")
+        self.assertThat(world.rollout.share, Equals(SHARES[0]))
+        self.assertThat(len(world.orders.sent), Equals(1))
+        world.verdict = "advance"
+        await run_to(world, first, "complete")
+        self.assertThat((world.rollout.step, world.rollout.share), Equals((2, 1.0)))
+        self.assertThat({url for url, _ in world.orders.sent}, Equals({*world.engines}))
+
+    @asynchronous
+    async def test_a_successor_resumes_the_step_of_a_dead_holder(self):
+        """Guards against a roll-out that restarts or stalls when its holder dies."""
+        world = World()
+        first, second, _ = by_rank(world)
+        world.verdict = "advance"
+        await run_to(world, first, "running")
+        while world.rollout.step < 1:
+            await tick(first)
+            world.clock.advance(6.0 if world.rollout.step else 0.5)
+        world.verdict = "continue"
+        await tick(second)
+        for _ in range(10):
+            world.clock.advance((LEASE_S + MARGIN_S) / 10 - 0.01)
+            await tick(second)
+        self.assertThat(world.rollout.holder, Equals(first.host_id))
+        world.clock.advance(0.2)
+        await tick(second)
+        taken = world.rollout
+        self.assertThat(
+            (taken.holder, taken.fence, taken.step), Equals((second.host_id, 2, 1))
+        )
+        world.verdict = "advance"
+        await run_to(world, second, "complete")
+
+    @asynchronous
+    async def test_a_paused_holder_that_wakes_after_a_takeover_changes_nothing(self):
+        """Guards against a step, a withdrawal or an order on lost authority."""
+        cases = itertools.product(("advance", "stop"), ("none", "refuse"))
+        for verdict, outage in cases:
+            world = World(fencing=False)
+            first, second, _ = by_rank(world)
+            await run_to(world, first, "running")
+            await tick(second)
+            world.clock.advance(LEASE_S + MARGIN_S + 0.1)
+            await tick(second)
+            before, sent = world.core.table.get(KEY), len(world.orders.sent)
+            self.assertThat(before.value["holder"], Equals(second.host_id))
+            # Its router has not heard of the takeover either.
+            world.views[first.host_id].frozen = True
+            world.verdict = verdict
+            for engine in world.engines.values():
+                engine.versions = {"small/v1"}
+            world.core.switch(outage=outage)
+            await tick(first)
+            self.assertThat(world.core.table.get(KEY), Equals(before))
+            self.assertThat(world.withdrawn, Is(False))
+            self.assertThat(len(world.orders.sent), Equals(sent))
+            world.core.switch(outage="none")
+            await tick(first)
+            self.assertThat(first.held, Equals({}))
+
+    @asynchronous
+    async def test_the_lease_counts_from_when_a_write_was_sent(self):
+        """Guards against two holders when the answer to a renewal is late."""
+        world = World()
+        first, second, _ = by_rank(world)
+        await run_to(world, first, "running")
+        platform = first._platform
+        put, answer = platform.put, asyncio.Event()
+
+        async def put_with_late_answer(*arguments, **options):
+            stored = await put(*arguments, **options)
+            await answer.wait()
+            return stored
+
+        platform.put = put_with_late_answer
+        world.clock.advance(2.0)
+        renewal = asyncio.create_task(first.tick())
+        await settle()
+        await tick(second)
+        world.clock.advance(LEASE_S + MARGIN_S)
+        answer.set()
+        await renewal
+        await tick(second)
+        self.assertThat(world.rollout.holder, Equals(second.host_id))
+        self.assertThat(first._held[KEY].hold.valid, Is(False))
+
+    @asynchronous
+    async def test_a_restarted_controller_waits_for_its_own_old_lease(self):
+        """Guards against two processes of one host that both act."""
+        world = World()
+        first, *_ = by_rank(world)
+        await run_to(world, first, "running")
+        again = world.runner(first.host_id)
+        await tick(again)
+        self.assertThat(world.rollout.fence, Equals(1))
+        world.clock.advance(LEASE_S + MARGIN_S)
+        await tick(again)
+        self.assertThat(world.rollout.fence, Equals(2))
+
+    @asynchronous
+    async def test_a_released_rollout_is_taken_at_once(self):
+        """Guards against a planned stop that costs a lease."""
+        world = World()
+        first, *_ = by_rank(world)
+        await run_to(world, first, "running")
+        await first.release()
+        self.assertThat(world.rollout.holder, Equals(""))
+        again = world.runner(first.host_id)
+        await tick(again)
+        self.assertThat((world.rollout.fence, world.rollout.step), Equals((2, 0)))
+
+    @asynchronous
+    async def test_a_paused_rollout_makes_no_step_but_is_stopped_when_bad(self):
+        """Guards against a pause that switches the watch on the version off."""
+        world = World()
+        first, *_ = by_rank(world)
+        await run_to(world, first, "running")
+        world.views[first.host_id].frozen = True
+        world.operate(state="paused")
+        world.verdict = "advance"
+        await tick(first, 3)
+        self.assertThat(first.held[KEY].state, Equals("paused"))
+        self.assertThat(
+            (world.rollout.state, world.rollout.step), Equals(("paused", 0))
+        )
+        world.verdict = "stop"
+        await run_to(world, first, "stopped")
+        self.assertThat(world.withdrawn, Is(True))
+
+
+class PlatformOutageTest(TestCase):
+    @asynchronous
+    async def test_an_outage_holds_the_step_and_lets_it_go_on(self):
+        """Guards against a step that only its holder knows of."""
+        for lost_answers in (0, 1):
+            world = World()
+            first, second, _ = by_rank(world)
+            await run_to(world, first, "running")
+            world.verdict = "advance"
+            await tick(first)
+            step = world.rollout.step
+            world.core.switch(outage="refuse", lose_write_answers=lost_answers)
+            for _ in range(20):
+                world.clock.advance(1.0)
+                await tick(first)
+                await tick(second)
+            self.assertThat((world.rollout.step, step), Equals((1, 1)))
+            world.core.switch(outage="none")
+            await run_to(world, first, "complete")
+            self.assertThat(world.rollout.fence, Equals(1))
+
+    @asynchronous
+    async def test_a_stop_is_resumed_from_each_point_at_which_it_can_break(self):
+        """Guards against "stopped" while the bad version is still in service."""
+        for successful_writes, heir in itertools.product(range(3), (0, 1)):
+            world = World()
+            runners = by_rank(world)
+            await run_to(world, runners[0], "running")
+            await tick(runners[1])
+            world.verdict = "stop"
+            _fail_after(world, runners[0], successful_writes)
+            await tick(runners[0])
+            if world.rollout.state == "stopped":
+                self.assertThat(world.withdrawn, Is(True))
+            world.core.switch(outage="none")
+            del runners[0]._platform.put
+            # The successor sees nothing bad itself.
+            world.verdict = "stop" if successful_writes == 0 else "continue"
+            await tick(runners[heir])
+            world.clock.advance(2 * (LEASE_S + MARGIN_S))
+            await run_to(world, runners[heir], "stopped")
+            self.assertThat(world.withdrawn, Is(True))
+            self.assertThat(
+                world.core.table.get(WITHDRAWAL_KEY).version
+                < world.core.table.get(KEY).version,
+                Is(True),
+            )
+
+
+def _fail_after(world, runner, successful_writes):
+    put, count = runner._platform.put, itertools.count()
+
+    async def counted_put(*arguments, **options):
+        if next(count) >= successful_writes:
+            world.core.switch(outage="refuse")
+        return await put(*arguments, **options)
+
+    runner._platform.put = counted_put
+
+
+class EngineTest(TestCase):
+    @asynchronous
+    async def test_a_successor_waits_for_orders_to_engines_without_fencing(self):
+        """Guards against a read-back that an order still under way makes wrong."""
+        world = World(fencing=False)
+        first, second, _ = by_rank(world)
+        late = asyncio.Event()
+        for engine in world.engines.values():
+            engine.held_back = late
+        await tick(first)
+        await tick(first)
+        self.assertThat(len(world.orders.sent), Equals(1))
+        await tick(second)
+        world.clock.advance(LEASE_S + MARGIN_S + 0.1)
+        await tick(second)
+        self.assertThat(world.rollout.holder, Equals(second.host_id))
+        world.clock.advance(ORDER_TIMEOUT_S - 0.5)
+        await tick(second)
+        late.set()
+        await settle()
+        await run_to(world, second, "running")
+        self.assertThat(world.orders.sent, Equals([(world.orders.sent[0][0], 1)]))
+
+    @asynchronous
+    async def test_a_fence_of_another_rollout_does_not_block_the_holder(self):
+        """Guards against a roll-out that an engine's higher fence stalls for good."""
+        world = World()
+        for engine in world.engines.values():
+            engine.fence = 7
+        first, *_ = by_rank(world)
+        await run_to(world, first, "running")
+        self.assertThat(world.rollout.fence, Equals(8))
+
+    @asynchronous
+    async def test_an_engine_that_refuses_holds_the_step_and_a_dead_one_does_not(self):
+        """Guards against moving all traffic to the few engines that loaded."""
+        world = World()
+        first, *_ = by_rank(world)
+        await run_to(world, first, "running")
+        (loaded, _), *_ = world.orders.sent
+        refusing, dead = [url for url in world.engines if url != loaded]
+
+        async def refuse(*arguments):
+            raise RouterError("weight store is busy")
+
+        load, world.engines[refusing].load = world.engines[refusing].load, refuse
+        engine = world.engines.pop(dead)
+        world.orders.state = _unreachable(world.orders.state, dead)
+        world.verdict = "advance"
+        for _ in range(30):
+            world.clock.advance(1.0)
+            await tick(first)
+        # A quarter of three engines is one, all traffic needs the refusing one too.
+        self.assertThat(world.rollout.step, Equals(1))
+        world.engines[refusing].load = load
+        await run_to(world, first, "complete")
+        self.assertThat(engine.accepted, Equals([]))
+
+
+def _unreachable(state, dead):
+    async def checked(url):
+        if url == dead:
+            raise RouterError("connection refused")
+        return await state(url)
+
+    return checked
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_random_failures_leave_one_holder_and_one_way(seed):
+    """Guards against two holders, a step back, or a stop without withdrawal."""
+    asyncio.run(_random_schedule(seed))
+
+
+async def _random_schedule(seed):
+    rng = np.random.default_rng(seed)
+    world = World(fencing=bool(seed % 2))
+    runners = {name: world.runner(name) for name in ("h0", "h1", "h2")}
+    bad = seed % 3 == 0
+    highest = (0, 0)
+    for _ in range(400):
+        world.clock.advance(float(rng.choice([0.0, 0.2, 1.0, 4.0])))
+        name = str(rng.choice(list(runners)))
+        action = rng.integers(12)
+        if action == 0:
+            world.views[name].frozen = not world.views[name].frozen
+        elif action == 1:
+            world.core.switch(outage=str(rng.choice(["none", "refuse", "hang"])))
+        elif action == 2:
+            world.core.switch(lose_write_answers=int(rng.integers(3)))
+        elif action == 3:
+            runners[name] = world.runner(name)
+        elif action == 4:
+            world.verdict = str(rng.choice(["continue", "advance"]))
+        elif action == 6:
+            url = str(rng.choice(list(world.engines)))
+            world.engines[url].versions = {"small/v1"}
+        elif action == 5 and bad and world.rollout.share > 0:
+            world.verdict = "stop"
+        else:
+            await tick(runners[name])
+        rollout = world.rollout
+        valid = [n for n, r in runners.items() if _holds(r)]
+        assert len(valid) <= 1, (seed, valid)
+        assert not world.orders.unauthorised, seed
+        assert (rollout.fence, rollout.step) >= highest, (seed, rollout)
+        assert rollout.step >= highest[1], (seed, rollout)
+        highest = (rollout.fence, rollout.step)
+        if rollout.state == "stopped":
+            assert world.withdrawn, seed
+    await _heal(world, runners, "stop" if bad else "advance")
+    expected = "stopped" if bad else "complete"
+    assert world.rollout.state == expected, (seed, world.rollout)
+
+
+def _holds(runner):
+    return any(held.hold.valid for held in runner._held.values())
+
+
+async def _heal(world, runners, verdict):
+    world.core.switch(outage="none", lose_write_answers=0)
+    world.verdict = verdict
+    for view in world.views.values():
+        view.frozen = False
+    for _ in range(200):
+        world.clock.advance(0.7)
+        for runner in runners.values():
+            await tick(runner)
