--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -111,17 +111,23 @@
 struct ObjectPush {
   objects @0 :List(ObjectRecord);
   hopCount @1 :UInt8;
+  hostId @2 :Text;
+  salt @3 :UInt64;
+  digest @4 :UInt64;
+  configAgeMs @5 :Float64;
 }
 
 struct ObjectSync {
   versions @0 :List(ObjectVersion);
   configAgeMs @1 :Float64;
+  digest @2 :UInt64;
 }
 
 struct ObjectSyncReply {
   objects @0 :List(ObjectRecord);
   wantedKeys @1 :List(Text);
   configAgeMs @2 :Float64;
+  digest @3 :UInt64;
 }
 
 struct ClaimWrite {
@@ -159,12 +165,17 @@
   hostId @0 :Text;
   rosterVersion @1 :UInt64;
   roster @2 :ObjectRecord;
+  buckets @3 :List(UInt16);
+  after @4 :Text;
 }
 
 struct ClaimSyncReply {
   ready @0 :Bool;
   rosterVersion @1 :UInt64;
   entries @2 :List(ClaimEntry);
+  missingBuckets @3 :List(UInt16);
+  lostBuckets @4 :List(UInt16);
+  more @5 :Bool;
 }
 
 struct GrantRequest {
@@ -198,10 +209,14 @@
 struct BillReplicate {
   batchId @0 :Text;
   bills @1 :List(BillRecord);
+  holder @2 :Text;
+  holderIncarnation @3 :UInt64;
 }
 
 struct BillConfirm {
   batchId @0 :Text;
+  holder @1 :Text;
+  holderIncarnation @2 :UInt64;
 }
 
 struct StatsRequest {
--- a/src/sesameknot/standins/platform.py
+++ b/src/sesameknot/standins/platform.py
@@ -64,6 +64,7 @@
             kind,
             key=key,
             query={name: self.get_query_argument(name) for name in self._names()},
+            prefixes=tuple(self.get_query_arguments("prefix", strip=False)) or ("",),
             body=self.request.body,
             if_match=self.request.headers.get("If-Match"),
         )
@@ -162,11 +163,13 @@
     ) -> HTTPResponse:
         self.call_count += 1
         parts = urlsplit(path)
+        pairs = parse_qsl(parts.query, keep_blank_values=True)
         kind = _KINDS[method] if parts.path.startswith("/v1/objects/") else step
         call = Call(
             kind,
             key=unquote(parts.path.removeprefix("/v1/objects/")),
-            query=dict(parse_qsl(parts.query, keep_blank_values=True)),
+            query=dict(pairs),
+            prefixes=tuple(v for name, v in pairs if name == "prefix") or ("",),
             body=(body or "").encode(),
             if_match=(headers or {}).get("If-Match"),
         )
