--- /dev/null
+++ b/src/sesameknot/apps/controller.py
@@ -0,0 +1,85 @@
+"""Binary ``sesameknot-controller``: runs roll-outs beside the router of its host."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+from pathlib import Path
+
+from absl import app, flags
+
+from sesameknot.apps._rollout_decision import decide
+from sesameknot.clock import SystemClock
+from sesameknot.coordination.rollout_runner import RolloutRunner
+from sesameknot.coordination.router_view import RouterView
+from sesameknot.errors import SettingsError
+from sesameknot.settings.loader import load_file
+from sesameknot.settings.process import ControllerSettings
+from sesameknot.transport.endpoint_client import EndpointClient
+from sesameknot.transport.peer_client import PeerClient
+from sesameknot.transport.platform_client import PlatformClient
+from sesameknot.transport.tls import client_context
+
+# A planned stop ends orders that were sent, which take up to this long.
+ORDER_TIMEOUT_S = 30.0
+
+_SETTINGS = flags.DEFINE_string("settings", None, "YAML file with the settings.")
+
+
+async def serve(settings: ControllerSettings) -> None:
+    """Run roll-outs until the process is asked to stop."""
+    clock = SystemClock()
+    tls = client_context(settings.tls) if settings.tls else None
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    with contextlib.ExitStack() as stack:
+        peer = PeerClient(f"controller-{settings.host_id}", clock=clock, tls=tls)
+        stack.callback(peer.close)
+        platform = PlatformClient(settings.platform_url, token=settings.platform_token)
+        stack.callback(platform.close)
+        endpoints = EndpointClient(clock=clock)
+        stack.callback(endpoints.close)
+        runner = RolloutRunner(
+            settings.host_id,
+            view=RouterView(settings.router_address, peer=peer),
+            platform=platform,
+            orders=endpoints,
+            decide=decide,
+            clock=clock,
+            lease_s=settings.timing.lease_s,
+            margin_s=settings.timing.margin_s,
+            order_timeout_s=ORDER_TIMEOUT_S,
+        )
+        await _run_until(runner, stopped)
+
+
+async def _run_until(runner: RolloutRunner, stopped: asyncio.Event) -> None:
+    running = asyncio.create_task(runner.run())
+    waiting = asyncio.create_task(stopped.wait())
+    await asyncio.wait((running, waiting), return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if running.done():
+        running.result()
+    running.cancel()
+    await asyncio.wait((running,))
+    await runner.release()
+
+
+def _main(argv: list[str]) -> int:
+    if len(argv) > 1 or not _SETTINGS.value:
+        print("error: expected --settings FILE and no arguments", file=sys.stderr)
+        return 2
+    try:
+        settings = load_file(Path(_SETTINGS.value), ControllerSettings)
+        asyncio.run(serve(settings))
+    except SettingsError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return 3
+    return 0
+
+
+def run() -> None:
+    """Run the binary."""
+    app.run(_main)
--- a/src/sesameknot/coordination/_engine_loading.py
+++ b/src/sesameknot/coordination/_engine_loading.py
@@ -11,8 +11,9 @@
 from sesameknot.coordination._rollout_lease import Hold
 from sesameknot.coordination.ownership import weight
 from sesameknot.errors import RouterError
+from sesameknot.protocol.messages import EndpointReport
+from sesameknot.protocol.orders import EngineOrder, EngineState, OrderFencedError
 from sesameknot.settings.tree import EndpointSettings
-from sesameknot.transport.order_client import EngineState, StaleFenceError
 
 ENDPOINT_KIND = "rollout-endpoint"
 # Engines lose versions when they restart, and an engine without fencing may still
@@ -23,15 +24,15 @@
 
 
 class EngineOrders(Protocol):
-    """Orders to engines."""
+    """Orders to engines and what they hold."""
 
-    timeout_s: float
+    async def load(self, endpoint_id: str, url: str) -> EndpointReport:
+        """Return the load and the versions that an engine publishes."""
 
-    async def state(self, url: str) -> EngineState:
-        """Return an engine's state."""
-
-    async def load(self, url: str, *, model: str, version: str, fence: int) -> None:
-        """Order an engine to load a version."""
+    async def order(
+        self, url: str, order: EngineOrder, *, timeout_s: float
+    ) -> EngineState:
+        """Send an order and return what the engine holds afterwards."""
 
 
 def needed_endpoints(
@@ -60,9 +61,20 @@
         Client of the engines.
     clock : Clock
         Source of monotonic time.
+    order_timeout_s : float, default=30.0
+        Time for one order. A successor waits as long before it trusts what an
+        engine without fencing says.
     """
 
-    def __init__(self, hold: Hold, *, orders: EngineOrders, clock: Clock) -> None:
+    def __init__(
+        self,
+        hold: Hold,
+        *,
+        orders: EngineOrders,
+        clock: Clock,
+        order_timeout_s: float = 30.0,
+    ) -> None:
+        self.order_timeout_s = order_timeout_s
         self._hold = hold
         self._orders = orders
         self._clock = clock
@@ -85,6 +97,10 @@
         checked = all(e.endpoint_id in self._checked_s for e in endpoints)
         return checked and True in known and False not in known
 
+    def retry(self) -> None:
+        """Let the next :meth:`prepare` look at every endpoint again."""
+        self._checked_s.clear()
+
     async def finish(self) -> None:
         """Wait for orders that were sent."""
         await asyncio.gather(*self._tasks.values())
@@ -111,30 +127,32 @@
         # before may still be carried out.
         if endpoint.fencing or not self._hold.taken_over:
             return False
-        return self._clock.monotonic_s() < self._hold.taken_s + self._orders.timeout_s
+        return self._clock.monotonic_s() < self._hold.taken_s + self.order_timeout_s
 
     async def _load(self, endpoint: EndpointSettings) -> None:
         name = endpoint.endpoint_id
         try:
-            state = await self._orders.state(endpoint.url)
-            if not self._serves(state):
+            report = await self._orders.load(name, endpoint.url)
+            if not self._serves(report.versions):
                 # Reachable but not serving: this holds the step.
                 self._serving[name] = False
                 if self._hold.valid:
-                    await self._order(endpoint, state)
-                    state = await self._orders.state(endpoint.url)
-            self._serving[name] = self._serves(state)
+                    state = await self._order(endpoint)
+                    self._serving[name] = self._serves(state.versions)
+            else:
+                self._serving[name] = True
         except RouterError as error:
             log.warning("engine_order_failed", endpoint=name, reason=str(error))
             if self._serving.get(name):
                 del self._serving[name]
         self._checked_s[name] = self._clock.monotonic_s()
 
-    def _serves(self, state: EngineState) -> bool:
+    def _serves(self, versions: Sequence[str]) -> bool:
         rollout = self._hold.rollout
-        return state.serves(rollout.model, rollout.to_version)
+        # An engine that lists no version serves whichever a request names.
+        return not versions or f"{rollout.model}/{rollout.to_version}" in versions
 
-    async def _order(self, endpoint: EndpointSettings, state: EngineState) -> None:
+    async def _order(self, endpoint: EndpointSettings) -> EngineState:
         rollout = self._hold.rollout
         log.info(
             "engine_order",
@@ -143,14 +161,17 @@
             fence=rollout.fence,
         )
         try:
-            await self._orders.load(
-                endpoint.url,
+            order = EngineOrder(
+                kind="load",
                 model=rollout.model,
                 version=rollout.to_version,
                 fence=rollout.fence,
             )
-        except StaleFenceError:
+            return await self._orders.order(
+                endpoint.url, order, timeout_s=self.order_timeout_s
+            )
+        except OrderFencedError:
             # An engine keeps one fence for all roll-outs, so another roll-out's
             # higher fence may stand in the way of a holder in office.
-            self.refused_fence = max(self.refused_fence, state.fence, rollout.fence)
+            self.refused_fence = max(self.refused_fence, rollout.fence)
             raise
--- a/src/sesameknot/coordination/_held_rollout.py
+++ b/src/sesameknot/coordination/_held_rollout.py
@@ -53,6 +53,8 @@
         ``"advance"`` or ``"stop"``.
     clock : Clock
         Source of time.
+    order_timeout_s : float
+        Time for one order to an engine.
     """
 
     def __init__(
@@ -66,9 +68,12 @@
         counters: VersionCounters,
         decide: Decide,
         clock: Clock,
+        order_timeout_s: float,
     ) -> None:
         self.hold = hold
-        self.loading = EngineLoading(hold, orders=orders, clock=clock)
+        self.loading = EngineLoading(
+            hold, orders=orders, clock=clock, order_timeout_s=order_timeout_s
+        )
         self._host_id = host_id
         self._view = view
         self._platform = platform
@@ -179,7 +184,9 @@
         refused = self.loading.refused_fence
         if refused >= self.hold.rollout.fence:
             # The conditional write proves that this controller still holds it.
-            await self.hold.write(fence=refused + 1)
+            # Engines do not tell their fence; doubling reaches it in a few orders.
+            await self.hold.write(fence=2 * refused)
+            self.loading.retry()
 
     def _prepare(self, team: TeamSettings, share: float) -> bool:
         endpoints = [
--- a/src/sesameknot/coordination/rollout_runner.py
+++ b/src/sesameknot/coordination/rollout_runner.py
@@ -58,6 +58,8 @@
         Duration of the lease on a running roll-out.
     margin_s : float, default=0.5
         Time beyond another holder's lease before a takeover.
+    order_timeout_s : float, default=30.0
+        Time for one order to an engine; loading weights takes many seconds.
     """
 
     def __init__(
@@ -71,10 +73,12 @@
         clock: Clock,
         lease_s: float = 5.0,
         margin_s: float = 0.5,
+        order_timeout_s: float = 30.0,
     ) -> None:
         self.host_id = host_id
         self.lease_s = lease_s
         self.margin_s = margin_s
+        self.order_timeout_s = order_timeout_s
         self._view = view
         self._platform = platform
         self._orders = orders
@@ -135,6 +139,9 @@
             log.info("rollout_holds", rollout=stored.key, reason=str(error))
         except RouterError as error:
             log.warning("rollout_failed", rollout=stored.key, reason=str(error))
+        except Exception:
+            # One malformed roll-out or team must not stop the others.
+            log.exception("rollout_broken", rollout=stored.key)
 
     async def _tick_held(self, key: str) -> None:
         held = self._held[key]
@@ -203,6 +210,7 @@
             counters=self._counters,
             decide=self._decide,
             clock=self._clock,
+            order_timeout_s=self.order_timeout_s,
         )
 
     def _wanted(self, rollout: RolloutObject) -> bool:
--- a/src/sesameknot/coordination/router_view.py
+++ b/src/sesameknot/coordination/router_view.py
@@ -1,9 +1,9 @@
 """What the router on the same host knows, read over the peer protocol."""
 
 import asyncio
-import json
 from typing import Protocol
 
+from sesameknot.coordination._object_records import read_records
 from sesameknot.errors import RouterError
 from sesameknot.protocol.messages import (
     Done,
@@ -11,14 +11,14 @@
     MembersReply,
     MembersRequest,
     ObjectPush,
-    ObjectRecord,
     ObjectSync,
     ObjectSyncReply,
-    ObjectVersion,
     StatsReply,
     StatsRequest,
 )
+from sesameknot.protocol.object_records import record_from_object
 from sesameknot.protocol.objects import StoredObject
+from sesameknot.state.object_store import ObjectStore
 from sesameknot.transport.peer_client import PeerClient
 
 CONCURRENT_CALL_COUNT = 32
@@ -58,7 +58,8 @@
     def __init__(self, address: str, *, peer: PeerClient) -> None:
         self.address = address
         self._peer = peer
-        self._objects: dict[str, StoredObject] = {}
+        self._store = ObjectStore()
+        self._digest = 0
 
     async def refresh(self) -> None:
         """Fetch the objects that are newer than the known ones.
@@ -68,33 +69,23 @@
         RouterError
             If the router cannot be reached.
         """
-        versions = [
-            ObjectVersion(key=stored.key, version=stored.version)
-            for stored in self._objects.values()
-        ]
-        reply = await self._peer.call(
-            self.address, ObjectSync(versions=versions), expect=ObjectSyncReply
-        )
-        for record in reply.objects:
-            known = self._objects.get(record.key)
-            if known is None or record.version > known.version:
-                self._objects[record.key] = _stored(record)
+        reply = await self._sync(ObjectSync(digest=self._digest))
+        while reply.digest != self._digest:
+            versions = self._store.versions()
+            reply = await self._sync(ObjectSync(versions=versions))
+            if not self._store.merge(read_records(reply.objects, peer=self.address)):
+                self._digest = reply.digest
+
+    async def _sync(self, message: ObjectSync) -> ObjectSyncReply:
+        return await self._peer.call(self.address, message, expect=ObjectSyncReply)
 
     def get(self, key: str) -> StoredObject | None:
         """Return the object at ``key``; None if absent or deleted."""
-        stored = self._objects.get(key)
-        return None if stored is None or stored.deleted else stored
+        return self._store.get(key)
 
     def below(self, prefix: str) -> list[StoredObject]:
         """Return the objects below ``prefix``, sorted by key."""
-        return sorted(
-            (
-                stored
-                for stored in self._objects.values()
-                if stored.key.startswith(prefix) and not stored.deleted
-            ),
-            key=lambda stored: stored.key,
-        )
+        return sorted(self._store.list(prefix), key=lambda stored: stored.key)
 
     async def members(self) -> list[MemberInfo]:
         """Return all members that the router knows."""
@@ -125,32 +116,10 @@
 
     async def push(self, stored: StoredObject) -> None:
         """Offer an object to the router; the platform's watch brings it otherwise."""
-        record = ObjectRecord(
-            key=stored.key,
-            version=stored.version,
-            value=json.dumps(stored.value).encode(),
-            deleted=stored.deleted,
-            write_id=stored.write_id,
-        )
+        record = record_from_object(stored)
         try:
             await self._peer.call(
                 self.address, ObjectPush(objects=[record]), expect=Done
             )
         except RouterError:
             return
-
-
-def _stored(record: ObjectRecord) -> StoredObject:
-    try:
-        value = None if record.deleted else json.loads(record.value)
-    except ValueError as error:
-        raise RouterError(
-            f"object is not JSON: {error}", step="refresh", peer=record.key
-        ) from error
-    return StoredObject(
-        key=record.key,
-        version=record.version,
-        value=value,
-        write_id=record.write_id,
-        deleted=record.deleted,
-    )
--- a/src/sesameknot/operator/_bill_commands.py
+++ b/src/sesameknot/operator/_bill_commands.py
@@ -3,16 +3,12 @@
 import dataclasses
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
 
-import msgspec
-
-from sesameknot.errors import RouterError
+from sesameknot.coordination.ledger import read_ledger
 from sesameknot.operator._registry import command
 from sesameknot.operator.context import OperatorContext
 from sesameknot.operator.results import Report, table
 from sesameknot.protocol.messages import BillRecord
-from sesameknot.protocol.objects import BILLS_PREFIX, StoredObject
 
 OUTCOME_UNKNOWN = "unknown"
 
@@ -43,9 +39,8 @@
 @command("bills", "[--customer NAME]")
 async def bills(context: OperatorContext, arguments: list[str]) -> Report:
     """Sum the distinct bills per customer, or per version of one customer."""
-    batch = await context.platform.list(BILLS_PREFIX)
-    found = distinct_bills(batch.objects)
-    totals = _totals(found.values(), context.customer)
+    ledger = await read_ledger(context.platform)
+    totals = _totals(ledger.bills, context.customer)
     header = ["CUSTOMER", "SERVICE", "MODEL", "VERSION", "BILLS", "UNKNOWN"]
     header += ["PROMPT TOKENS", "OUTPUT TOKENS", "COST MICROUNITS"]
     rows = [
@@ -67,35 +62,6 @@
     )
 
 
-def distinct_bills(objects: Iterable[StoredObject]) -> dict[str, BillRecord]:
-    """Return the bills in batch objects by bill id.
-
-    Two batches may hold the same bill, because the router and its replica can both
-    write it.
-    """
-    found: dict[str, BillRecord] = {}
-    for stored in objects:
-        if stored.deleted:
-            continue
-        for bill in _read_batch(stored):
-            known = found.get(bill.bill_id)
-            # An answer settles a bill whose outcome was unknown.
-            if known is None or known.outcome == OUTCOME_UNKNOWN:
-                found[bill.bill_id] = bill
-    return found
-
-
-def _read_batch(stored: StoredObject) -> list[BillRecord]:
-    value: Any = stored.value
-    items = value.get("bills") if isinstance(value, dict) else None
-    try:
-        return msgspec.convert(items, list[BillRecord])
-    except msgspec.ValidationError as error:
-        raise RouterError(
-            f"bill batch is malformed: {error}", step="bills", peer=stored.key
-        ) from error
-
-
 def _totals(found: Iterable[BillRecord], customer: str) -> list[BillTotal]:
     totals: dict[tuple[str, ...], BillTotal] = {}
     for bill in found:
--- a/src/sesameknot/operator/_rollout_commands.py
+++ b/src/sesameknot/operator/_rollout_commands.py
@@ -30,6 +30,7 @@
     settings = await read_team(context, team)
     plan = find_rollout(settings, name)
     await _check_not_withdrawn(context, team, plan)
+    await _check_only_one(context, settings, plan)
 
     def change(present: StoredObject | None) -> Any:
         return _planned(context, settings, plan, present).to_value()
@@ -145,6 +146,25 @@
         )
 
 
+async def _check_only_one(
+    context: OperatorContext, settings: TeamSettings, plan: RolloutSettings
+) -> None:
+    """Refuse a second roll-out of a model: routers apply only the newest one."""
+    stable = {model.name: model.stable_version for model in settings.models}
+    for other in await read_rollouts(context):
+        if (other.team, other.model) != (settings.team, plan.model):
+            continue
+        if other.name == plan.name:
+            continue
+        if other.state in ACTIVE_STATES:
+            raise RefusedError(f"model {plan.model!r} has a roll-out", peer=other.key)
+        if other.state == "complete" and stable[plan.model] != other.to_version:
+            raise RefusedError(
+                f"make {other.to_version!r} the stable version of {plan.model!r} first",
+                peer=other.key,
+            )
+
+
 def _planned(
     context: OperatorContext,
     settings: TeamSettings,
--- a/src/sesameknot/settings/tree.py
+++ b/src/sesameknot/settings/tree.py
@@ -184,7 +184,7 @@
     )
     step_min_s: DurationS = 30.0
     step_min_ratings: Count = 20
-    quality_drop: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.05
+    quality_drop: Annotated[float, Meta(gt=0.0, lt=1.0)] = 0.05
     paused: bool = False
 
 
--- a/src/sesameknot/transport/_framing.py
+++ b/src/sesameknot/transport/_framing.py
@@ -29,10 +29,9 @@
                 peer=peer,
             )
         return await stream.read_bytes(size_bytes)
-    except StreamClosedError as error:
-        raise TransportError("connection closed", step="read_frame", peer=peer) from (
-            error
-        )
+    except OSError as error:
+        # A refused certificate shows as ssl.SSLError, not as a closed stream.
+        raise TransportError(_reason(error), step="read_frame", peer=peer) from error
 
 
 async def write_frame(stream: IOStream, payload: bytes, *, peer: str) -> None:
@@ -53,7 +52,9 @@
         )
     try:
         await stream.write(_LENGTH.pack(len(payload)) + payload)
-    except StreamClosedError as error:
-        raise TransportError("connection closed", step="write_frame", peer=peer) from (
-            error
-        )
+    except OSError as error:
+        raise TransportError(_reason(error), step="write_frame", peer=peer) from error
+
+
+def _reason(error: OSError) -> str:
+    return "connection closed" if isinstance(error, StreamClosedError) else str(error)
--- a/tests/coordination/rollout_fakes.py
+++ b/tests/coordination/rollout_fakes.py
@@ -7,12 +7,12 @@
 from sesameknot.clock import ManualClock
 from sesameknot.coordination.rollout_runner import RolloutRunner
 from sesameknot.errors import RouterError
-from sesameknot.protocol.messages import StatsReply, VersionStats
+from sesameknot.protocol.messages import EndpointReport, StatsReply, VersionStats
+from sesameknot.protocol.orders import EngineState, OrderFencedError
 from sesameknot.protocol.rollout_object import RolloutObject, rollout_from_value
 from sesameknot.protocol.roster import Roster, RosterMember
 from sesameknot.settings.loader import team_from_value
 from sesameknot.standins.platform import InProcessPlatform, PlatformCore
-from sesameknot.transport.order_client import EngineState, StaleFenceError
 
 SHARES = [0.01, 0.25, 1.0]
 KEY = "rollouts/feed.july"
@@ -63,33 +63,32 @@
         if self.held_back is not None:
             await self.held_back.wait()
         if self.fencing and fence < self.fence:
-            raise StaleFenceError(f"fence {fence} is refused")
+            raise OrderFencedError(f"fence {fence} is refused")
         self.fence = max(self.fence, fence)
         self.accepted.append(fence)
         self.versions.add(name)
 
 
 class FakeOrders:
-    timeout_s = ORDER_TIMEOUT_S
-
     def __init__(self, world):
         self.world = world
         self.engines = world.engines
         self.sent: list[tuple[str, int]] = []
         self.unauthorised: list[tuple[str, int]] = []
 
-    async def state(self, url):
-        engine = self.engines[url]
-        return EngineState(versions=tuple(engine.versions), fence=engine.fence)
+    async def load(self, endpoint_id, url):
+        versions = sorted(self.engines[url].versions)
+        return EndpointReport(endpoint_id=endpoint_id, versions=versions)
 
-    async def load(self, url, *, model, version, fence):
-        self.sent.append((url, fence))
-        if fence < self.world.rollout.fence:
-            self.unauthorised.append((url, fence))
+    async def order(self, url, order, *, timeout_s):
+        self.sent.append((url, order.fence))
+        if order.fence < self.world.rollout.fence:
+            self.unauthorised.append((url, order.fence))
+        engine = self.engines[url]
+        carried_out = engine.load(f"{order.model}/{order.version}", order.fence)
         # The engine carries the order out even if the sender dies meanwhile.
-        await asyncio.shield(
-            asyncio.ensure_future(self.engines[url].load(f"{model}/{version}", fence))
-        )
+        await asyncio.shield(asyncio.ensure_future(carried_out))
+        return EngineState(versions=sorted(engine.versions), fence=engine.fence)
 
 
 class FakeView:
@@ -162,6 +161,7 @@
             orders=self.orders,
             decide=lambda stable, new, settings, elapsed_s: self.verdict,
             clock=self.clock,
+            order_timeout_s=ORDER_TIMEOUT_S,
         )
 
     @property
--- a/tests/coordination/test_rollout_runner.py
+++ b/tests/coordination/test_rollout_runner.py
@@ -297,7 +297,7 @@
 
         load, world.engines[refusing].load = world.engines[refusing].load, refuse
         engine = world.engines.pop(dead)
-        world.orders.state = _unreachable(world.orders.state, dead)
+        world.orders.load = _unreachable(world.orders.load, dead)
         world.verdict = "advance"
         for _ in range(30):
             world.clock.advance(1.0)
@@ -309,11 +309,11 @@
         self.assertThat(engine.accepted, Equals([]))
 
 
-def _unreachable(state, dead):
-    async def checked(url):
+def _unreachable(load, dead):
+    async def checked(endpoint_id, url):
         if url == dead:
             raise RouterError("connection refused")
-        return await state(url)
+        return await load(endpoint_id, url)
 
     return checked
 
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -30,7 +30,10 @@
             "stable_version": "v1",
         }
     ],
-    "rollouts": [{"name": "july", "model": "small", "to_version": "v2"}],
+    "rollouts": [
+        {"name": name, "model": "small", "to_version": "v2"}
+        for name in ("july", "august")
+    ],
 }
 
 
@@ -294,6 +297,8 @@
         await self.run_ctl("rollout start feed july")
         again = await self.run_ctl("rollout start feed july")
         self.assertThat(again.exit_code, Equals(ExitCode.REFUSED))
+        second = await self.run_ctl("rollout start feed august")
+        self.assertThat(second.lines[0], Contains("has a roll-out"))
         await self.run_ctl("rollout pause feed july")
         self.assertThat(
             self.present("rollouts/feed.july").value["state"], Equals("paused")
