--- a/examples/demo.py
+++ b/examples/demo.py
@@ -95,7 +95,9 @@
 
 
 async def send_booking(
-    deployment: LocalDeployment, generator: np.random.Generator, number: int,
+    deployment: LocalDeployment,
+    generator: np.random.Generator,
+    number: int,
     outcome: Outcome,
 ) -> None:
     """Book once through two routers at a time with the same idempotency key."""
--- a/examples/local_deployment.py
+++ b/examples/local_deployment.py
@@ -189,7 +189,9 @@
         if self.with_ratings:
             port = unused_port()
             self.rating_url = f"http://127.0.0.1:{port}"
-            self._add("rating", "rating_standin", [f"--port={port}", *self.rating_flags])
+            self._add(
+                "rating", "rating_standin", [f"--port={port}", *self.rating_flags]
+            )
         self._start_endpoints()
         for number in range(1, self.router_count + 1):
             self._place_router(number)
--- a/src/sesameknot/_wiring_coordination.py
+++ b/src/sesameknot/_wiring_coordination.py
@@ -134,9 +134,17 @@
         m.host_id for m in membership.live() if m.state == MemberState.ALIVE
     ]
     table = EndpointTable(clock=clock)
-    claim_owner, claims = _claims(settings, clock, client, store, membership, roster_keeper)
+    claim_owner, claims = _claims(
+        settings, clock, client, store, membership, roster_keeper
+    )
     grant_owner, grant_holder = _grants(
-        settings, clock, client, table, membership, roster_keeper, freshness,
+        settings,
+        clock,
+        client,
+        table,
+        membership,
+        roster_keeper,
+        freshness,
         endpoint_client,
     )
     parts = Coordination(
