--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -31,7 +31,7 @@
             if fleet.world.clock.monotonic_s() <= due_s:
                 return
             for name, host in fleet.hosts.items():
-                held = host.store.get(key)
+                (held,) = host.store.newest([key]) or [None]
                 if name not in fleet.world.frozen and host.freshness.may_accept():
                     version = held.version if held else 0
                     assert version >= stored.version, f"{name} accepts without {key}"
@@ -93,6 +93,40 @@
             fleet.world.run_for(0.01)
             self.assertThat(fleet.settle(limit_s=8.0), Is(True))
 
+    def test_a_host_that_wakes_suspects_nobody(self):
+        """Guards against a pause that a host takes for the death of its peers."""
+        for seed in range(6):
+            fleet = self._fleet(9, seed=seed)
+            blamed = set()
+
+            def note(member, blamed=blamed):
+                if member.state in ("suspect", "dead"):
+                    blamed.add(member.host_id)
+
+            for host in fleet.hosts.values():
+                host.membership.subscribe(note)
+            fleet.world.run_for(float(fleet.world.random.uniform(0.0, 2.0)))
+            fleet.world.frozen.add("h04")
+            fleet.world.run_for(30.0)
+            fleet.world.frozen.clear()
+            fleet.world.run_for(15.0)
+            self.assertThat(blamed, Equals({"h04"}))
+
+    def test_a_watch_resumes_after_its_history_is_gone(self):
+        """Guards against a watcher that skips the changes it was away for."""
+        fleet = self._fleet(3, seed=16)
+        fleet.platform.history_count = 2
+        fleet.platform.down = True
+        fleet.world.run_for(5.0)
+        for number in range(10):
+            self._write(fleet, f"settings/team-{number}")
+        fleet.platform.write("settings/team-3", None, deleted=True)
+        fleet.platform.down = False
+        fleet.world.run_for(10.0)
+        for host in fleet.hosts.values():
+            self.assertThat(host.store.list("settings/"), HasLength(9))
+            self.assertThat(host.freshness.verdict(), Is(Verdict.FRESH))
+
     def test_ten_changes_slept_through_are_caught_up_without_the_platform(self):
         """Guards against an outage verdict with an older configuration."""
         fleet = self._fleet(9, seed=2)
