Forward new objects before asking the sender for its age

A sender that died after its push delayed the objects by a ping timeout at each level of the tree. Also drops old reports and grace times, which grew with each replaced host.

--- a/src/sesameknot/coordination/_fan_out.py
+++ b/src/sesameknot/coordination/_fan_out.py
@@ -1,5 +1,6 @@
 """Push of objects to all live hosts, directly or through a tree."""
 
+import itertools
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
@@ -11,7 +12,7 @@
 from sesameknot.coordination.freshness import Freshness
 from sesameknot.errors import RouterError
 from sesameknot.protocol._objects import LEAF_HOP_COUNT
-from sesameknot.protocol.messages import Done, MemberInfo, ObjectPush, ObjectRecord
+from sesameknot.protocol.messages import Done, MemberInfo, ObjectPush
 from sesameknot.protocol.objects import StoredObject
 from sesameknot.state.member_table import MemberState
 from sesameknot.state.object_store import ObjectStore
@@ -131,11 +132,10 @@
             if direct
             else subtrees(live, self.host_id, salt=salt, hop_count=0)
         )
-        for records in [*batches(objects)] or [[]]:
-            self._send(groups, records, salt=salt, hop_count=0)
+        self._send(groups, objects, salt=salt, hop_count=0)
 
-    def forward(self, push: ObjectPush, records: list[ObjectRecord]) -> None:
-        """Pass a push with ``records`` on to the subtrees below this host."""
+    def forward(self, push: ObjectPush, objects: Iterable[StoredObject]) -> None:
+        """Pass a push with ``objects`` on to the subtrees below this host."""
         if push.hop_count >= POSITION_BITS // FAN_OUT_BITS:
             return
         groups = subtrees(
@@ -145,17 +145,18 @@
             hop_count=push.hop_count,
             sender_id=push.host_id,
         )
-        self._send(groups, records, salt=push.salt, hop_count=push.hop_count)
+        self._send(groups, objects, salt=push.salt, hop_count=push.hop_count)
 
     def _send(
         self,
         groups: list[list[MemberInfo]],
-        records: list[ObjectRecord],
+        objects: Iterable[StoredObject],
         *,
         salt: int,
         hop_count: int,
     ) -> None:
-        for group in groups:
+        record_batches = list(batches(objects)) or [[]]
+        for group, records in itertools.product(groups, record_batches):
             push = ObjectPush(
                 objects=records,
                 hop_count=hop_count + 1 if len(group) > 1 else LEAF_HOP_COUNT,
--- a/src/sesameknot/coordination/freshness.py
+++ b/src/sesameknot/coordination/freshness.py
@@ -21,6 +21,10 @@
 SAMPLE_COUNT = 16
 
 
+# Beyond this count, reports out of the window are dropped at each new one.
+REPORT_LIMIT = 64
+
+
 class Verdict(Enum):
     """What the age of the configuration allows."""
 
@@ -132,6 +136,8 @@
         held = self._reports.get(host_id)
         if held is None or sent_s >= held.sent_s:
             self._reports[host_id] = _Report(config_age_s, sent_s, same_config)
+        if len(self._reports) > REPORT_LIMIT:
+            self._recent()
 
     def sampled(self, host_ids: Iterable[str]) -> None:
         """Note the peers that were last asked, once their time to answer has passed."""
--- a/src/sesameknot/coordination/replication.py
+++ b/src/sesameknot/coordination/replication.py
@@ -24,7 +24,6 @@
 from sesameknot.errors import PlatformError
 from sesameknot.protocol._objects import LEAF_HOP_COUNT
 from sesameknot.protocol.messages import Done, ObjectPush, ObjectSync
-from sesameknot.protocol.object_records import record_from_object
 from sesameknot.protocol.objects import SPREAD_PREFIXES, StoredObject
 from sesameknot.settings.process import RouterSettings
 from sesameknot.state.object_store import ObjectStore
@@ -207,6 +206,7 @@
             raise PlatformError(
                 f"answer reaches version {batch.version}, expected at least {seen}",
                 step="watch",
+                peer="platform",
             )
         self._since = batch.version
         elapsed_s = self._clock.monotonic_s() - sent_s
@@ -286,12 +286,18 @@
         return Done(detail=str(len(newer)))
 
     async def _follow_push(self, push: ObjectPush, newer: list[StoredObject]) -> None:
+        # Objects do not wait for the question to a sender that may be gone by now.
+        if newer:
+            self._forward(push, newer)
         gain_s = self._freshness.age_s() - push.config_age_ms / 1000.0
         sender = self._membership.member(push.host_id)
         if sender is not None and (
             gain_s > AGE_GAIN_S or push.digest != self._store.digest()
         ):
             await self._exchange.run(sender)
+        if not newer:
+            self._forward(push, [])
+
+    def _forward(self, push: ObjectPush, objects: list[StoredObject]) -> None:
         if push.hop_count < LEAF_HOP_COUNT:
-            records = [record_from_object(stored) for stored in newer]
-            self._fan_out.forward(push, records)
+            self._fan_out.forward(push, objects)
--- a/src/sesameknot/coordination/roster_keeper.py
+++ b/src/sesameknot/coordination/roster_keeper.py
@@ -228,6 +228,7 @@
             self._roster = roster
             self._changed_s = self._clock.monotonic_s()
             self._due_since_s = None
+            self._unknown_since_s.clear()
             notify(self._callbacks, roster)
 
 
