--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -5,6 +5,7 @@
 from testtools.matchers import Equals, HasLength, Is, LessThan
 
 from sesameknot.coordination.freshness import Verdict
+from sesameknot.protocol.messages import Done, ObjectPush, ObjectRecord
 from tests.coordination.fleet import Fleet
 
 STALE_LIMIT_S = 3.0
@@ -233,6 +234,42 @@
         self.assertThat("h09" in new.roster_ids(), Is(False))
         self.assertThat(new.roster_ids(), HasLength(5))
 
+    def test_objects_beyond_one_frame_reach_a_new_host(self):
+        """Guards against a difference that never fits and is never resolved."""
+        fleet = self._fleet(3, seed=17)
+        for number in range(10):
+            self._write(fleet, f"settings/team-{number}", "x" * 300_000)
+        fleet.world.run_for(5.0)
+        fleet.platform.down = True
+        new = fleet.start("h09")
+        accepts = new.freshness.may_accept
+        self.assertThat(fleet.world.run_until(accepts, limit_s=10.0), Is(True))
+        self.assertThat(new.store.list("settings/"), HasLength(10))
+
+    def test_a_push_from_a_tool_is_taken_without_its_malformed_records(self):
+        """Guards against one bad record that stops the spread of the others."""
+        fleet = self._fleet(3, seed=18)
+        push = ObjectPush(
+            objects=[
+                ObjectRecord(key="settings/a", version=90, value=b"{"),
+                ObjectRecord(key="bills/b", version=91, value=b"1"),
+                ObjectRecord(key="domains/c", version=92, value=b'"out"'),
+            ]
+        )
+        handler = fleet.world.servers["h02"].handlers[ObjectPush]
+        loop, replies = fleet.world.loops["h02"], []
+
+        async def receive():
+            replies.append(await handler(push))
+
+        fleet.platform.down = True
+        loop.call_soon(lambda: loop.create_task(receive()))
+        fleet.world.run_for(5.0)
+        self.assertThat(replies, Equals([Done(detail="1")]))
+        for host in fleet.hosts.values():
+            self.assertThat(host.store.get("domains/c").value, Equals("out"))
+            self.assertThat(host.store.get("settings/a"), Is(None))
+
     def test_old_platform_answers_change_nothing_and_prove_nothing(self):
         """Guards against a lagging platform that takes a change back."""
         fleet = self._fleet(5, seed=9)
