--- a/src/sesameknot/_wiring_coordination.py
+++ b/src/sesameknot/_wiring_coordination.py
@@ -31,6 +31,7 @@
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
 from sesameknot.transport.platform_client import PlatformClient
+from sesameknot.transport.tls import client_context, server_context
 
 
 @dataclass(slots=True)
@@ -80,11 +81,14 @@
     generator = np.random.default_rng(settings.random_state or None)
     platform = PlatformClient(settings.platform_url, token=settings.platform_token)
     stack.callback(platform.close)
-    client = PeerClient(settings.host_id, clock=clock)
+    tls = settings.tls
+    client = PeerClient(
+        settings.host_id, clock=clock, tls=client_context(tls) if tls else None
+    )
     stack.callback(client.close)
     endpoint_client = EndpointClient(clock=clock)
     stack.callback(endpoint_client.close)
-    server = PeerServer(settings.host_id)
+    server = PeerServer(settings.host_id, tls=server_context(tls) if tls else None)
 
     store = ObjectStore()
     crash_guard = CrashGuard(
--- a/src/sesameknot/apps/_rollout_decision.py
+++ b/src/sesameknot/apps/_rollout_decision.py
@@ -26,6 +26,7 @@
     """
     test = RolloutTest(
         quality_drop=settings.quality_drop,
+        error_rise=settings.error_rise,
         step_count=len(settings.step_shares),
         min_ratings=settings.step_min_ratings,
     )
--- a/src/sesameknot/router/ratings.py
+++ b/src/sesameknot/router/ratings.py
@@ -16,6 +16,8 @@
 POLL_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 5.0
 QUEUE_LIMIT_COUNT = 1_000
+# Scores become visible out of order; so many older ones are read again.
+LATE_COUNT = 200
 
 log = structlog.get_logger(__name__)
 
@@ -63,7 +65,7 @@
         self._on_rating = on_rating
         self._pending: OrderedDict[str, RatedAnswer] = OrderedDict()
         self._queue: asyncio.Queue[RatedAnswer] = asyncio.Queue(QUEUE_LIMIT_COUNT)
-        self._since = 0
+        self._newest = 0
         self._http = SimpleAsyncHTTPClient(force_instance=True)
 
     def offer(self, answer: RatedAnswer) -> None:
@@ -102,7 +104,8 @@
     async def _poll_all(self) -> None:
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            batch = await self._fetch("GET", f"/ratings?since={self._since}", None)
+            since = max(0, self._newest - LATE_COUNT)
+            batch = await self._fetch("GET", f"/ratings?since={since}", None)
             if batch is not None:
                 self._take(batch)
 
@@ -110,9 +113,9 @@
         try:
             for entry in batch["ratings"]:
                 answer = self._pending.pop(entry["request_id"], None)
+                self._newest = max(self._newest, int(entry["sequence"]))
                 if answer is not None:
                     self._on_rating(answer, float(entry["score"]))
-            self._since = int(batch["next"])
         except (KeyError, TypeError, ValueError) as error:
             log.warning("ratings_rejected", peer=self.url, reason=repr(error))
 
--- a/src/sesameknot/settings/tree.py
+++ b/src/sesameknot/settings/tree.py
@@ -174,6 +174,10 @@
         Least ratings of the new version per step.
     quality_drop : float, default=0.05
         Drop in mean rating that counts as bad.
+    error_rise : float, default=0.02
+        Rise in the error rate that counts as bad.
+    paused : bool, default=False
+        Whether the roll-out is held at its step.
     """
 
     name: Name
@@ -185,6 +189,7 @@
     step_min_s: DurationS = 30.0
     step_min_ratings: Count = 20
     quality_drop: Annotated[float, Meta(gt=0.0, lt=1.0)] = 0.05
+    error_rise: Annotated[float, Meta(gt=0.0, lt=1.0)] = 0.02
     paused: bool = False
 
 
