--- a/src/sesameknot/coordination/_claim_custody.py
+++ b/src/sesameknot/coordination/_claim_custody.py
@@ -69,11 +69,6 @@
         owners = self._placements[version].owners_of(bucket)
         return any(self._is_self(owner) for owner in owners)
 
-    def pending_since_s(self, bucket: int) -> float | None:
-        """Return since when a bucket lacks copies, None if it is held."""
-        times = self._pending.get(bucket)
-        return min(times.values()) if times else None
-
     def pending(self) -> list[tuple[int, int, float]]:
         """Return version, bucket and time of all missing copies, oldest first."""
         return sorted(
@@ -137,7 +132,10 @@
             if not {version, roster.previous_version} <= self._placements.keys():
                 del self._rosters[version]
         for bucket, times in list(self._pending.items()):
+            since_s = min(times.values())
             for version in [v for v in times if v not in self._rosters]:
                 del times[version]
-            if not times:
+            if times:
+                times[min(times)] = since_s
+            else:
                 del self._pending[bucket]
--- a/src/sesameknot/coordination/claim_owner.py
+++ b/src/sesameknot/coordination/claim_owner.py
@@ -40,7 +40,9 @@
 PAGE_LIMIT_BYTES = 1_000_000
 ENTRY_OVERHEAD_BYTES = 100
 COPY_RETRY_S = 0.1
-COPY_RETRY_LIMIT_S = 2.0
+COPY_RETRY_LIMIT_S = 5.0
+# A claim made before custody was lost is settled, and so kept, for one request longer.
+RESUME_MARGIN_S = 60.0
 EXPIRE_INTERVAL_S = 5.0
 
 log = structlog.get_logger(__name__)
@@ -73,8 +75,8 @@
     Notes
     -----
     While custody of a bucket is lost, registers that are not found are answered
-    ``lost``. After the retention period the bucket is served again, because claims
-    made before the loss have expired.
+    ``lost``. After the retention period and a margin the bucket is served again,
+    because claims made before the loss have expired.
     """
 
     __slots__ = (
@@ -220,6 +222,7 @@
                 reply.missing_buckets.append(bucket)
                 if bucket in self._lost:
                     reply.lost_buckets.append(bucket)
+                continue
             after = message.after if position == 0 else ""
             for entry in self._entries(bucket, after):
                 size_bytes += _size(entry)
@@ -292,7 +295,7 @@
         missing = {bucket for _, bucket, _ in pending}
         self._lost &= missing
         for version, bucket, since_s in pending:
-            if now_s - since_s >= self.retention_s:
+            if now_s - since_s >= self.retention_s + RESUME_MARGIN_S:
                 log.warning("claim_custody_resumed", bucket=bucket, version=version)
                 self._custody.mark_held(bucket, version)
                 self._lost.discard(bucket)
