--- a/src/sesameknot/coordination/_claim_placement.py
+++ b/src/sesameknot/coordination/_claim_placement.py
@@ -82,3 +82,15 @@
     """Return how many owners meet every quorum of ``owner_count`` owners."""
     quorum = min(2, owner_count)
     return owner_count - quorum + 1
+
+
+def proof_count(owner_count: int) -> int:
+    """Return how many owners prove by their answers that a key has not run.
+
+    Notes
+    -----
+    They meet every quorum of this roster. They also meet every set of owners that a
+    successor copies from, so no later roster was in force when they answered. One of
+    two owners does not: the other one may have handed over to a roster without it.
+    """
+    return min(2, owner_count)
--- a/src/sesameknot/coordination/claims.py
+++ b/src/sesameknot/coordination/claims.py
@@ -10,7 +10,11 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination._claim_copying import PeerCaller
-from sesameknot.coordination._claim_placement import intersecting_count, quorum_met
+from sesameknot.coordination._claim_placement import (
+    intersecting_count,
+    proof_count,
+    quorum_met,
+)
 from sesameknot.coordination.claim_owner import ClaimOwner
 from sesameknot.errors import RouterError
 from sesameknot.protocol.messages import (
@@ -110,9 +114,7 @@
     def proves_absence(self) -> bool:
         """Whether no other claim has a quorum."""
         free_count = len(self.accepted) + self.absent_count
-        return self.owner_count > 0 and free_count >= intersecting_count(
-            self.owner_count
-        )
+        return self.owner_count > 0 and free_count >= proof_count(self.owner_count)
 
     def holder(self) -> ClaimReply | None:
         """Return another claim that a quorum holds."""
--- a/tests/coordination/claim_schedule.py
+++ b/tests/coordination/claim_schedule.py
@@ -31,6 +31,7 @@
     executions: list[tuple[str, float, bytes]] = field(default_factory=list)
     answers: list[tuple[str, float, str, bytes]] = field(default_factory=list)
     after_healing: list[str] = field(default_factory=list)
+    unknown_keys: set[str] = field(default_factory=set)
     message_count: int = 0
 
     def violations(self) -> list[str]:
@@ -123,6 +124,7 @@
         faults: bool = True,
         fault_share: float = 0.03,
         duration_s: float = 40.0,
+        kinds: tuple[str, ...] = ("kill", "freeze", "cut", "one-way", "heal"),
         owner_class: type[ClaimOwner] = ClaimOwner,
         claims_class: type[Claims] = Claims,
     ) -> None:
@@ -132,6 +134,7 @@
         self.faults = faults
         self.fault_share = fault_share
         self.duration_s = duration_s
+        self.kinds = kinds
         self.owner_class = owner_class
         self.claims_class = claims_class
         self.members = [
@@ -205,6 +208,8 @@
             await asyncio.sleep(self.random.exponential(0.1))
             await host.process.gate()
             status = state = "done" if self.random.random() < 0.9 else "unknown"
+            if status == "unknown":
+                self.record.unknown_keys.add(key)
         self._answer(key, started_s, status, result)
         await host.claims.settle(TABLE, key, state, result, claimant=outcome.claimant)
 
@@ -213,7 +218,7 @@
 
     async def _disturb(self) -> None:
         host = self._pick_host()
-        kind = self.random.choice(["kill", "freeze", "cut", "one-way", "heal"])
+        kind = self.random.choice(self.kinds)
         if len(self.unreachable_s) >= DISTURBED_LIMIT_COUNT:
             kind = "heal"
         if kind == "kill":
@@ -268,12 +273,15 @@
             if now_s - self.unreachable_s.get(member.host_id, now_s) < DETECTION_S
             and self.random.random() < 0.98
         ]
-        kept = [m for m in self.roster.members if m.host_id in [w.host_id for w in wanted]]
-        if len(kept) * 2 > len(self.roster.members) and (
-            set(wanted) != set(self.roster.members)
-        ):
+        if self._is_majority(wanted) and set(wanted) != set(self.roster.members):
             self._change_roster(wanted)
 
+    def _is_majority(self, seen: list[RosterMember]) -> bool:
+        present = [m.host_id for m in self.roster.members]
+        kept = [m.host_id for m in seen if m.host_id in present]
+        even = len(kept) * 2 == len(present) and min(present) in kept
+        return even or len(kept) * 2 > len(present)
+
     def _change_roster(self, members: list[RosterMember]) -> None:
         self.roster = Roster(
             version=self.roster.version + 7,
