--- a/src/sesameknot/router/catalogue.py
+++ b/src/sesameknot/router/catalogue.py
@@ -123,10 +123,11 @@
             self._stale = False
         return self._current
 
-    def _on_change(self, changed: StoredObject) -> None:
+    def _on_change(self, changed: list[StoredObject]) -> None:
         self._stale = True
-        if changed.key.startswith(SETTINGS_PREFIX):
-            self._read_team(changed)
+        for stored in changed:
+            if stored.key.startswith(SETTINGS_PREFIX):
+                self._read_team(stored)
 
     def _read_team(self, changed: StoredObject) -> None:
         team = changed.key.removeprefix(SETTINGS_PREFIX)
