--- a/src/sesameknot/coordination/_endpoint_notices.py
+++ b/src/sesameknot/coordination/_endpoint_notices.py
@@ -58,6 +58,7 @@
         self._clock = clock
         self._sent_s: dict[tuple[str, str], float] = {}
         self._background = BackgroundTasks()
+        self._closed = False
 
     def saw(self, endpoint_id: str, outcome: SlotOutcome) -> None:
         """Learn from an outcome; one that says nothing of the endpoint is ignored."""
@@ -72,7 +73,7 @@
         """Tell the owner of an event, unless it was told just now."""
         now_s = self._clock.monotonic_s()
         last_s = self._sent_s.get((endpoint_id, event), -math.inf)
-        if now_s - last_s < NOTICE_INTERVAL_S:
+        if self._closed or now_s - last_s < NOTICE_INTERVAL_S:
             return
         self._sent_s[endpoint_id, event] = now_s
         notice = EndpointNotice(
@@ -95,5 +96,6 @@
             log.debug("endpoint_notice_lost", peer=member.host_id, reason=str(error))
 
     def close(self) -> None:
-        """Drop the notices that are under way."""
+        """Drop the notices that are under way and send no more."""
+        self._closed = True
         self._background.cancel()
--- a/src/sesameknot/coordination/grant_owner.py
+++ b/src/sesameknot/coordination/grant_owner.py
@@ -124,6 +124,7 @@
         self._number = 0
         self._polling: set[str] = set()
         self._background = BackgroundTasks()
+        self._running = False
 
     def register(self, server: PeerServer) -> None:
         """Serve this part's messages."""
@@ -262,7 +263,8 @@
             )
             self.table.infer(notice.endpoint_id, state)
             self._follow_state(notice.endpoint_id)
-        self._background.spawn(self.poll_one(notice.endpoint_id))
+        if self._running:
+            self._background.spawn(self.poll_one(notice.endpoint_id))
         return Done()
 
     def _follow_state(self, endpoint_id: str) -> None:
@@ -346,6 +348,7 @@
 
     async def run(self) -> None:
         """Poll all owned endpoints until cancelled."""
+        self._running = True
         try:
             while True:
                 self.refresh()
@@ -353,4 +356,5 @@
                     self._background.spawn(self.poll_one(endpoint_id))
                 await asyncio.sleep(self.timing.endpoint_poll_s)
         finally:
+            self._running = False
             self._background.cancel()
--- a/tests/coordination/grant_world.py
+++ b/tests/coordination/grant_world.py
@@ -16,7 +16,7 @@
 from tests.virtual_hosts import VirtualClient, VirtualWorld
 
 ENDPOINT = "e1"
-LOAD_LAG_S = 0.8
+LOAD_LAG_S = 1.0
 
 
 class SlowWorld(VirtualWorld):
