--- a/src/sesameknot/policy/cascade.py
+++ b/src/sesameknot/policy/cascade.py
@@ -9,7 +9,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.errors import SettingsError
-from sesameknot.policy._mix import ModelPoint, cheapest_mix
+from sesameknot.policy._mix import Mix, ModelPoint, cheapest_mix
 from sesameknot.policy._quality import WindowedEstimate
 from sesameknot.policy.registry import CASCADE_POLICIES
 
@@ -149,15 +149,27 @@
         return mix.high if draw < mix.high_share else mix.low
 
 
+@dataclass(slots=True)
+class _Plan:
+    """What to do with a set of candidates until the next rating."""
+
+    points: list[ModelPoint]
+    weights: list[float]
+    explore_share: float
+    mix: Mix
+    uses_left: int
+
+
 class _KindState:
     """What the adaptive policy knows about one request kind."""
 
-    __slots__ = ("estimates", "rating_count", "shortfall")
+    __slots__ = ("estimates", "plans", "rating_count", "shortfall")
 
     def __init__(self) -> None:
         self.estimates: dict[str, WindowedEstimate] = {}
         self.rating_count = 0
         self.shortfall = 0.0
+        self.plans: dict[tuple[str, ...], _Plan] = {}
 
 
 @CASCADE_POLICIES.register("adaptive")
@@ -174,11 +186,11 @@
         Source of draws.
     explore_share : float, default=0.10
         Share of exploration before any rating.
-    explore_floor : float, default=0.01
+    explore_floor : float, default=0.005
         Share of exploration that always remains.
-    window_count : float, default=200.0
+    window_count : float, default=2000.0
         Ratings per model and kind that count.
-    repay_count : float, default=300.0
+    repay_count : float, default=150.0
         Ratings over which a shortfall of quality is made up for.
     margin_deviations : float, default=0.7
         Margin above the target, in standard deviations of the mean rating.
@@ -203,12 +215,14 @@
         "window_count",
     )
 
+    # Requests after which costs and the decay by time are looked at again.
+    PLAN_USES = 50
     # Ratings after which half of the initial exploration is over.
     EXPLORE_HALF_COUNT = 100.0
     # The integral term may raise the target by at most this much, and lower it less:
     # a surplus from a time of easy requests must not pay for a bad time.
     SHIFT_LIMIT = 0.05
-    SURPLUS_LIMIT = 0.02
+    SURPLUS_LIMIT = 0.04
     # Usual standard deviation of ratings, and ratings at which the margin stops to
     # shrink, since older ratings say nothing about the present.
     RATING_DEVIATION = 0.17
@@ -221,9 +235,9 @@
         clock: Clock,
         random_generator: np.random.Generator,
         explore_share: float = 0.10,
-        explore_floor: float = 0.01,
-        window_count: float = 200.0,
-        repay_count: float = 300.0,
+        explore_floor: float = 0.005,
+        window_count: float = 2000.0,
+        repay_count: float = 150.0,
         margin_deviations: float = 0.7,
     ) -> None:
         self.quality_target = quality_target
@@ -240,13 +254,15 @@
         """Return the model for a request of ``kind``."""
         _required(candidates)
         state = self._kinds.setdefault(kind, _KindState())
-        points = [self._point(state, candidate) for candidate in candidates]
-        explore = self._explore_share(state)
-        weights = [1.0 / max(point.cost, 1e-9) for point in points]
+        models = tuple([candidate.model for candidate in candidates])
+        plan = state.plans.get(models)
+        if plan is None or plan.uses_left <= 0:
+            plan = state.plans[models] = self._plan(state, candidates)
+        plan.uses_left -= 1
         draw, pick = self.random_generator.random(2).tolist()
-        if draw < explore:
-            return _weighted(points, weights, pick)
-        mix = cheapest_mix(points, self._mix_target(state, points, weights, explore))
+        if draw < plan.explore_share:
+            return _weighted(plan.points, plan.weights, pick)
+        mix = plan.mix
         return mix.high if pick < mix.high_share else mix.low
 
     def observe(
@@ -260,12 +276,20 @@
             return
         estimate.add_quality(quality)
         state.rating_count += 1
+        state.plans.clear()
         aim = self.quality_target + self._margin(state)
         shortfall = state.shortfall + aim - quality
         most = self.SHIFT_LIMIT * self.repay_count
         least = -self.SURPLUS_LIMIT * self.repay_count
         state.shortfall = min(most, max(least, shortfall))
 
+    def _plan(self, state: _KindState, candidates: Sequence[Candidate]) -> _Plan:
+        points = [self._point(state, candidate) for candidate in candidates]
+        explore = self._explore_share(state)
+        weights = [1.0 / max(point.cost, 1e-9) for point in points]
+        mix = cheapest_mix(points, self._mix_target(state, points, weights, explore))
+        return _Plan(points, weights, explore, mix, self.PLAN_USES)
+
     def _estimate(
         self, state: _KindState, model: str, prior_quality: float
     ) -> WindowedEstimate:
