--- a/src/sesameknot/experiment/settings.py
+++ b/src/sesameknot/experiment/settings.py
@@ -72,13 +72,19 @@
         Roll-outs of a good and of a bad version each.
     quality_drop, error_rise : float
         How bad the bad version is.
+    step_shares : list of float
+        Share of the callers in each step, for all schedules.
+    fixed_step_s : float, default=900.0
+        Time per step of the fixed schedule.
+    false_alarm_rate : float, default=0.05
+        Probability to stop a good version, for all schedules.
     """
 
     deployment: DeploymentName = "association"
     random_state: Count = 1
     trial_count: PositiveCount = 200
     requests_per_s: Annotated[float, Meta(gt=0.0)] = 20.0
-    quality_drop: Share = 0.1
+    quality_drop: Share = 0.05
     error_rise: Share = 0.0
     rating_share: Share = 0.1
     rating_delay_s: DurationS = 60.0
--- a/src/sesameknot/policy/cascade.py
+++ b/src/sesameknot/policy/cascade.py
@@ -192,7 +192,7 @@
         Ratings per model and kind that count.
     repay_count : float, default=150.0
         Ratings over which a shortfall of quality is made up for.
-    margin_deviations : float, default=0.7
+    margin_deviations : float, default=0.8
         Margin above the target, in standard deviations of the mean rating.
 
     Notes
@@ -238,7 +238,7 @@
         explore_floor: float = 0.005,
         window_count: float = 2000.0,
         repay_count: float = 150.0,
-        margin_deviations: float = 0.7,
+        margin_deviations: float = 0.8,
     ) -> None:
         self.quality_target = quality_target
         self.clock = clock
--- a/src/sesameknot/policy/rollout_test.py
+++ b/src/sesameknot/policy/rollout_test.py
@@ -136,7 +136,8 @@
 
     def evidence(self, new: VersionSample, stable: VersionSample) -> Evidence:
         """Return the log-likelihood ratios."""
-        return Evidence(self._rating_llr(new, stable), self._error_llr(new, stable))
+        rating_llr = self._rating_llr(new, stable, min_ratings=self.min_ratings)
+        return Evidence(rating_llr, self._error_llr(new, stable))
 
     def verdict(self, new: VersionSample, stable: VersionSample) -> Verdict:
         """Return whether to continue, advance or stop.
@@ -155,9 +156,16 @@
         accepted = max(evidence.rating_llr, error_llr) <= self._accept
         return Verdict.ADVANCE if rated and accepted else Verdict.CONTINUE
 
-    def _rating_llr(self, new: VersionSample, stable: VersionSample) -> float:
+    def leaning(self, new: VersionSample, stable: VersionSample) -> float:
+        """Return the stronger log-likelihood ratio, however few ratings there are."""
+        rating_llr = self._rating_llr(new, stable, min_ratings=2)
+        return max(rating_llr, self._error_acceptance_llr(new, stable))
+
+    def _rating_llr(
+        self, new: VersionSample, stable: VersionSample, *, min_ratings: int
+    ) -> float:
         counts = (new.rating_count, stable.rating_count)
-        if min(counts) < max(1, self.min_ratings):
+        if min(counts) < max(2, min_ratings):
             return 0.0
         variance = _pooled_variance(new, stable) * (1.0 / counts[0] + 1.0 / counts[1])
         # A variance estimated from few ratings is often too low by chance.
@@ -193,6 +201,26 @@
         )
 
 
+def balanced_rating_share(base_share: float, rollout_share: float) -> float:
+    """Return the share of a new version's answers to send to the rating service.
+
+    Parameters
+    ----------
+    base_share : float
+        Share of all other answers that are sent.
+    rollout_share : float
+        Share of the traffic that the new version gets.
+
+    Notes
+    -----
+    The new version gets about as many ratings as the stable one, so the volume of
+    ratings at most doubles while the test ends many times earlier.
+    """
+    if rollout_share <= 0.0:
+        return 1.0 if base_share > 0.0 else 0.0
+    return min(1.0, max(base_share, base_share * (1.0 / rollout_share - 1.0)))
+
+
 def _pooled_variance(first: VersionSample, second: VersionSample) -> float:
     squares = first.rating_square_sum + second.rating_square_sum
     centred = squares - first.rating_count * first.rating_mean**2
