Return JSON objects from the command line

Change: each command's value is a JSON object that is printed with exit_code; bills lists the distinct bills and the totals.

--- a/src/sesameknot/apps/controller.py
+++ b/src/sesameknot/apps/controller.py
@@ -8,6 +8,7 @@
 
 from absl import app, flags
 
+from sesameknot.apps._logging import configure_logging
 from sesameknot.apps._rollout_decision import decide
 from sesameknot.clock import SystemClock
 from sesameknot.coordination.rollout_runner import RolloutRunner
@@ -24,6 +25,9 @@
 ORDER_TIMEOUT_S = 30.0
 
 _SETTINGS = flags.DEFINE_string("settings", None, "YAML file with the settings.")
+_LOG_LEVEL = flags.DEFINE_enum(
+    "log_level", "info", ["debug", "info", "warning", "error"], "Least severe lines."
+)
 
 
 async def serve(settings: ControllerSettings) -> None:
@@ -71,6 +75,7 @@
     if len(argv) > 1 or not _SETTINGS.value:
         print("error: expected --settings FILE and no arguments", file=sys.stderr)
         return 2
+    configure_logging(_LOG_LEVEL.value)
     try:
         settings = load_file(Path(_SETTINGS.value), ControllerSettings)
         asyncio.run(serve(settings))
@@ -83,3 +88,7 @@
 def run() -> None:
     """Run the binary."""
     app.run(_main)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/sesameknot/apps/ctl.py
+++ b/src/sesameknot/apps/ctl.py
@@ -86,7 +86,7 @@
 
 def _print(report: Report) -> None:
     if _OUTPUT.value == "json":
-        print(json.dumps({"exit_code": report.exit_code, "result": report.value}))
+        print(json.dumps({"exit_code": report.exit_code, **report.value}))
         return
     for line in report.lines:
         stream = sys.stderr if line.startswith("error:") else sys.stdout
--- a/src/sesameknot/coordination/_held_rollout.py
+++ b/src/sesameknot/coordination/_held_rollout.py
@@ -11,8 +11,8 @@
     needed_endpoints,
 )
 from sesameknot.coordination._rollout_lease import Hold, new_write_id
-from sesameknot.coordination._version_counters import VersionCounters
 from sesameknot.coordination.router_view import View
+from sesameknot.coordination.version_counters import VersionCounters
 from sesameknot.errors import ConflictError
 from sesameknot.protocol.messages import VersionStats
 from sesameknot.protocol.rollout_object import (
--- a/src/sesameknot/coordination/rollout_runner.py
+++ b/src/sesameknot/coordination/rollout_runner.py
@@ -15,8 +15,8 @@
     new_write_id,
     takeover_wait_s,
 )
-from sesameknot.coordination._version_counters import VersionCounters
 from sesameknot.coordination.router_view import View
+from sesameknot.coordination.version_counters import VersionCounters
 from sesameknot.errors import ConflictError, PlatformError, RouterError
 from sesameknot.protocol.objects import ROLLOUTS_PREFIX, ROSTER_KEY, StoredObject
 from sesameknot.protocol.rollout_object import (
--- a/src/sesameknot/operator/_bill_commands.py
+++ b/src/sesameknot/operator/_bill_commands.py
@@ -40,7 +40,12 @@
 async def bills(context: OperatorContext, arguments: list[str]) -> Report:
     """Sum the distinct bills per customer, or per version of one customer."""
     ledger = await read_ledger(context.platform)
-    totals = _totals(ledger.bills, context.customer)
+    found = [
+        bill
+        for bill in ledger.bills
+        if not context.customer or bill.customer == context.customer
+    ]
+    totals = _totals(found, by_version=bool(context.customer))
     header = ["CUSTOMER", "SERVICE", "MODEL", "VERSION", "BILLS", "UNKNOWN"]
     header += ["PROMPT TOKENS", "OUTPUT TOKENS", "COST MICROUNITS"]
     rows = [
@@ -58,25 +63,23 @@
         for t in totals
     ]
     return Report(
-        lines=table(header, rows), value=[dataclasses.asdict(t) for t in totals]
+        lines=table(header, rows),
+        value={
+            "bills": [dataclasses.asdict(bill) for bill in found],
+            "totals": [dataclasses.asdict(total) for total in totals],
+        },
     )
 
 
-def _totals(found: Iterable[BillRecord], customer: str) -> list[BillTotal]:
+def _totals(found: Iterable[BillRecord], *, by_version: bool) -> list[BillTotal]:
     totals: dict[tuple[str, ...], BillTotal] = {}
     for bill in found:
-        if customer and bill.customer != customer:
-            continue
-        key = (bill.customer,)
-        if customer:
-            key += (bill.service, bill.model, bill.version)
-        total = totals.get(key)
+        use = (bill.service, bill.model, bill.version) if by_version else ("", "", "")
+        total = totals.get((bill.customer, *use))
         if total is None:
-            total = totals[key] = BillTotal(
-                customer=bill.customer,
-                service=bill.service if customer else "",
-                model=bill.model if customer else "",
-                version=bill.version if customer else "",
+            service, model, version = use
+            total = totals[(bill.customer, *use)] = BillTotal(
+                customer=bill.customer, service=service, model=model, version=version
             )
         total.add(bill)
     return [totals[key] for key in sorted(totals)]
--- a/src/sesameknot/operator/_rollout_commands.py
+++ b/src/sesameknot/operator/_rollout_commands.py
@@ -85,7 +85,10 @@
         rollouts = [r for r in rollouts if [r.team, r.name] == arguments]
         if not rollouts:
             raise RefusedError("no such roll-out", step="rollout status")
-    return Report(lines=rollout_lines(rollouts), value=[r.to_value() for r in rollouts])
+    return Report(
+        lines=rollout_lines(rollouts),
+        value={"rollouts": [r.to_value() for r in rollouts]},
+    )
 
 
 async def read_rollouts(context: OperatorContext) -> list[RolloutObject]:
--- a/src/sesameknot/operator/commands.py
+++ b/src/sesameknot/operator/commands.py
@@ -82,7 +82,7 @@
     leaves = list(_leaves(error))
     return Report(
         lines=[*report.lines, *(f"error: {leaf}" for leaf in leaves)],
-        value={"done": report.value, "errors": [_error_value(e) for e in leaves]},
+        value={**report.value, "errors": [_error_value(e) for e in leaves]},
         exit_code=_exit_code(leaves),
     )
 
--- a/src/sesameknot/operator/results.py
+++ b/src/sesameknot/operator/results.py
@@ -58,14 +58,14 @@
     ----------
     lines : list of str
         Text for operators.
-    value : object
-        The same facts as a JSON value.
+    value : dict, default={}
+        The same facts as a JSON object.
     exit_code : ExitCode, default=ExitCode.DONE
         Exit code of the process.
     """
 
     lines: list[str] = field(default_factory=list)
-    value: Any = None
+    value: dict[str, Any] = field(default_factory=dict)
     exit_code: ExitCode = ExitCode.DONE
 
 
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -351,7 +351,9 @@
                 f"bills/{key}", {"bills": bills}, expected_version=0, write_id="w"
             )
         report = await self.run_ctl("bills")
-        costs = {row["customer"]: row["cost_microunits"] for row in report.value}
+        costs = {
+            row["customer"]: row["cost_microunits"] for row in report.value["totals"]
+        }
         self.assertThat(costs, Equals({"barge-1": 7, "barge-2": 5}))
         report = await self.run_ctl("bills", self.context(customer="barge-2"))
         self.assertThat(str(report.lines), Not(Contains("barge-1")))
