--- a/src/sesameknot/coordination/version_counters.py
+++ b/src/sesameknot/coordination/version_counters.py
@@ -36,6 +36,10 @@
                 for stats in reply.versions
             }
 
+    def known(self) -> list[VersionKey]:
+        """Return the versions that routers counted, sorted."""
+        return sorted({key for found in self._latest.values() for key in found})
+
     def total(self, key: VersionKey) -> VersionStats:
         """Return the sum over all routers since they started."""
         return _sum(key, [found.get(key) for found in self._latest.values()])
--- a/src/sesameknot/operator/_screen_facts.py
+++ b/src/sesameknot/operator/_screen_facts.py
@@ -20,8 +20,6 @@
 from sesameknot.settings.loader import convert
 from sesameknot.settings.tree import TeamSettings
 
-STALE_LIMIT_MS = 3000.0
-
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class ScreenTargets:
@@ -62,6 +60,8 @@
         Counters since the routers started.
     lagging : dict
         Names of hosts, by object key, that have long lacked its newest version.
+    long_withdrawn : set of str
+        Versions, as ``team.model.version``, that should count no requests any more.
     unattended : set of str
         Keys of active roll-outs that have not changed for several leases.
     """
@@ -74,6 +74,7 @@
     totals: list[VersionStats] = field(default_factory=list)
     window_s: float = 0.0
     lagging: dict[str, list[str]] = field(default_factory=dict)
+    long_withdrawn: set[str] = field(default_factory=set)
     unattended: set[str] = field(default_factory=set)
     targets: ScreenTargets = field(default_factory=ScreenTargets)
 
--- a/src/sesameknot/operator/_screen_rows.py
+++ b/src/sesameknot/operator/_screen_rows.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from sesameknot.operator._screen_facts import STALE_LIMIT_MS, ScreenFacts
+from sesameknot.operator._screen_facts import ScreenFacts
 from sesameknot.operator.fleet import RouterAnswer
 from sesameknot.operator.screen_state import (
     DomainRow,
@@ -11,7 +11,6 @@
     TargetRow,
     VersionRow,
 )
-from sesameknot.protocol.messages import VersionStats
 from sesameknot.settings.tree import ModelSettings
 
 FRESH = "fresh"
@@ -198,13 +197,12 @@
         )
     status = answer.status
     member = facts.members.get(status.host_id)
-    old = status.config_age_ms > STALE_LIMIT_MS or status.verdict != FRESH
-    condition = "leaving" if status.draining else "stale" if old else FRESH
     return HostRow(
         name=status.host_id,
         domain=member.domain if member else "",
-        condition=condition,
-        config_age_ms=status.config_age_ms,
+        condition="leaving" if status.draining else status.verdict,
+        # A router that has never read its configuration tells a negative age.
+        config_age_ms=status.config_age_ms if status.config_age_ms >= 0 else None,
     )
 
 
@@ -214,8 +212,3 @@
 
 def _ratio(value: float, count: float) -> float | None:
     return value / count if count else None
-
-
-def total_of(stats: list[VersionStats]) -> int:
-    """Return the number of requests in ``stats``."""
-    return sum(item.request_count for item in stats)
--- a/src/sesameknot/operator/screen_state.py
+++ b/src/sesameknot/operator/screen_state.py
@@ -65,7 +65,16 @@
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class HostRow:
-    """A host; ``condition`` is fresh, stale, leaving, silent or dead."""
+    """A host and its condition.
+
+    Parameters
+    ----------
+    condition : str
+        Its verdict ``fresh``, ``platform-outage`` or ``stale``, or ``leaving``,
+        ``silent`` (no answer), ``suspect`` or ``dead``.
+    config_age_ms : float or None
+        Age of its configuration; None if unknown.
+    """
 
     name: str
     domain: str
--- a/tests/operator/fakes.py
+++ b/tests/operator/fakes.py
@@ -22,6 +22,7 @@
         self.objects: dict[str, PushedObject] = {}
         self.traffic: list[VersionStats] = []
         self.status_calls = 0
+        self.down = False
         self.application = Application(
             [(r"/operator/(\w+)", _Handler, {"router": self})],
             log_function=lambda handler: None,
@@ -33,6 +34,9 @@
         self.router = router
 
     def prepare(self):
+        if self.router.down:
+            self.send_error(503)
+            return
         if self.request.headers.get("Authorization") != f"Bearer {TOKEN}":
             self.send_error(401)
 
