Make platform answers in tests as old as the caller's pause

Cause: a trial with the age of an answer counted from its receipt passed all tests. The platform in memory computed answers when the caller's loop ran, so a host that woke got a fresh answer to an old call. Answers are now made on a loop of their own.

A trial without the rule on fresh peers passed too; the freshness property now starts half of its examples above the stale limit, and one test names the case.

With the new timing test_a_host_without_peers_watches_the_platform_itself failed: the check intervals added up to more than the stale limit. A completed round of questions now wakes the watch loop at once; six seeds pass.

Removed: the check that a probe took too long for its silence to count. No test could be made to fail without it, since indirect pings after waking succeed.

--- a/src/sesameknot/coordination/membership.py
+++ b/src/sesameknot/coordination/membership.py
@@ -204,21 +204,14 @@
         return None
 
     async def _probe(self, member: MemberInfo) -> None:
-        timing = self.settings.timing
-        started_s = self._clock.monotonic_s()
         ack = await self._ping(member.address, member)
         if ack is not None and ack.member.host_id == member.host_id:
             held = self._table.get(member.host_id)
             if held is not None and held.state == MemberState.LEAVING:
                 self._timers.clear(held.host_id)
             return
-        if await self._ping_indirectly(member):
-            return
-        elapsed_s = self._clock.monotonic_s() - started_s
-        if elapsed_s > 2 * (timing.ping_timeout_s + timing.heartbeat_s):
-            # This process was paused; the silence tells nothing about the peer.
-            return
-        self._suspect(member)
+        if not await self._ping_indirectly(member):
+            self._suspect(member)
 
     def _suspect(self, member: MemberInfo) -> None:
         held = self._table.get(member.host_id)
--- a/src/sesameknot/coordination/replication.py
+++ b/src/sesameknot/coordination/replication.py
@@ -1,6 +1,7 @@
 """Spread of platform objects to every router."""
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
 
 import numpy as np
@@ -33,10 +34,15 @@
 
 WATCHERS_PER_REGION = 2
 HOSTS_READ_S = 10.0
+
+# Interval at which a host looks whether it is a watcher by now.
 CHECK_S = 0.25
 
 # A host asks peers for their age once its own exceeds this share of the stale limit.
+# With the check interval and the ping timeout, a host without peers reads the platform
+# itself before it becomes stale.
 ASK_SHARE = 0.75
+AGE_CHECK_S = 0.1
 ASK_INTERVAL_S = 1.0
 
 # A push whose sender is fresher by less than this is not followed by a question.
@@ -120,6 +126,7 @@
             timeout_s=settings.timing.ping_timeout_s,
         )
         self._since: int | None = None
+        self._recheck = asyncio.Event()
         self._reached: set[str] = {m.host_id for m in membership.live()}
         membership.on_observation(self._observe)
 
@@ -169,7 +176,7 @@
         starting = True
         while True:
             if not starting and not self.is_watcher():
-                await asyncio.sleep(CHECK_S)
+                await self._await_recheck()
                 continue
             starting = False
             try:
@@ -183,6 +190,12 @@
                 log.exception("platform_read_failed")
             await asyncio.sleep(pause_s)
 
+    async def _await_recheck(self) -> None:
+        self._recheck.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CHECK_S):
+                await self._recheck.wait()
+
     async def _read_platform(self) -> float:
         """Make one list or watch call and return the pause before the next."""
         sent_s = self._clock.monotonic_s()
@@ -240,7 +253,7 @@
         answer_s = self.settings.timing.ping_timeout_s
         while True:
             if not self._late():
-                await asyncio.sleep(CHECK_S)
+                await asyncio.sleep(AGE_CHECK_S)
                 continue
             asked_s = self._clock.monotonic_s()
             asked_ids = self._to_ask()
@@ -249,6 +262,7 @@
             await asyncio.sleep(answer_s)
             self._freshness.sampled(asked_ids)
             self._reached = self._freshness.answered_since(asked_s)
+            self._recheck.set()
             await asyncio.sleep(max(0.0, ASK_INTERVAL_S - answer_s))
 
     def _to_ask(self) -> list[str]:
--- a/tests/coordination/fleet.py
+++ b/tests/coordination/fleet.py
@@ -55,6 +55,7 @@
     ) -> None:
         self.world = VirtualWorld(seed)
         self.platform = FakePlatform()
+        self.platform.loop = self.world.add("platform", "platform")
         self.seed = seed
         self.regions = regions
         self.domains = domains
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -212,13 +212,17 @@
 
     def test_a_host_without_peers_watches_the_platform_itself(self):
         """Guards against a host that refuses although it reaches the platform."""
-        fleet = self._fleet(9, seed=7)
-        name = next(n for n, h in fleet.hosts.items() if not h.replication.is_watcher())
-        fleet.world.cut([name], [other for other in fleet.names if other != name])
-        refusals = self._watch_refusals(fleet, [name])
-        self._write(fleet, "domains/a")
-        fleet.world.run_for(30.0)
-        self.assertThat(refusals, Equals(set()))
+        for seed in range(7, 13):
+            fleet = self._fleet(9, seed=seed)
+            name = next(
+                n for n, h in fleet.hosts.items() if not h.replication.is_watcher()
+            )
+            fleet.world.run_for(float(fleet.world.random.uniform(0.0, 2.0)))
+            fleet.world.cut([name], [other for other in fleet.names if other != name])
+            refusals = self._watch_refusals(fleet, [name])
+            self._write(fleet, "domains/a")
+            fleet.world.run_for(15.0)
+            self.assertThat(refusals, Equals(set()))
 
     def test_a_new_host_without_the_platform_serves_but_owns_nothing(self):
         """Guards against a host that serves before it has the configuration."""
--- a/tests/coordination/test_freshness.py
+++ b/tests/coordination/test_freshness.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 from testtools.matchers import Equals, Is
@@ -55,15 +55,19 @@
     max_size=20,
 )
 
+# Half of the examples start just above the stale limit, where peers decide.
+STARTS = st.sampled_from([[], [("read", 0.0), ("wait", 3.25)]])
+
 
 class FreshnessTest(TestCase):
-    @given(st.sets(st.sampled_from(HOSTS)).map(sorted), STEPS)
-    def test_verdicts_equal_the_naive_rules(self, roster, steps):
+    @settings(max_examples=300)
+    @given(st.sets(st.sampled_from(HOSTS)).map(sorted), STARTS, STEPS)
+    def test_verdicts_equal_the_naive_rules(self, roster, start, steps):
         """Guards against a host that accepts work on an old configuration."""
         clock = ManualClock(0.0)
         freshness = Freshness(clock, host_id="a", roster_ids=lambda: roster)
         naive = NaiveFreshness(roster)
-        for step, *values in steps:
+        for step, *values in [*start, *steps]:
             if step == "wait":
                 clock.advance(values[0])
                 naive.now_s += values[0]
@@ -78,6 +82,20 @@
                 naive.reports.append((host_id, age_s, naive.now_s, same))
             self.assertThat(freshness.verdict(), Equals(naive.verdict()))
 
+    def test_a_fresh_peer_with_another_configuration_makes_this_host_stale(self):
+        """Guards against an outage verdict while others read newer objects."""
+        clock = ManualClock()
+        freshness = Freshness(clock, host_id="a", roster_ids=lambda: HOSTS)
+        freshness.confirmed(0.0)
+        clock.advance(4.0)
+        for host_id in HOSTS[1:]:
+            freshness.peer_reported(
+                host_id, 4.0, sent_s=clock.monotonic_s(), same_config=True
+            )
+        self.assertThat(freshness.verdict(), Is(Verdict.PLATFORM_OUTAGE))
+        freshness.peer_reported("b", 1.0, sent_s=clock.monotonic_s(), same_config=False)
+        self.assertThat(freshness.verdict(), Is(Verdict.STALE))
+
     def test_an_older_confirmation_does_not_raise_the_age(self):
         """Guards against a late answer that makes a fresh host stale."""
         clock = ManualClock()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,8 +1,9 @@
 """In-memory stand-in for the platform client, with faults that tests switch on."""
 
 import asyncio
-from collections.abc import Sequence
-from typing import Any
+import functools
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, TypeVar
 
 from sesameknot.errors import ConflictError, PlatformError
 from sesameknot.protocol.objects import PlatformHost, StoredObject, WatchBatch
@@ -10,19 +11,61 @@
 
 DEFAULT_HISTORY = 1000
 
+T = TypeVar("T")
+
 
 def _matches(key: str, prefix: str | Sequence[str]) -> bool:
     prefixes = (prefix,) if isinstance(prefix, str) else tuple(prefix)
     return key.startswith(prefixes)
 
 
+def _on_platform(method: Callable[..., Coroutine[Any, Any, T]]) -> Callable[..., Any]:
+    """Run ``method`` of a client on the platform's loop, if it has one."""
+
+    @functools.wraps(method)
+    async def call(self: "FakePlatformClient", *args: Any, **options: Any) -> T:
+        self.call_count += 1
+        limit_s = self.timeout_s + options.get("timeout_s", 0.0)
+        loop = self.platform.loop
+        if loop is None:
+            return await method(self, *args, **options)
+        caller = asyncio.get_running_loop()
+        future: asyncio.Future[T] = caller.create_future()
+
+        def finish(task: asyncio.Task[T]) -> None:
+            caller.call_soon(_copy_result, task, future)
+
+        def start() -> None:
+            task = loop.create_task(method(self, *args, **options))
+            task.add_done_callback(finish)
+
+        loop.call_soon(start)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await future
+        except TimeoutError:
+            raise PlatformError("no answer in time", step=method.__name__) from None
+
+    return call
+
+
+def _copy_result(task: asyncio.Task[T], future: asyncio.Future[T]) -> None:
+    if future.done() or task.cancelled():
+        return
+    if task.exception() is not None:
+        future.set_exception(task.exception())
+    else:
+        future.set_result(task.result())
+
+
 class FakePlatform:
     """Versioned objects that all clients of one test share.
 
     Faults are plain attributes: ``down`` refuses calls, ``slow_s`` delays each call,
     ``lose_write_answers`` drops that many answers after the write took effect,
     ``lag_version`` answers reads as of that version, and ``cut_hosts`` cannot
-    reach the platform.
+    reach the platform. With a ``loop``, answers are made on that loop, so the one to
+    a paused caller is as old as the pause.
     """
 
     def __init__(self, *, history_count: int = DEFAULT_HISTORY) -> None:
@@ -35,6 +78,7 @@
         self.lose_write_answers = 0
         self.lag_version: int | None = None
         self.cut_hosts: set[str] = set()
+        self.loop: asyncio.AbstractEventLoop | None = None
         self.objects: dict[str, StoredObject] = {}
         self._waiters: set[asyncio.Event] = set()
 
@@ -92,21 +136,25 @@
         self.call_count = 0
         self.timeout_s = 2.0
 
+    @_on_platform
     async def get(self, key: str) -> StoredObject | None:
         await self._begin("get")
         found = self.platform.changes(key, 0)
         exact = [entry for entry in found if entry.key == key and not entry.deleted]
         return exact[0] if exact else None
 
+    @_on_platform
     async def hosts(self) -> list[PlatformHost]:
         await self._begin("hosts")
         return list(self.platform.host_list)
 
+    @_on_platform
     async def list(self, prefix: str | Sequence[str]) -> WatchBatch:
         await self._begin("list")
         platform = self.platform
         return WatchBatch(platform.changes(prefix, 0), platform.visible_version())
 
+    @_on_platform
     async def put(
         self, key: str, value: Any, *, expected_version: int, write_id: str
     ) -> StoredObject:
@@ -116,6 +164,7 @@
         self._answer_write(key)
         return stored
 
+    @_on_platform
     async def delete(self, key: str, *, expected_version: int) -> StoredObject:
         await self._begin("delete")
         self._check(key, expected_version)
@@ -123,6 +172,7 @@
         self._answer_write(key)
         return stored
 
+    @_on_platform
     async def watch(
         self, prefix: str | Sequence[str], *, since: int, timeout_s: float
     ) -> WatchBatch:
@@ -138,7 +188,6 @@
         """Do nothing; there is no connection."""
 
     async def _begin(self, step: str) -> None:
-        self.call_count += 1
         self._check_link(step)
         slow_s = self.platform.slow_s
         if slow_s:
