--- a/src/sesameknot/coordination/bill_writer.py
+++ b/src/sesameknot/coordination/bill_writer.py
@@ -330,7 +330,7 @@
             for holder in list(batch.replicas):
                 if self.is_dead(holder.host_id, holder.incarnation):
                     del batch.replicas[holder]
-            covered = set().union(*(r.bill_ids for r in batch.replicas.values()))
+            covered = batch.covered()
             bare = [b for b in batch.bills.values() if b.bill_id not in covered]
             if bare:
                 await self._copy(batch, bare)
--- a/src/sesameknot/state/bill_book.py
+++ b/src/sesameknot/state/bill_book.py
@@ -63,6 +63,10 @@
         """Key of the platform object."""
         return BILLS_PREFIX + self.batch_id
 
+    def covered(self) -> set[str]:
+        """Return the identifiers of the bills that a replica holds."""
+        return set().union(*(r.bill_ids for r in self.replicas.values()))
+
     def add(self, bills: Iterable[BillRecord]) -> None:
         """Add bills by their identifier."""
         self.bills = merge_bills([*self.bills.values(), *bills])
