Close gaps in the roster history, settle at a quorum, spread writes

Cause: a host that missed a roster version could not tell that it owned a bucket all the time, and owners that had each missed one waited for each other. All hosts had the same backoff seed, and hosts that start together wrote their batches together.

Change: an answer to ClaimSync carries the roster before the one asked about if the requester lacks it. settle() returns at a quorum and goes on in the background. Backoff times and the phase of batch writes depend on the host. A roster that was deleted and made anew does not count as the first one. A bill of a cancelled answer counts over one with unknown outcome.

--- a/src/sesameknot/coordination/_claim_copying.py
+++ b/src/sesameknot/coordination/_claim_copying.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
 
@@ -73,16 +73,24 @@
         Where copies go.
     peers : PeerCaller
         Client for calls to other routers.
+    learn : callable
+        Takes a roster that this host has missed.
     """
 
-    __slots__ = ("custody", "peers", "table")
+    __slots__ = ("custody", "learn", "peers", "table")
 
     def __init__(
-        self, *, custody: Custody, table: ClaimTable, peers: PeerCaller
+        self,
+        *,
+        custody: Custody,
+        table: ClaimTable,
+        peers: PeerCaller,
+        learn: Callable[[ObjectRecord], None],
     ) -> None:
         self.custody = custody
         self.table = table
         self.peers = peers
+        self.learn = learn
 
     async def copy(self, version: int, buckets: Sequence[int]) -> set[int]:
         """Copy buckets that became this host's at ``version``.
@@ -129,7 +137,7 @@
         held_here = self.custody.owns(bucket, previous) and self.custody.held(
             bucket, previous
         )
-        if len(found.holders) + held_here >= intersecting_count(count):
+        if count and len(found.holders) + held_here >= intersecting_count(count):
             if not held_here:
                 # Unsettled registers of an owner that lacked copies are outdated.
                 self.table.forget_unsettled(bucket)
@@ -150,6 +158,9 @@
             host_id=self.custody.host_id,
             roster_version=roster.version,
             buckets=list(buckets),
+            # Without the roster between two that it knows, a host cannot tell that
+            # it owned a bucket all the time.
+            want_previous=not self.custody.knows(roster.previous_version),
         )
         whole = ClaimSyncReply(ready=True)
         try:
@@ -158,6 +169,9 @@
                 if not page.ready:
                     return None
                 _append(whole, page)
+                if page.previous.value:
+                    self.learn(page.previous)
+                    query.want_previous = False
                 if not page.more:
                     return whole
                 last = page.entries[-1]
--- a/src/sesameknot/coordination/_claim_custody.py
+++ b/src/sesameknot/coordination/_claim_custody.py
@@ -100,8 +100,11 @@
             self._pending.pop(bucket, None)
 
     def _start(self, bucket: int, roster: Roster, now_s: float) -> None:
-        if not roster.previous or self._retains(bucket, roster.version):
-            self._held[bucket] = max(roster.version, self._held.get(bucket, 0))
+        # A roster without predecessor is the first one, unless it was deleted and made
+        # anew: then earlier owners may hold claims that it does not name.
+        first = not roster.previous and min(self._rosters) == roster.version
+        if first or self._retains(bucket, roster.version):
+            self.mark_held(bucket, roster.version)
         elif not self.held(bucket, roster.version):
             self._pending.setdefault(bucket, {})[roster.version] = now_s
 
--- a/src/sesameknot/coordination/bill_writer.py
+++ b/src/sesameknot/coordination/bill_writer.py
@@ -6,6 +6,7 @@
 from typing import Any, Literal, Protocol
 
 import structlog
+import xxhash
 
 from sesameknot.clock import Clock
 from sesameknot.coordination._claim_copying import PeerCaller
@@ -215,12 +216,21 @@
         return sum(len(batch.bills) for batch in self.book.unwritten())
 
     async def _run(self) -> None:
+        # Hosts that start together would write together.
+        await asyncio.sleep(self.interval_s * self._phase())
         while True:
-            await asyncio.sleep(self.interval_s)
             try:
                 await self.tick()
             except RouterError as error:
                 log.warning("bill_tick_failed", reason=str(error))
+            except Exception:
+                log.exception("bill_tick_failed")
+            await asyncio.sleep(self.interval_s)
+
+    def _phase(self) -> float:
+        holder = self.book.holder
+        name = f"{holder.host_id}.{holder.incarnation}".encode()
+        return xxhash.xxh3_64_intdigest(name) / 2**64
 
     async def tick(self) -> None:
         """Take over batches of dead hosts, restore copies and write what waits."""
--- a/src/sesameknot/coordination/claim_owner.py
+++ b/src/sesameknot/coordination/claim_owner.py
@@ -13,7 +13,11 @@
 import structlog
 
 from sesameknot.clock import Clock
-from sesameknot.coordination._claim_copying import BucketCopier, PeerCaller
+from sesameknot.coordination._claim_copying import (
+    BucketCopier,
+    PeerCaller,
+    roster_record,
+)
 from sesameknot.coordination._claim_custody import Custody
 from sesameknot.coordination._claim_placement import Placement
 from sesameknot.errors import RouterError
@@ -119,7 +123,10 @@
         self.table = ClaimTable(clock=clock, retention_s=retention_s)
         self._custody = Custody(host_id, incarnation)
         self._copier = BucketCopier(
-            custody=self._custody, table=self.table, peers=peers
+            custody=self._custody,
+            table=self.table,
+            peers=peers,
+            learn=self._learn_from,
         )
         self._lost: set[int] = set()
         self._wake = asyncio.Event()
@@ -153,6 +160,14 @@
             self._wake.set()
         return roster.version, self._custody.placement(roster.version)
 
+    async def answer(self, message: ClaimWrite | ClaimRead | ClaimSettle) -> ClaimReply:
+        """Answer a message of this host."""
+        if isinstance(message, ClaimWrite):
+            return await self.write(message)
+        if isinstance(message, ClaimRead):
+            return await self.read(message)
+        return await self.settle(message)
+
     async def write(self, message: ClaimWrite) -> ClaimReply:
         """Accept a claim unless the register is taken."""
         version, status = self._admit(message.table, message.key, message)
@@ -199,7 +214,11 @@
         roster = self._custody.roster(message.roster_version)
         if not self._custody.is_member(roster.previous):
             return ClaimSyncReply(roster_version=version)
-        return self._page(message, roster.previous_version, version)
+        reply = self._page(message, roster.previous_version, version)
+        if message.want_previous and self._custody.knows(roster.previous_version):
+            previous = self._custody.roster(roster.previous_version)
+            reply.previous = roster_record(previous)
+        return reply
 
     def _learn_from(self, record: ObjectRecord) -> None:
         if not record.value or self._custody.knows(record.version):
@@ -269,7 +288,11 @@
         retry_s = COPY_RETRY_S
         while True:
             self._wake.clear()
-            pending = await self._copy_pending()
+            try:
+                pending = await self._copy_pending()
+            except Exception:
+                log.exception("claim_copy_failed")
+                pending = True
             self.table.expire()
             wait_s = retry_s if pending else EXPIRE_INTERVAL_S
             retry_s = min(COPY_RETRY_LIMIT_S, retry_s * 2) if pending else COPY_RETRY_S
--- a/src/sesameknot/coordination/claims.py
+++ b/src/sesameknot/coordination/claims.py
@@ -2,18 +2,21 @@
 
 import asyncio
 from collections.abc import Coroutine, Sequence
-from dataclasses import dataclass, field
-from typing import Any, Literal
+from typing import Any
 
 import numpy as np
 import structlog
+import xxhash
 
 from sesameknot.clock import Clock
 from sesameknot.coordination._claim_copying import PeerCaller
-from sesameknot.coordination._claim_placement import (
-    intersecting_count,
-    proof_count,
-    quorum_met,
+from sesameknot.coordination._claim_placement import intersecting_count, quorum_met
+from sesameknot.coordination._claim_tally import (
+    ClaimOutcome,
+    Tally,
+    held,
+    settled_result,
+    undecided,
 )
 from sesameknot.coordination.claim_owner import ClaimOwner
 from sesameknot.errors import RouterError
@@ -34,97 +37,9 @@
 RELEASE_TRY_COUNT = 2
 STORED_VALUE_LIMIT_BYTES = 64 * 1024
 
-Status = Literal["claimed", "exists", "done", "unknown", "not-run"]
-
 log = structlog.get_logger(__name__)
 
 
-@dataclass(slots=True, frozen=True)
-class ClaimOutcome:
-    """Result of a claim or of waiting for one.
-
-    Parameters
-    ----------
-    status : {"claimed", "exists", "done", "unknown", "not-run"}
-        ``claimed``: the caller holds the register and may run. ``exists``: another
-        claimant holds it. ``done``: :attr:`value` is the stored response.
-        ``unknown``: whether the key ran is not known. ``not-run``: it provably has not
-        run, and the caller does not hold the register.
-    value : bytes, default=b""
-        Value of the register that stands.
-    claimant : str, default=""
-        Claim attempt that holds the register; settlements name it.
-    reason : str, default=""
-        Why the outcome is ``unknown`` or ``not-run``: ``settled``, ``held``,
-        ``custody-lost``, ``no-quorum`` or ``released``. With ``no-quorum`` this
-        request did not run, but an earlier one with the key may have.
-    """
-
-    status: Status
-    value: bytes = b""
-    claimant: str = ""
-    reason: str = ""
-
-
-@dataclass(slots=True)
-class _Tally:
-    """Answers of the owners to one attempt."""
-
-    owner_count: int
-    accepted: list[RosterMember] = field(default_factory=list)
-    absent_count: int = 0
-    lost_count: int = 0
-    result: ClaimReply | None = None
-    others: list[tuple[RosterMember, ClaimReply]] = field(default_factory=list)
-
-    def add(self, member: RosterMember, reply: ClaimReply, own_prefix: str) -> None:
-        """Count the answer of one owner."""
-        if reply.status == "accepted":
-            self.accepted.append(member)
-        elif reply.status == "absent":
-            self.absent_count += 1
-        elif reply.status == "lost":
-            self.lost_count += 1
-        elif reply.status == "exists":
-            self._add_existing(member, reply, own_prefix)
-
-    def _add_existing(
-        self, member: RosterMember, reply: ClaimReply, own_prefix: str
-    ) -> None:
-        if not reply.claimant:
-            return
-        if reply.state == ClaimState.DONE or (
-            reply.state == ClaimState.UNKNOWN and self.result is None
-        ):
-            self.result = reply
-        elif not own_prefix or not reply.claimant.startswith(own_prefix):
-            self.others.append((member, reply))
-
-    @property
-    def done(self) -> bool:
-        """Whether an owner has the stored response."""
-        return self.result is not None and self.result.state == ClaimState.DONE
-
-    @property
-    def won(self) -> bool:
-        """Whether a quorum accepted the claim."""
-        return quorum_met(self.accepted, self.owner_count)
-
-    @property
-    def proves_absence(self) -> bool:
-        """Whether no other claim has a quorum."""
-        free_count = len(self.accepted) + self.absent_count
-        return self.owner_count > 0 and free_count >= proof_count(self.owner_count)
-
-    def holder(self) -> ClaimReply | None:
-        """Return another claim that a quorum holds."""
-        for _, reply in self.others:
-            members = [m for m, r in self.others if r.claimant == reply.claimant]
-            if quorum_met(members, self.owner_count):
-                return reply
-        return None
-
-
 class Claims:
     """Claim registers with a quorum of their owners under the present roster.
 
@@ -179,7 +94,11 @@
         self.clock = clock
         self.random_state = random_state
         self.call_timeout_s = call_timeout_s
-        self._random = np.random.default_rng(random_state)
+        # Hosts with one seed would collide again after each equal backoff.
+        name = f"{local.host_id}.{local.incarnation}".encode()
+        self._random = np.random.default_rng(
+            [random_state, xxhash.xxh3_64_intdigest(name)]
+        )
         self._next_claim = 1
         self._tasks: set[asyncio.Task[Any]] = set()
         self._warned = False
@@ -218,7 +137,7 @@
                 return outcome
             saw_other = saw_other or bool(tally.others)
             if not await self._backoff(attempt, deadline_s):
-                return _undecided(tally, saw_other)
+                return undecided(tally, saw_other)
 
     async def read(self, table: str, key: str, deadline_s: float) -> ClaimOutcome:
         """Return the state of a register.
@@ -232,17 +151,17 @@
         message = ClaimRead(table=table, key=key, roster_version=version)
         tally = await self._ask_all(members, message, deadline_s, "")
         if tally.result is not None:
-            return _result(tally.result)
+            return settled_result(tally.result)
         holder = tally.holder()
         if holder is None and tally.others and not tally.proves_absence:
             holder = tally.others[0][1]
         if holder is not None:
-            return _held(holder)
+            return held(holder)
         if tally.proves_absence:
             return ClaimOutcome(
                 "not-run", reason="held" if tally.others else "released"
             )
-        return _undecided(tally, saw_other=False)
+        return undecided(tally, saw_other=False)
 
     async def wait_done(self, table: str, key: str, deadline_s: float) -> ClaimOutcome:
         """Wait for the result of another claimant.
@@ -290,7 +209,8 @@
     ) -> bool:
         """Tell the owners the state of a claim and return whether a quorum knows.
 
-        Owners that do not answer are tried again, also after this returns.
+        It returns when a quorum knows. Owners that do not answer are tried again after
+        that.
 
         Parameters
         ----------
@@ -309,9 +229,9 @@
         message = ClaimSettle(
             table=table, key=key, claimant=claimant, state=str(state), value=value
         )
-        return await asyncio.shield(
-            self._spawn(self._settle_all(message, SETTLE_TRY_COUNT))
-        )
+        settled: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._spawn(self._settle_all(message, SETTLE_TRY_COUNT, settled))
+        return await settled
 
     async def close(self) -> None:
         """Cancel calls that are still under way."""
@@ -334,7 +254,7 @@
 
     async def _attempt(
         self, table: str, key: str, claimant: str, value: bytes, deadline_s: float
-    ) -> _Tally:
+    ) -> Tally:
         version, members = self._owners(table, key)
         message = ClaimWrite(
             table=table,
@@ -353,9 +273,9 @@
         message: ClaimWrite | ClaimRead,
         deadline_s: float,
         own_prefix: str,
-    ) -> _Tally:
+    ) -> Tally:
         """Ask all owners; return at a quorum, at a stored response or at the end."""
-        tally = _Tally(len(members))
+        tally = Tally(len(members))
         answers: asyncio.Queue[tuple[RosterMember, ClaimReply | None]] = asyncio.Queue()
         timeout_s = min(self.call_timeout_s, deadline_s - self.clock.monotonic_s())
         for member in members:
@@ -389,7 +309,7 @@
     ) -> ClaimReply | None:
         try:
             if member.host_id == self.local.host_id:
-                return await self._ask_local(message)
+                return await self.local.answer(message)
             return await self.peers.call(
                 member.address,
                 message,
@@ -400,21 +320,12 @@
             log.debug("claim_call_failed", peer=member.host_id, reason=str(error))
             return None
 
-    async def _ask_local(
-        self, message: ClaimWrite | ClaimRead | ClaimSettle
-    ) -> ClaimReply:
-        if isinstance(message, ClaimWrite):
-            return await self.local.write(message)
-        if isinstance(message, ClaimRead):
-            return await self.local.read(message)
-        return await self.local.settle(message)
-
     def _decided(
-        self, tally: _Tally, claimant: str, value: bytes, deadline_s: float
+        self, tally: Tally, claimant: str, value: bytes, deadline_s: float
     ) -> ClaimOutcome | None:
         """Return the outcome that an attempt decides, None to try again."""
         if tally.result is not None:
-            return _result(tally.result)
+            return settled_result(tally.result)
         if tally.won:
             if self.clock.monotonic_s() < deadline_s:
                 return ClaimOutcome("claimed", value, claimant)
@@ -424,7 +335,7 @@
             return ClaimOutcome("not-run", reason="no-quorum")
         holder = tally.holder()
         if holder is not None:
-            return _held(holder)
+            return held(holder)
         if tally.lost_count >= intersecting_count(tally.owner_count):
             return ClaimOutcome("unknown", reason="custody-lost")
         return None
@@ -433,28 +344,39 @@
         message = ClaimSettle(
             table=table, key=key, claimant=claimant, state=ClaimState.RELEASED.value
         )
-        self._spawn(self._settle_all(message, RELEASE_TRY_COUNT))
+        settled: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._spawn(self._settle_all(message, RELEASE_TRY_COUNT, settled))
+
+    async def _settle_all(
+        self, message: ClaimSettle, try_count: int, settled: asyncio.Future[bool]
+    ) -> None:
+        """Tell all owners; ``settled`` tells whether a quorum of them knows."""
+        try:
+            await self._tell_owners(message, try_count, settled)
+        finally:
+            if not settled.done():
+                settled.set_result(False)
 
-    async def _settle_all(self, message: ClaimSettle, try_count: int) -> bool:
+    async def _tell_owners(
+        self, message: ClaimSettle, try_count: int, settled: asyncio.Future[bool]
+    ) -> None:
         told: list[RosterMember] = []
-        owner_count = 0
+
+        async def tell(member: RosterMember, owner_count: int) -> None:
+            if await self._ask(member, message, self.call_timeout_s) is None:
+                return
+            told.append(member)
+            if quorum_met(told, owner_count) and not settled.done():
+                settled.set_result(True)
+
         for attempt in range(1, try_count + 1):
             _, members = self._owners(message.table, message.key)
-            owner_count = len(members)
-            told = [member for member in told if member in members]
+            told[:] = [member for member in told if member in members]
             missing = [member for member in members if member not in told]
-            replies = await asyncio.gather(
-                *(self._ask(m, message, self.call_timeout_s) for m in missing)
-            )
-            told += [
-                member
-                for member, reply in zip(missing, replies, strict=True)
-                if reply is not None
-            ]
-            if len(told) == owner_count:
-                break
+            await asyncio.gather(*(tell(m, len(members)) for m in missing))
+            if len(told) == len(members):
+                return
             await asyncio.sleep(self._backoff_s(attempt))
-        return quorum_met(told, owner_count)
 
     async def _backoff(self, attempt: int, deadline_s: float) -> bool:
         """Sleep before another attempt; return False if the deadline is reached."""
@@ -473,24 +395,3 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
-
-
-def _result(reply: ClaimReply) -> ClaimOutcome:
-    if reply.state == ClaimState.DONE:
-        return ClaimOutcome("done", reply.value, reply.claimant)
-    return ClaimOutcome("unknown", reply.value, reply.claimant, "settled")
-
-
-def _held(reply: ClaimReply) -> ClaimOutcome:
-    return ClaimOutcome("exists", reply.value, reply.claimant, "held")
-
-
-def _undecided(tally: _Tally, saw_other: bool) -> ClaimOutcome:
-    if saw_other:
-        _, reply = tally.others[0] if tally.others else (None, ClaimReply())
-        return ClaimOutcome("unknown", reply.value, reply.claimant, "held")
-    if tally.proves_absence:
-        return ClaimOutcome("not-run", reason="no-quorum")
-    if tally.lost_count:
-        return ClaimOutcome("unknown", reason="custody-lost")
-    return ClaimOutcome("unknown", reason="no-quorum")
--- a/src/sesameknot/protocol/_claims.py
+++ b/src/sesameknot/protocol/_claims.py
@@ -59,7 +59,8 @@
     """Ask for the claims in buckets that the requester owns under a roster.
 
     ``after`` is the ``table/key`` of the last entry of the page before this one. The
-    roster is empty unless the peer answered that it does not know the version.
+    roster is empty unless the peer answered that it does not know the version. With
+    ``want_previous`` the answer carries the roster before it.
     """
 
     host_id: str = ""
@@ -67,6 +68,7 @@
     roster: ObjectRecord = field(default_factory=ObjectRecord)
     buckets: list[int] = field(default_factory=list)
     after: str = ""
+    want_previous: bool = False
 
 
 @message("claimSyncReply")
@@ -85,3 +87,4 @@
     missing_buckets: list[int] = field(default_factory=list)
     lost_buckets: list[int] = field(default_factory=list)
     more: bool = False
+    previous: ObjectRecord = field(default_factory=ObjectRecord)
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -168,6 +168,7 @@
   roster @2 :ObjectRecord;
   buckets @3 :List(UInt16);
   after @4 :Text;
+  wantPrevious @5 :Bool;
 }
 
 struct ClaimSyncReply {
@@ -177,6 +178,7 @@
   missingBuckets @3 :List(UInt16);
   lostBuckets @4 :List(UInt16);
   more @5 :Bool;
+  previous @6 :ObjectRecord;
 }
 
 struct GrantRequest {
--- a/src/sesameknot/state/bill_book.py
+++ b/src/sesameknot/state/bill_book.py
@@ -75,8 +75,9 @@
 def merge_bills(bills: Iterable[BillRecord]) -> dict[str, BillRecord]:
     """Return distinct bills by identifier.
 
-    Of two bills with one identifier, that of an answered request counts over one with
-    unknown outcome, then the earlier one. The result does not depend on the order.
+    Of two bills with one identifier, that of an answered request counts over that of a
+    cancelled one, and both over one with unknown outcome; then the earlier one counts.
+    The result does not depend on the order.
     """
     merged: dict[str, BillRecord] = {}
     for bill in bills:
@@ -87,7 +88,8 @@
 
 
 def _preference(bill: BillRecord) -> tuple[Any, ...]:
-    return (bill.outcome != "answered", bill.wall_ms, astuple(bill))
+    rank = {"answered": 0, "cancelled": 1}.get(bill.outcome, 2)
+    return (rank, bill.wall_ms, astuple(bill))
 
 
 def bills_to_value(bills: Iterable[BillRecord]) -> dict[str, Any]:
--- a/src/sesameknot/state/claim_table.py
+++ b/src/sesameknot/state/claim_table.py
@@ -110,6 +110,9 @@
                 return ClaimAnswer("refused", stands)
             return self._store(table, key, claimant, ClaimState.CLAIMED, value)
         self._touch(table, stands)
+        if stands.claimant == claimant and not stands.value:
+            # The settlement of the claim arrived before the claim.
+            stands.value = value
         same = stands.claimant == claimant and stands.state is ClaimState.CLAIMED
         return ClaimAnswer("accepted" if same else "exists", stands)
 
