--- a/src/sesameknot/coordination/_endpoint_notices.py
+++ b/src/sesameknot/coordination/_endpoint_notices.py
@@ -15,12 +15,15 @@
 # Many requests see the same event; the owner needs to hear of it once.
 NOTICE_INTERVAL_S = 0.5
 
+# A restarting engine breaks its connections before anything else tells of it. Only
+# this host takes that for a cold start; the owner polls.
 STATES = {
+    SlotOutcome.BROKEN: EndpointState.COLD,
     SlotOutcome.COLD: EndpointState.COLD,
     SlotOutcome.LEAVING: EndpointState.LEAVING,
     SlotOutcome.REFUSED: EndpointState.DOWN,
 }
-EVENTS = frozenset({*STATES, SlotOutcome.BROKEN, SlotOutcome.SILENT})
+EVENTS = frozenset({*STATES, SlotOutcome.SILENT})
 
 log = structlog.get_logger(__name__)
 
--- a/src/sesameknot/coordination/grant_holder.py
+++ b/src/sesameknot/coordination/grant_holder.py
@@ -38,6 +38,8 @@
 LINGER_CANCELLED_S = 0.5
 # Without an owner and without evidence for this time, one request goes first.
 WARM_EVIDENCE_S = 1.0
+# Event loops run timers early by up to the resolution of their clock.
+TIMER_SLACK_S = 0.001
 _LINGER_S = {
     SlotOutcome.SILENT: LINGER_SILENT_S,
     SlotOutcome.CANCELLED: LINGER_CANCELLED_S,
@@ -371,7 +373,7 @@
                 self._wake.clear()
                 now_s = self._clock.monotonic_s()
                 for held in self._grants.values():
-                    if held.next_ask_s <= now_s and not held.asking:
+                    if held.next_ask_s <= now_s + TIMER_SLACK_S and not held.asking:
                         held.next_ask_s = math.inf
                         self._background.spawn(self._ask(held))
                 await self._sleep(now_s)
--- a/src/sesameknot/coordination/grant_owner.py
+++ b/src/sesameknot/coordination/grant_owner.py
@@ -262,7 +262,8 @@
                 peer=notice.host_id,
             )
             self.table.infer(notice.endpoint_id, state)
-            self._follow_state(notice.endpoint_id)
+        # The table may also have a new state from a request of this host.
+        self._follow_state(notice.endpoint_id)
         if self._running:
             self._background.spawn(self.poll_one(notice.endpoint_id))
         return Done()
--- /dev/null
+++ b/tests/coordination/simple_grants.py
@@ -0,0 +1,110 @@
+"""Simpler versions of grants, each without one of their rules.
+
+The tests run them to show that the schedules of faults can break the bound.
+"""
+
+import math
+from contextlib import AbstractContextManager
+from unittest import mock
+
+from sesameknot.coordination._endpoint_notices import EndpointNotices
+from sesameknot.coordination._held_grant import HeldGrant
+from sesameknot.coordination.grant_holder import GrantHolder
+from sesameknot.coordination.grant_owner import GrantOwner
+from sesameknot.state.grant_book import GrantBook
+
+
+def holder_ignores_expiry() -> AbstractContextManager:
+    """A holder sends under a grant for as long as it has no newer one."""
+    limit = HeldGrant.limit
+
+    def without_expiry(held, state, now_s, warm_share):
+        if held.seen_number:
+            now_s = -math.inf
+        return limit(held, state, now_s, warm_share)
+
+    return mock.patch.object(HeldGrant, "limit", without_expiry)
+
+
+def successor_does_not_wait() -> AbstractContextManager:
+    """A new owner grants at once."""
+    take_over = GrantOwner._take_over
+
+    def at_once(owner, endpoint_id):
+        owned = take_over(owner, endpoint_id)
+        owned.ready_s = owner._clock.monotonic_s()
+        owned.book.unknown_count = 0
+        return owned
+
+    return mock.patch.object(GrantOwner, "_take_over", at_once)
+
+
+def owner_ignores_staleness() -> AbstractContextManager:
+    """An owner grants also when its roster may be outdated."""
+    start = GrantOwner.__init__
+
+    def never_stale(owner, *args, **options):
+        start(owner, *args, **options | {"stale": lambda: False})
+
+    return mock.patch.object(GrantOwner, "__init__", never_stale)
+
+
+def expiry_frees_slots() -> AbstractContextManager:
+    """The owner gives the slots of an expired grant away, as of a plain lease."""
+    bound_of_others = GrantBook.bound_of_others
+
+    def unexpired_only(book, key):
+        now_s = book._clock.monotonic_s()
+        for other, holder in book._holders.items():
+            holder.issued = [g for g in holder.issued if g.expires_s > now_s]
+            if other != key and not holder.issued:
+                holder.in_flight_count = 0
+        return bound_of_others(book, key)
+
+    return mock.patch.object(GrantBook, "bound_of_others", unexpired_only)
+
+
+def reports_replace_grants() -> AbstractContextManager:
+    """The owner trusts a report also about grants that its sender had not seen."""
+    hear = GrantBook.hear
+
+    def trusting(book, report):
+        if holder := book._holders.get(report.holder):
+            holder.issued.clear()
+            holder.seen_number = 0
+        hear(book, report)
+
+    return mock.patch.object(GrantBook, "hear", trusting)
+
+
+def predecessors_work_is_ignored() -> AbstractContextManager:
+    """A new owner counts only requests that are reported to it."""
+
+    def none_unknown(book, since_s):
+        book.unknown_count = 0
+
+    return mock.patch.object(GrantBook, "forget_unknown_after", none_unknown)
+
+
+def lagging_polls_count_as_present() -> AbstractContextManager:
+    """The owner takes a published load for the present one."""
+    polled = GrantBook.polled
+
+    def as_of_now(book, running_count, sampled_s):
+        polled(book, running_count, book._clock.monotonic_s())
+
+    return mock.patch.object(GrantBook, "polled", as_of_now)
+
+
+def nothing_is_inferred() -> AbstractContextManager:
+    """Routers learn the state of an endpoint only from its owner's polls."""
+    return mock.patch.multiple(
+        GrantHolder,
+        observe=lambda holder, endpoint_id, load: None,
+        first_token=lambda holder, endpoint_id, duration_s: None,
+    )
+
+
+def outcomes_are_ignored() -> AbstractContextManager:
+    """Routers learn nothing from how requests end."""
+    return mock.patch.object(EndpointNotices, "saw", lambda notices, name, seen: None)
