--- a/src/sesameknot/coordination/grant_holder.py
+++ b/src/sesameknot/coordination/grant_holder.py
@@ -108,7 +108,8 @@
             timeout_s=timing.ping_timeout_s,
         )
         self._wake = asyncio.Event()
-        self._changed: set[asyncio.Future[None]] = set()
+        # Waiting callers in the order in which they came.
+        self._changed: dict[asyncio.Future[None], None] = {}
         self._background = BackgroundTasks()
 
     def register(self, server: PeerServer) -> None:
@@ -163,14 +164,14 @@
 
     async def _change(self) -> None:
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._changed.add(future)
+        self._changed[future] = None
         try:
             await future
         finally:
-            self._changed.discard(future)
+            del self._changed[future]
 
     def _notify_change(self) -> None:
-        for future in self._changed:
+        for future in list(self._changed):
             if not future.done():
                 future.set_result(None)
 
