--- a/src/sesameknot/coordination/grant_holder.py
+++ b/src/sesameknot/coordination/grant_holder.py
@@ -38,6 +38,8 @@
 LINGER_CANCELLED_S = 0.5
 # Without an owner and without evidence for this time, one request goes first.
 WARM_EVIDENCE_S = 1.0
+# Event loops run timers early by up to the resolution of their clock.
+TIMER_SLACK_S = 0.001
 _LINGER_S = {
     SlotOutcome.SILENT: LINGER_SILENT_S,
     SlotOutcome.CANCELLED: LINGER_CANCELLED_S,
@@ -106,7 +108,8 @@
             timeout_s=timing.ping_timeout_s,
         )
         self._wake = asyncio.Event()
-        self._changed: set[asyncio.Future[None]] = set()
+        # Waiting callers in the order in which they came.
+        self._changed: dict[asyncio.Future[None], None] = {}
         self._background = BackgroundTasks()
 
     def register(self, server: PeerServer) -> None:
@@ -161,14 +164,14 @@
 
     async def _change(self) -> None:
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._changed.add(future)
+        self._changed[future] = None
         try:
             await future
         finally:
-            self._changed.discard(future)
+            del self._changed[future]
 
     def _notify_change(self) -> None:
-        for future in self._changed:
+        for future in list(self._changed):
             if not future.done():
                 future.set_result(None)
 
@@ -371,7 +374,7 @@
                 self._wake.clear()
                 now_s = self._clock.monotonic_s()
                 for held in self._grants.values():
-                    if held.next_ask_s <= now_s and not held.asking:
+                    if held.next_ask_s <= now_s + TIMER_SLACK_S and not held.asking:
                         held.next_ask_s = math.inf
                         self._background.spawn(self._ask(held))
                 await self._sleep(now_s)
