--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- a/src/sesameknot/experiment/settings.py
+++ b/src/sesameknot/experiment/settings.py
@@ -66,8 +66,6 @@
 
     Parameters
     ----------
-    deployment : {"association", "cooperativa"}
-        Workload.
     trial_count : int, default=200
         Roll-outs of a good and of a bad version each.
     quality_drop, error_rise : float
@@ -80,7 +78,6 @@
         Probability to stop a good version, for all schedules.
     """
 
-    deployment: DeploymentName = "association"
     random_state: Count = 1
     trial_count: PositiveCount = 200
     requests_per_s: Annotated[float, Meta(gt=0.0)] = 20.0
--- a/src/sesameknot/policy/rollout_ramp.py
+++ b/src/sesameknot/policy/rollout_ramp.py
@@ -31,8 +31,10 @@
     callers meet a bad version until the test stops it.
     """
 
-    # Log-likelihood ratio that allows growth; 0 would let a version grow whose errors
-    # have not shown yet.
+    # Log-likelihood ratio that allows growth. With 0, versions grew whose errors had
+    # not shown yet: 6.9 instead of 2.8 callers met a version with 5% more errors. After
+    # the idle time 0 is enough, because few callers with few requests would otherwise
+    # keep a roll-out undecided for hours.
     GROWTH_LLR = -1.0
 
     __slots__ = (
@@ -82,8 +84,8 @@
             grows = idle
         else:
             rated = new.rating_count - self._rating_count >= self.growth_ratings
-            leaning = self.test.leaning(new, stable)
-            grows = (rated or idle) and leaning <= self.GROWTH_LLR
+            limit = self.GROWTH_LLR if rated else 0.0
+            grows = (rated or idle) and self.test.leaning(new, stable) <= limit
         if grows:
             self._share = min(self.step_share, self._share * self.growth_factor)
             self._request_count = new.request_count
