--- a/tests/policy/test_choices.py
+++ b/tests/policy/test_choices.py
@@ -129,6 +129,42 @@
                 views = [EndpointView(f"e{i}", 16, i) for i in range(size)]
                 self.assertTrue(choice.choose(views, RequestShape(100)) in views)
 
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 20), st.floats(0.0, 4.0), st.integers(0, 16)),
+            min_size=1,
+            max_size=3,
+        ),
+        st.integers(0, 3),
+    )
+    def test_few_endpoints_are_compared_exactly(self, loads, cached):
+        """Guards against a sample that misses the best of few endpoints."""
+        views = [
+            EndpointView(f"e{i}", 16, load, 0, age_s, min(own, load), cached_tokens=n)
+            for i, (load, age_s, own) in enumerate(loads)
+            for n in [400 if i == cached else 0]
+        ]
+        choice = ENDPOINT_CHOICES.get("adaptive")(
+            random_generator=np.random.default_rng(1)
+        )
+        request = RequestShape(500, 100)
+        times = [choice.load_model.response_s(view, request) for view in views]
+        chosen = choice.load_model.response_s(choice.choose(views, request), request)
+        self.assertThat(chosen, Equals(min(times)))
+
+    def test_a_cached_prefix_counts_until_the_endpoint_is_busy(self):
+        """Guards against sessions that pile up on one endpoint for its cache."""
+        choice = ENDPOINT_CHOICES.get("adaptive")(
+            random_generator=np.random.default_rng(1)
+        )
+        for load, expected in ((2, "e0"), (14, "e1")):
+            views = [
+                EndpointView("e0", 16, load, cached_tokens=6000),
+                EndpointView("e1", 16, 1),
+            ]
+            chosen = choice.choose(views, RequestShape(8000, 100))
+            self.assertThat(chosen.endpoint_id, Equals(expected))
+
     def test_own_requests_count_until_a_report_holds_them(self):
         """Guards against a burst that follows one stale report to one endpoint."""
         choice = ENDPOINT_CHOICES.get("adaptive")(
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -20,6 +20,7 @@
 from sesameknot.policy.rollout_ramp import RolloutRamp
 from sesameknot.policy.rollout_test import RolloutTest, Verdict, VersionSample
 from sesameknot.policy.rollout_watch import RolloutWatch
+from sesameknot.policy.token_bucket import TokenBuckets
 
 
 def _admission(seed=1):
@@ -81,6 +82,26 @@
         self.assertThat(ranks.rank(float(probe)), Equals((below, not_above)))
 
 
+class TokenBucketsTest(TestCase):
+    @given(st.lists(st.floats(0.0, 3.0), max_size=200), st.floats(0.2, 20.0))
+    def test_no_interval_exceeds_rate_and_burst(self, pauses_s, rate_per_s):
+        """Guards against a bucket that saves up more than its burst."""
+        clock = ManualClock()
+        buckets = TokenBuckets(clock=clock, burst_s=2.0)
+        burst = max(1.0, 2.0 * rate_per_s)
+        taken_s = []
+        for pause_s in pauses_s:
+            clock.advance(pause_s)
+            wait_s = buckets.wait_s("c", rate_per_s)
+            if buckets.take("c", rate_per_s):
+                self.assertThat(wait_s, Equals(0.0))
+                taken_s.append(clock.monotonic_s())
+        for first in range(len(taken_s)):
+            for last in range(first, len(taken_s)):
+                most = burst + rate_per_s * (taken_s[last] - taken_s[first])
+                self.assertThat(last - first + 1, LessThan(most + 1e-6))
+
+
 class RetryBudgetTest(TestCase):
     @given(st.lists(st.booleans(), max_size=300))
     def test_retries_stay_within_the_ratio(self, steps):
