Count routers that are not in the roster yet

Cause: a trial run reported 'in force on 1 of 1 hosts' right after start, while two more routers served requests; the roster takes one member at a time.

Change: the routers that a change must reach are the roster's members, the members they know, and the listed routers that answer; dead and leaving ones are left out.

Figures: test_a_router_that_is_not_in_the_roster_yet_counts fails without the change.

--- a/src/sesameknot/operator/discovery.py
+++ b/src/sesameknot/operator/discovery.py
@@ -69,12 +69,14 @@
     """
     roster = await read_roster(platform)
     members = await read_members(peer, roster) if peer else {}
-    live = [
-        member.host_id
-        for member in roster.members
-        if member.host_id not in members
-        or members[member.host_id].state not in GONE_STATES
-    ]
+    # A router serves requests before it joins the roster, which takes one member at a
+    # time, and while it is suspected.
+    names = {member.host_id for member in roster.members} | members.keys()
+    live = sorted(
+        name
+        for name in names
+        if name not in members or members[name].state not in GONE_STATES
+    )
     found = [members[host_id].http_address for host_id in live if host_id in members]
     return Targets(
         addresses=tuple(dict.fromkeys([*addresses, *filter(None, found)])),
--- a/src/sesameknot/operator/fleet.py
+++ b/src/sesameknot/operator/fleet.py
@@ -47,8 +47,8 @@
     addresses : tuple of str
         HTTP addresses to push to and poll.
     host_ids : tuple of str
-        Live routers of the roster; empty if there is no roster, and then the
-        routers at ``addresses`` count.
+        Live routers of the roster and of its members' lists. Routers at
+        ``addresses`` count too if they answer, or if no live router is known.
     """
 
     addresses: tuple[str, ...] = ()
@@ -197,10 +197,13 @@
                 self._leaving.add(status.host_id)
 
     def result(self) -> InForce:
-        names = self._targets.host_ids or [
-            self._host_by_address.get(address, address)
-            for address in self._targets.addresses
-        ]
+        names = [*self._targets.host_ids, *self._host_by_address.values()]
+        if not self._targets.host_ids:
+            names += [
+                address
+                for address in self._targets.addresses
+                if address not in self._host_by_address
+            ]
         # A leaving router takes no new work, so nothing needs to be in force there.
         expected = {
             name
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -123,6 +123,25 @@
             report.lines[-1], Equals("in force on 1 of 2 hosts, missing: h9")
         )
 
+    @gen_test
+    async def test_a_router_that_is_not_in_the_roster_yet_counts(self):
+        """Guards against "in force" while a router that just started is old."""
+        self.router("h1")
+        self.router("h2", deaf=True)
+        member = RosterMember("h1", 1, "127.0.0.1:1", "r", "d")
+        self.core.table.put(
+            "roster/main",
+            Roster(members=(member,)).to_value(),
+            expected_version=0,
+            write_id="w",
+        )
+        report = await self.run_ctl(
+            f"apply {self.write(FEED)}", self.context(wait_s=0.0)
+        )
+        self.assertThat(
+            report.lines[-1], Equals("in force on 1 of 2 hosts, missing: h2")
+        )
+
     @gen_test
     async def test_unchanged_teams_are_not_written(self):
         """Guards against writes that use up the platform's limit."""
