--- a/src/sesameknot/apps/static/screen.js
+++ b/src/sesameknot/apps/static/screen.js
@@ -90,7 +90,7 @@
   const complete = row.state === "complete";
   const done = complete || index < row.step;
   const present = !complete && row.state !== "planned" && index === row.step;
-  const sign = done ? "\u2713 " : present ? "\u25B6 " : "";
+  const sign = done ? "\u2713 " : present ? ROLLOUT_SIGNS[row.state][0] + " " : "";
   const name = "step" + (done ? " done" : "") + (present ? " present" : "");
   return element("div", name, sign + percent(share));
 }
--- a/src/sesameknot/operator/_fleet_commands.py
+++ b/src/sesameknot/operator/_fleet_commands.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 
+from sesameknot.errors import PlatformError
 from sesameknot.operator._registry import command
 from sesameknot.operator._rollout_commands import read_rollouts, rollout_lines
 from sesameknot.operator.context import OperatorContext
 from sesameknot.operator.discovery import find_targets, read_members, read_roster
 from sesameknot.operator.fleet import RouterAnswer
-from sesameknot.operator.results import Report, table
+from sesameknot.operator.results import ExitCode, Report, table
 from sesameknot.protocol.messages import MemberInfo
 from sesameknot.protocol.objects import (
     DOMAINS_PREFIX,
@@ -20,7 +21,32 @@
 
 @command("status", "")
 async def status(context: OperatorContext, arguments: list[str]) -> Report:
-    """Show settings, domains, withdrawals, roll-outs and routers."""
+    """Show settings, domains, withdrawals, roll-outs and routers.
+
+    While the platform is down, the routers that the operator listed are shown.
+    """
+    try:
+        report = await _platform_status(context)
+        targets = await find_targets(
+            context.platform, context.fleet.peer, context.fleet.addresses
+        )
+        addresses = targets.addresses
+    except PlatformError as error:
+        report = Report(
+            lines=[f"error: {error}"],
+            value={"errors": [str(error)]},
+            exit_code=ExitCode.PLATFORM_UNAVAILABLE,
+        )
+        addresses = context.fleet.addresses
+    answers = await context.fleet.statuses(addresses)
+    return dataclasses.replace(
+        report,
+        lines=report.lines + _router_lines(answers),
+        value={**report.value, "routers": [_router_value(a) for a in answers]},
+    )
+
+
+async def _platform_status(context: OperatorContext) -> Report:
     teams = await _read(context, SETTINGS_PREFIX)
     domains = await _read(context, DOMAINS_PREFIX)
     withdrawn = [
@@ -29,15 +55,10 @@
         if is_withdrawn(stored.value)
     ]
     rollouts = await read_rollouts(context)
-    targets = await find_targets(
-        context.platform, context.fleet.peer, context.fleet.addresses
-    )
-    answers = await context.fleet.statuses(targets.addresses)
     lines = [f"team {_name(o)}: version {o.version}, {o.write_id}" for o in teams]
     lines += [f"domain {_name(o)}: {o.value['state']}" for o in domains]
     lines += [f"withdrawn: {_name(o)}" for o in withdrawn]
     lines += rollout_lines(rollouts) if rollouts else []
-    lines += _router_lines(answers)
     return Report(
         lines=lines,
         value={
@@ -45,7 +66,6 @@
             "domains": {_name(o): o.value["state"] for o in domains},
             "withdrawn": [_name(o) for o in withdrawn],
             "rollouts": [rollout.to_value() for rollout in rollouts],
-            "routers": [_router_value(answer) for answer in answers],
         },
     )
 
--- a/src/sesameknot/settings/loader.py
+++ b/src/sesameknot/settings/loader.py
@@ -46,6 +46,8 @@
     """
     settings = convert(value, TeamSettings, place=place)
     faults = check_team(settings)
+    for fault in faults:
+        fault.step = f"{place} {fault.step}"
     if faults:
         raise ExceptionGroup(f"{place}: {len(faults)} invalid settings", faults)
     return settings
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -230,6 +230,15 @@
             report.lines, Equals(["error: list in-process: connection closed"])
         )
 
+    @gen_test
+    async def test_status_shows_the_routers_while_the_platform_is_down(self):
+        """Guards against operators who see nothing during an outage."""
+        self.router("h1")
+        self.core.switch(outage="refuse")
+        report = await self.run_ctl("status")
+        self.assertThat(report.exit_code, Equals(ExitCode.PLATFORM_UNAVAILABLE))
+        self.assertThat(report.lines[-1], Contains("h1"))
+
     @gen_test
     async def test_wrong_settings_are_refused_with_their_places(self):
         """Guards against a forbidden cascade or a misspelt key reaching routers."""
@@ -242,7 +251,7 @@
         report = await self.run_ctl(f"apply {self.directory}")
         self.assertThat(report.exit_code, Equals(ExitCode.INVALID_SETTINGS))
         self.assertThat(report.lines, HasLength(2))
-        self.assertThat(report.lines[0], Contains("$.customers[0].cascade"))
+        self.assertThat(report.lines[0], Contains("feed.yaml $.customers[0].cascade"))
         self.assertThat(report.lines[0], Contains("'large'"))
         self.assertThat(report.lines[1], Contains("`modles`"))
         self.assertThat(self.core.table.version, Equals(0))
