Add TLS flags to the tools and clear alarms of past roll-outs

Cause: the tools could not ask routers for members where peers use TLS, and the alarm of a stopped roll-out stayed on the wall for good.

Change: certificate, key and authority flags; stopped and complete roll-outs leave the screen when their entry leaves the settings; a complete one gives a notice until then. The unused HTTPS option of RouterFleet is gone, because routers serve operators over plain HTTP.

--- a/src/sesameknot/apps/ctl.py
+++ b/src/sesameknot/apps/ctl.py
@@ -14,6 +14,7 @@
 
 from absl import app, flags
 
+from sesameknot.apps._tls_flags import peer_context
 from sesameknot.clock import SystemClock
 from sesameknot.errors import RouterError
 from sesameknot.operator.commands import parse_base, run_command, usage_lines
@@ -66,7 +67,7 @@
         _ROUTERS.value,
         clock=clock,
         token=_read_token(_OPERATOR_TOKEN.value),
-        peer=PeerClient(f"ctl-{operator}", clock=clock),
+        peer=PeerClient(f"ctl-{operator}", clock=clock, tls=peer_context()),
     )
     context = OperatorContext(
         platform=platform,
--- a/src/sesameknot/apps/screen.py
+++ b/src/sesameknot/apps/screen.py
@@ -14,8 +14,10 @@
 from tornado.web import Application, RequestHandler, StaticFileHandler
 
 from sesameknot.apps._logging import configure_logging
+from sesameknot.apps._tls_flags import peer_context
 from sesameknot.clock import SystemClock
 from sesameknot.coordination.router_view import RouterView
+from sesameknot.errors import SettingsError
 from sesameknot.operator.fleet import RouterFleet
 from sesameknot.operator.screen import ScreenPoller, ScreenTargets
 from sesameknot.transport.peer_client import PeerClient
@@ -83,7 +85,7 @@
 def _make_poller(stack: contextlib.ExitStack) -> ScreenPoller:
     clock = SystemClock()
     token = Path(_TOKEN.value).read_text().strip() if _TOKEN.value else ""
-    peer = PeerClient("screen", clock=clock)
+    peer = PeerClient("screen", clock=clock, tls=peer_context())
     fleet = RouterFleet(_ROUTERS.value, clock=clock, token=token, peer=peer)
     stack.callback(fleet.close)
     return ScreenPoller(
@@ -125,7 +127,7 @@
     configure_logging("info")
     try:
         asyncio.run(_serve())
-    except OSError as error:
+    except (OSError, SettingsError) as error:
         print(f"error: {error}", file=sys.stderr)
         return USAGE_EXIT_CODE
     return 0
--- a/src/sesameknot/coordination/_engine_loading.py
+++ b/src/sesameknot/coordination/_engine_loading.py
@@ -103,7 +103,7 @@
 
     async def finish(self) -> None:
         """Wait for orders that were sent."""
-        await asyncio.gather(*self._tasks.values())
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
 
     def cancel(self) -> None:
         """Drop orders that wait to be sent."""
--- a/src/sesameknot/operator/_screen_alarms.py
+++ b/src/sesameknot/operator/_screen_alarms.py
@@ -4,6 +4,7 @@
 
 from sesameknot.operator._screen_facts import ScreenFacts
 from sesameknot.operator.screen_state import Alarm, ScreenState
+from sesameknot.protocol.rollout_object import rollout_key
 from sesameknot.registry import Registry
 
 Rule = Callable[[ScreenFacts, ScreenState], Iterable[Alarm]]
@@ -14,6 +15,7 @@
 NAME_LIMIT_COUNT = 6
 # Requests in the window below which an error share says little.
 ERROR_SAMPLE_COUNT = 20
+ROLLOUT_LEVELS = {"stopped": "warning", "paused": "notice", "complete": "notice"}
 LEVELS = ("critical", "warning", "notice")
 
 
@@ -92,23 +94,18 @@
 
 @RULES.register("rollouts")
 def _rollouts(facts: ScreenFacts, state: ScreenState) -> Iterator[Alarm]:
-    for rollout in facts.rollouts():
-        name = f"{rollout.team} {rollout.name}"
-        if rollout.key in facts.unattended:
+    for row in state.rollouts:
+        name = f"{row.team} {row.name}"
+        if rollout_key(row.team, row.name) in facts.unattended:
             yield Alarm(
                 level="warning",
                 code="rollout-unattended",
                 text=f"{name}: no controller works on it",
             )
-        if rollout.state == "stopped":
+        level = ROLLOUT_LEVELS.get(row.state)
+        if level is not None:
             yield Alarm(
-                level="warning",
-                code="rollout-stopped",
-                text=f"{name}: {rollout.reason}",
-            )
-        if rollout.state == "paused":
-            yield Alarm(
-                level="notice", code="rollout-paused", text=f"{name}: {rollout.reason}"
+                level=level, code=f"rollout-{row.state}", text=f"{name}: {row.reason}"
             )
 
 
--- a/src/sesameknot/operator/_screen_rows.py
+++ b/src/sesameknot/operator/_screen_rows.py
@@ -11,6 +11,7 @@
     TargetRow,
     VersionRow,
 )
+from sesameknot.protocol.rollout_object import ACTIVE_STATES
 from sesameknot.settings.tree import ModelSettings
 
 FRESH = "fresh"
@@ -59,6 +60,9 @@
     rows = []
     for rollout in facts.rollouts():
         plan = plans.get((rollout.team, rollout.name))
+        if plan is None and rollout.state not in ACTIVE_STATES:
+            # Operators removed the entry of a roll-out that is over.
+            continue
         row = traffic.get((rollout.team, rollout.model, rollout.to_version))
         rows.append(
             RolloutRow(
--- a/src/sesameknot/operator/fleet.py
+++ b/src/sesameknot/operator/fleet.py
@@ -1,7 +1,6 @@
 """Calls to the routers' HTTP endpoints for operators."""
 
 import asyncio
-import ssl
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -66,8 +65,6 @@
         Source of monotonic time.
     token : str, default=""
         Operator token.
-    tls : ssl.SSLContext or None, default=None
-        Context for HTTPS; None uses HTTP.
     peer : PeerClient or None, default=None
         Asks routers for members; None leaves ``addresses`` as the only routers.
     """
@@ -78,14 +75,12 @@
         *,
         clock: Clock,
         token: str = "",
-        tls: ssl.SSLContext | None = None,
         peer: PeerClient | None = None,
     ) -> None:
         self.addresses = tuple(addresses)
         self.token = token
         self.peer = peer
         self._clock = clock
-        self._tls = tls
         self._http = SimpleAsyncHTTPClient(
             force_instance=True, max_clients=CONCURRENT_CALL_COUNT
         )
@@ -144,15 +139,13 @@
     async def _call(
         self, address: str, path: str, *, body: bytes | None = None
     ) -> bytes:
-        scheme = "https" if self._tls else "http"
         request = HTTPRequest(
-            f"{scheme}://{address}{path}",
+            f"http://{address}{path}",
             method="GET" if body is None else "POST",
             body=body,
             headers={"Authorization": f"Bearer {self.token}"} if self.token else {},
             connect_timeout=CALL_TIMEOUT_S,
             request_timeout=CALL_TIMEOUT_S,
-            ssl_options=self._tls,
         )
         try:
             return (await self._http.fetch(request)).body
--- a/tests/coordination/test_rollout_runner.py
+++ b/tests/coordination/test_rollout_runner.py
@@ -159,6 +159,19 @@
         await tick(again)
         self.assertThat(world.rollout.fence, Equals(2))
 
+    @asynchronous
+    async def test_a_later_member_begins_when_the_first_ones_do_not(self):
+        """Guards against a roll-out that waits for a controller that is not there."""
+        world = World()
+        *_, third = by_rank(world)
+        await tick(third)
+        world.clock.advance(2 * LEASE_S - 0.1)
+        await tick(third)
+        self.assertThat(world.rollout.holder, Equals(""))
+        world.clock.advance(0.2)
+        await tick(third)
+        self.assertThat(world.rollout.holder, Equals(third.host_id))
+
     @asynchronous
     async def test_a_released_rollout_is_taken_at_once(self):
         """Guards against a planned stop that costs a lease."""
--- a/tests/operator/test_screen.py
+++ b/tests/operator/test_screen.py
@@ -29,11 +29,13 @@
 
     def __init__(self):
         self.objects = {}
+        self.version = 0
         self.hosts = []
         self.cut = False
 
     def put(self, key, value):
-        version = len(self.objects) + 1
+        self.version += 1
+        version = self.version
         self.objects[key] = StoredObject(key, version, value)
 
     async def refresh(self):
@@ -197,6 +199,12 @@
         self.assertThat(
             await self.codes(), Equals({"withdrawn-traffic", "rollout-unattended"})
         )
+        stopped = dataclasses.replace(rollout, state="stopped")
+        self.source.put(rollout.key, stopped.to_value())
+        self.source.put("settings/feed", team_value())
+        self.assertThat(await self.codes(), Contains("rollout-stopped"))
+        self.source.put("settings/feed", {**team_value(), "rollouts": []})
+        self.assertThat(await self.codes(), Equals({"withdrawn-traffic"}))
 
     @gen_test
     async def test_the_page_is_served_without_outside_resources(self):
