Report the teams that were written before an outage

Cause: an outage between two teams of one apply ended it without a report or a push of the first, which was accepted.

A roll-out that operators stop has share 0.

Figures: test_an_outage_between_two_teams_reports_the_first fails without the change.

Conclusion: tests of this part pass.

--- a/src/sesameknot/operator/_rollout_commands.py
+++ b/src/sesameknot/operator/_rollout_commands.py
@@ -239,6 +239,7 @@
     return dataclasses.replace(
         present,
         state=state,
+        share=0.0 if state == "stopped" else present.share,
         reason=f"{state} by {context.operator}",
         updated_wall_ms=context.clock.wall_ms(),
     )
--- a/src/sesameknot/operator/_settings_commands.py
+++ b/src/sesameknot/operator/_settings_commands.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sesameknot.errors import ConflictError
+from sesameknot.errors import ConflictError, PlatformError
 from sesameknot.operator._changes import finish, write
 from sesameknot.operator._diff import differences
 from sesameknot.operator._registry import command
@@ -103,6 +103,10 @@
             results.append((stored, True))
         except ConflictError as error:
             errors.append(error)
+        except PlatformError as error:
+            # The other teams would wait for the same platform; they are left alone.
+            errors.append(error)
+            break
     report = await finish(context, targets, results)
     if errors:
         raise PartlyAppliedError(report, errors)
@@ -110,7 +114,7 @@
 
 
 class PartlyAppliedError(ExceptionGroup):
-    """Some teams were refused; ``report`` tells of those that were written."""
+    """Some teams were not written; ``report`` tells of those that were."""
 
     def __new__(cls, report: Report, errors: list[Exception]) -> "PartlyAppliedError":
         """Return the group with the report of what was written."""
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -219,6 +219,35 @@
         self.assertThat(report.exit_code, Equals(ExitCode.OUTCOME_UNKNOWN))
         self.assertThat(report.lines[0], Contains("may or may not have taken effect"))
 
+    @gen_test
+    async def test_an_outage_between_two_teams_reports_the_first(self):
+        """Guards against a written team that is neither reported nor spread."""
+        router = self.router("h1")
+        self.write(FEED)
+        self.write({"team": "lace"}, "lace.yaml")
+        context = self.context()
+        put = context.platform.put
+
+        async def put_then_outage(*arguments, **options):
+            stored = await put(*arguments, **options)
+            self.core.switch(outage="refuse")
+            return stored
+
+        context.platform.put = put_then_outage
+        report = await self.run_ctl(f"apply {self.directory}", context)
+        self.assertThat(report.exit_code, Equals(ExitCode.OUTCOME_UNKNOWN))
+        self.assertThat(
+            report.lines[:2],
+            Equals(
+                [
+                    "settings/feed: accepted at version 1",
+                    "in force on 1 of 1 hosts",
+                ]
+            ),
+        )
+        self.assertThat(report.lines[2], Contains("settings/lace"))
+        self.assertThat(router.objects, Contains("settings/feed"))
+
     @gen_test
     async def test_an_outage_gives_one_clear_error(self):
         """Guards against a trace or a hang when the platform is down."""
@@ -333,7 +362,7 @@
         )
         await self.run_ctl("rollout stop feed july")
         value = self.present("rollouts/feed.july").value
-        self.assertThat(value["state"], Equals("stopped"))
+        self.assertThat((value["state"], value["share"]), Equals(("stopped", 0.0)))
         withdrawal = self.present("withdrawals/feed.small.v2")
         self.assertThat(withdrawal.value, Equals({"withdrawn": True}))
         self.assertThat(
