Prove bookings, bills, answers and crashing requests with separate processes

Cause: a request that crashed two endpoints ran on two more when its caller resent it through another host at once. The crash count travelled with the next heartbeat, up to a second later.

Ruled out: fingerprints that differ between hosts (they are equal), counts that are lost in the merge (they arrive).

Change: a host tells its peers as soon as it records a crash, before it answers the caller. New tests kill a router under open bookings, freeze one, lose an answer, kill a router with unwritten bills during a platform outage, and kill an endpoint under streams.

--- a/src/sesameknot/_wiring_requests.py
+++ b/src/sesameknot/_wiring_requests.py
@@ -92,6 +92,7 @@
         client=parts.endpoint_client,
         budget=RetryBudget(settings.requests.retry_ratio),
         crash_guard=parts.crash_guard,
+        announce=parts.membership.announce,
         settings=settings.requests,
         clock=clock,
         metrics=metrics,
--- a/src/sesameknot/coordination/membership.py
+++ b/src/sesameknot/coordination/membership.py
@@ -47,6 +47,7 @@
 PINGS_FEW_HOSTS = 3
 INDIRECT_PINGS = 2
 LEAVE_ANNOUNCEMENTS = 8
+ANNOUNCEMENT_LIMIT = 27
 CONTACTS_ALONE = 8
 
 # A dead host is remembered so long that a paused one learns of its death on waking.
@@ -169,8 +170,19 @@
         self._change_self(
             sequence=self._self.sequence + 1, state=MemberState.LEAVING.value
         )
+        return await self._announce(LEAVE_ANNOUNCEMENTS)
+
+    async def announce(self) -> int:
+        """Send what pings carry to peers now; return how many acknowledged.
+
+        All peers of a small deployment are told, and some of a large fleet, from
+        which the news spreads with the heartbeats.
+        """
+        return await self._announce(ANNOUNCEMENT_LIMIT)
+
+    async def _announce(self, limit: int) -> int:
         peers = self._table.in_state(LIVE_STATES)
-        chosen = sample(self.random_state, peers, LEAVE_ANNOUNCEMENTS)
+        chosen = sample(self.random_state, peers, limit)
         answers = await asyncio.gather(*(self._ping(m.address) for m in chosen))
         return sum(answer is not None for answer in answers)
 
--- a/src/sesameknot/router/attempts.py
+++ b/src/sesameknot/router/attempts.py
@@ -1,6 +1,6 @@
 """Rules for attempts: what permits one, what a failure means, who may follow."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import structlog
@@ -68,6 +68,8 @@
         Bounds retries of attempts that were sent.
     crash_guard : CrashGuard
         Counts the endpoints that a request took down.
+    announce : callable
+        Tells peers at once what this host learnt about crashing requests.
     settings : RequestSettings
         Timeouts.
     clock : Clock
@@ -83,6 +85,7 @@
         client: EndpointClient,
         budget: RetryBudget,
         crash_guard: CrashGuard,
+        announce: Callable[[], Awaitable[object]],
         settings: RequestSettings,
         clock: Clock,
         metrics: RouterMetrics,
@@ -91,6 +94,7 @@
         self._client = client
         self._budget = budget
         self._crash_guard = crash_guard
+        self._announce = announce
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
@@ -166,6 +170,8 @@
             return Failure(error, True, SlotOutcome.SILENT)
         if isinstance(error, TransportError) and await self._went_down(picked):
             self._crash_guard.record(call.fingerprint, picked.endpoint.endpoint_id)
+            # The caller may resend through another host as soon as it has its answer.
+            await self._announce()
         return Failure(error, True, SlotOutcome.BROKEN)
 
     async def _went_down(self, picked: Picked) -> bool:
--- /dev/null
+++ b/tests/system/test_whole_path.py
@@ -0,0 +1,312 @@
+"""Separate processes on loopback: what callers get while parts fail."""
+
+import asyncio
+import json
+from collections import Counter
+
+from examples.local_deployment import LocalDeployment, RouterPlace
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, HasLength
+from tornado.httpclient import HTTPClientError, HTTPResponse
+
+from sesameknot.coordination.ledger import LedgerReport, read_ledger
+from sesameknot.protocol.messages import BillRecord
+from sesameknot.standins._answer_text import answer_tokens
+from sesameknot.transport.platform_client import PlatformClient
+from tests.support import eventually
+
+BOOKING = "/services/barge-dispatch/bookings"
+LIMIT_S = 100.0
+
+
+def run(scenario):
+    """Run an asynchronous test to its end."""
+
+    def test(self):
+        asyncio.run(scenario(self))
+
+    test.__doc__ = scenario.__doc__
+    return test
+
+
+async def book(
+    deployment: LocalDeployment,
+    place: RouterPlace,
+    key: str,
+    *,
+    deadline_ms: int = 8000,
+) -> HTTPResponse | None:
+    """Make one booking; None if the connection broke."""
+    try:
+        return await deployment.fetch(
+            f"{place.url}{BOOKING}",
+            method="POST",
+            body=b'{"tonnes": 1}',
+            headers={
+                "Authorization": "Bearer barge-1-token",
+                "Content-Type": "application/json",
+                "Idempotency-Key": key,
+                "X-Deadline-Ms": str(deadline_ms),
+            },
+        )
+    except (OSError, HTTPClientError):
+        return None
+
+
+async def ask(
+    deployment: LocalDeployment, place: RouterPlace, text: str, **headers: str
+) -> HTTPResponse | None:
+    """Send one streamed chat request; None if the connection broke."""
+    try:
+        return await deployment.chat(
+            place,
+            "barge-1-token",
+            {
+                "model": "advisor-small",
+                "stream": True,
+                "max_tokens": 12,
+                "messages": [{"role": "user", "content": text}],
+            },
+            **headers,
+        )
+    except (OSError, HTTPClientError):
+        return None
+
+
+async def executions(deployment: LocalDeployment) -> list[dict]:
+    """Return all executions of all endpoints."""
+    found = []
+    for endpoint_id, url in deployment.endpoint_urls.items():
+        record = await deployment.json(f"{url}/standin/record")
+        for entry in record["executions"]:
+            found.append({**entry, "endpoint_id": endpoint_id})
+    return found
+
+
+async def ledger(deployment: LocalDeployment) -> LedgerReport:
+    """Return the bills on the platform."""
+    platform = PlatformClient(deployment.platform_url)
+    try:
+        return await read_ledger(platform)
+    finally:
+        platform.close()
+
+
+async def until_billed(deployment: LocalDeployment, count: int) -> list[BillRecord]:
+    """Wait until the ledger holds ``count`` bills and return them."""
+    async with asyncio.timeout(LIMIT_S):
+        while True:
+            report = await ledger(deployment)
+            if len(report.bills) >= count:
+                return report.bills
+            await asyncio.sleep(0.2)
+
+
+async def start(deployment: LocalDeployment) -> None:
+    """Apply the sample tree and wait until all routers own their parts."""
+    await deployment.ctl("apply", str(deployment.write_tree()))
+    await deployment.until_ready()
+    async with asyncio.timeout(LIMIT_S):
+        while True:
+            statuses = [
+                await deployment.json(f"{place.url}/operator/status")
+                for place in deployment.routers
+            ]
+            versions = {status["versions"].get("roster/main") for status in statuses}
+            sizes = await deployment.json(
+                f"{deployment.platform_url}/v1/objects/roster/main"
+            )
+            whole = len(sizes["value"]["members"]) == len(deployment.routers)
+            if whole and versions == {sizes["version"]}:
+                return
+            await asyncio.sleep(0.1)
+
+
+class BookingTest(TestCase):
+    @run
+    async def test_bookings_run_at_most_once_when_a_router_is_killed(self):
+        """Guards against a resend through another router that runs a booking again.
+
+        The router that takes the first copy is killed while endpoints delay their
+        answers, so that its claims are open; each key is sent again elsewhere.
+        """
+        async with LocalDeployment(router_count=4) as deployment:
+            await start(deployment)
+            for endpoint_id in ("barge-dispatch-1", "barge-dispatch-2"):
+                await deployment.switch(
+                    deployment.endpoint_urls[endpoint_id],
+                    "delay",
+                    {"count": 10, "before_s": 0.0, "after_s": 0.5},
+                )
+            victim, *others = deployment.routers
+            keys = [f"kill-{number}" for number in range(16)]
+            first = [asyncio.create_task(book(deployment, victim, key)) for key in keys]
+            await eventually(lambda: any(task.done() for task in first))
+            victim.process.kill()
+            await asyncio.gather(*first)
+            second = await asyncio.gather(
+                *(
+                    book(deployment, others[number % len(others)], key)
+                    for number, key in enumerate(keys)
+                )
+            )
+            runs = Counter(entry["key"] for entry in await executions(deployment))
+            self.assertThat([key for key in keys if runs[key] > 1], Equals([]))
+            for key, response in zip(keys, second, strict=True):
+                outcome = response.headers.get("X-Outcome", "")
+                if response.code == 200:
+                    self.assertThat(runs[key], Equals(1), key)
+                elif outcome == "not-run":
+                    self.assertThat(runs[key], Equals(0), key)
+                else:
+                    self.assertThat(outcome, Equals("unknown"), key)
+
+    @run
+    async def test_a_router_that_was_frozen_does_not_run_a_booking_again(self):
+        """Guards against a paused router that wakes and runs what others answered."""
+        async with LocalDeployment(router_count=4) as deployment:
+            await start(deployment)
+            paused, *others = deployment.routers
+            keys = [f"freeze-{number}" for number in range(12)]
+            first = [asyncio.create_task(book(deployment, paused, key)) for key in keys]
+            await asyncio.sleep(0)
+            paused.process.freeze()
+            second = await asyncio.gather(
+                *(
+                    book(deployment, others[number % 3], key)
+                    for number, key in enumerate(keys)
+                )
+            )
+            paused.process.wake()
+            await asyncio.gather(*first)
+            runs = Counter(entry["key"] for entry in await executions(deployment))
+            self.assertThat([key for key in keys if runs[key] > 1], Equals([]))
+            answered = [r for r in second if r is not None and r.code == 200]
+            self.assertThat(len(answered), GreaterThan(0))
+
+    @run
+    async def test_a_lost_answer_is_unknown_and_never_repeated(self):
+        """Guards against calling a booking "not run" after its answer was lost."""
+        async with LocalDeployment(router_count=3) as deployment:
+            await start(deployment)
+            for endpoint_id in ("barge-dispatch-1", "barge-dispatch-2"):
+                await deployment.switch(
+                    deployment.endpoint_urls[endpoint_id], "drop-answer", {"count": 1}
+                )
+            first = await book(deployment, deployment.routers[0], "lost")
+            again = await book(deployment, deployment.routers[1], "lost")
+            runs = [e for e in await executions(deployment) if e["key"] == "lost"]
+            self.assertThat(runs, HasLength(1))
+            for response in (first, again):
+                self.assertThat(response.headers["X-Outcome"], Equals("unknown"))
+            bills = await until_billed(deployment, 1)
+            self.assertThat([bill.outcome for bill in bills], Equals(["unknown"]))
+
+
+class BillTest(TestCase):
+    @run
+    async def test_each_answer_has_one_bill_after_kills_and_an_outage(self):
+        """Guards against bills that die with their host or are written twice.
+
+        One router is killed with bills in memory while the platform is down.
+        """
+        async with LocalDeployment(router_count=4) as deployment:
+            await start(deployment)
+            await deployment.switch(
+                deployment.platform_url, "outage", {"mode": "refuse"}
+            )
+            answers = await asyncio.gather(
+                *(
+                    ask(deployment, deployment.routers[number % 4], f"bill {number}")
+                    for number in range(24)
+                )
+            )
+            whole = {r.headers["X-Request-Id"] for r in answers if r.code == 200}
+            self.assertThat(whole, HasLength(24))
+            deployment.routers[0].process.kill()
+            await deployment.switch(deployment.platform_url, "outage", {"mode": "none"})
+            bills = await until_billed(deployment, 24)
+            self.assertThat({bill.request_id for bill in bills}, Equals(whole))
+            ids = [bill.bill_id for bill in bills]
+            self.assertThat(len(set(ids)), Equals(len(ids)))
+
+
+class AnswerTest(TestCase):
+    @run
+    async def test_a_stream_goes_on_elsewhere_when_its_endpoint_dies(self):
+        """Guards against a caller that gets a cut or a mixed answer."""
+        async with LocalDeployment(
+            router_count=3, endpoint_flags=["--token_s=0.05"]
+        ) as deployment:
+            await start(deployment)
+            asked = [
+                asyncio.create_task(
+                    ask(deployment, deployment.routers[number % 3], f"stream {number}")
+                )
+                for number in range(9)
+            ]
+
+            async def running_at() -> set[str]:
+                found = await executions(deployment)
+                return {e["endpoint_id"] for e in found if e["outcome"] == "running"}
+
+            async with asyncio.timeout(LIMIT_S):
+                while not (busy := await running_at()):
+                    await asyncio.sleep(0.02)
+            victim = sorted(busy)[0]
+            deployment.endpoints[victim].kill()
+            deployment.endpoint_urls.pop(victim)
+            for response in await asyncio.gather(*asked):
+                self.assertThat(response.code, Equals(200), response.body)
+                self.assertThat(_tokens(response), Equals(_expected(response)))
+
+
+def _tokens(response: HTTPResponse) -> list[str]:
+    tokens = []
+    for line in response.body.decode().split("\n\n"):
+        if not line.startswith("data: {"):
+            continue
+        for choice in json.loads(line.removeprefix("data: "))["choices"]:
+            text = choice["delta"].get("content", "")
+            tokens += [text] if text else []
+    return tokens
+
+
+def _expected(response: HTTPResponse) -> list[str]:
+    return answer_tokens(
+        response.headers["X-Request-Id"],
+        response.headers["X-Model"],
+        response.headers["X-Version"],
+        12,
+    )
+
+
+class CrashTest(TestCase):
+    @run
+    async def test_a_request_that_crashes_endpoints_is_refused(self):
+        """Guards against a request that its caller resends until nothing is left."""
+        async with LocalDeployment(router_count=3) as deployment:
+            await start(deployment)
+            for endpoint_id, url in deployment.endpoint_urls.items():
+                if endpoint_id.startswith("knot-advisor"):
+                    await deployment.switch(url, "crash-text", {"text": "poison"})
+            first = await ask(deployment, deployment.routers[0], "poison")
+            self.assertThat(first.code, Equals(422))
+
+            async def refused_at(place: RouterPlace) -> bool:
+                response = await ask(deployment, place, "poison")
+                return response.headers.get("X-Outcome") == "not-run"
+
+            async with asyncio.timeout(LIMIT_S):
+                for place in deployment.routers:
+                    while not await refused_at(place):
+                        await asyncio.sleep(0.1)
+            falls = 0
+            for endpoint_id, url in deployment.endpoint_urls.items():
+                if endpoint_id.startswith("knot-advisor"):
+                    record = await deployment.json(f"{url}/standin/record")
+                    falls += record["fall_count"]
+            before = falls
+            again = await ask(deployment, deployment.routers[1], "poison")
+            self.assertThat(again.code, Equals(422))
+            self.assertThat(before, Equals(2))
