Prove configuration, domains, cold start and replacement with processes

Change: tests in which a host sleeps through a withdrawal, the platform fails right after a commit or answers with old data, a failure domain leaves under load, an endpoint leaves, nine routers share cold endpoints, all routers are replaced under load, and a new host starts while the platform is down.

--- /dev/null
+++ b/tests/system/test_configuration.py
@@ -0,0 +1,219 @@
+"""Separate processes on loopback: changes of configuration while parts fail."""
+
+import asyncio
+
+from examples.local_deployment import LocalDeployment
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
+
+from tests.system.scenario import LIMIT_S, ask, executions, run, start
+
+WITHDRAWN = "withdrawals/feed.advisor-small.v1"
+
+
+async def version_at(deployment: LocalDeployment, index: int, key: str) -> int:
+    """Return the version of an object that a router holds."""
+    url = f"{deployment.routers[index].url}/operator/status"
+    return (await deployment.json(url))["versions"].get(key, 0)
+
+
+async def until_held(deployment: LocalDeployment, index: int, key: str) -> None:
+    """Wait until a router holds an object."""
+    async with asyncio.timeout(LIMIT_S):
+        while not await version_at(deployment, index, key):
+            await asyncio.sleep(0.05)
+
+
+class WithdrawalTest(TestCase):
+    @run
+    async def test_a_host_that_slept_through_a_withdrawal_sends_no_work_to_it(self):
+        """Guards against a woken host that serves with what it knew before."""
+        async with LocalDeployment(router_count=3) as deployment:
+            await start(deployment)
+            sleeper = deployment.routers[2]
+            sleeper.process.freeze()
+            queued = [
+                asyncio.create_task(ask(deployment, sleeper, f"queued {number}"))
+                for number in range(8)
+            ]
+            await deployment.ctl(
+                "--wait_s=0", "withdraw", "feed", "advisor-small", "v1", check=False
+            )
+            for index in (0, 1):
+                await until_held(deployment, index, WITHDRAWN)
+            await asyncio.sleep(4.0)  # beyond the stale limit of 3 s
+            before = len(await executions(deployment))
+            sleeper.process.wake()
+            responses = await asyncio.gather(*queued)
+            for response in responses:
+                used = response.headers.get("X-Version", "")
+                self.assertThat(used == "v1", Equals(False), response.headers)
+            late = (await executions(deployment))[before:]
+            self.assertThat([e for e in late if e["version"] == "v1"], Equals([]))
+
+    @run
+    async def test_a_withdrawal_right_before_an_outage_is_in_force(self):
+        """Guards against a change that waits for the platform to come back.
+
+        The platform goes down as soon as the command has its answer.
+        """
+        async with LocalDeployment(router_count=3) as deployment:
+            await start(deployment)
+            output = await deployment.ctl("withdraw", "feed", "advisor-small", "v1")
+            await deployment.switch(
+                deployment.platform_url, "outage", {"mode": "refuse"}
+            )
+            self.assertThat(output, Contains("in force on 3 of 3 hosts"))
+            await asyncio.sleep(4.0)  # all configuration ages pass the stale limit
+            for place in deployment.routers:
+                response = await ask(deployment, place, "after")
+                self.assertThat(response.code, Equals(200), response.body)
+                self.assertThat(response.headers["X-Version"], Equals("v2"))
+
+    @run
+    async def test_old_data_from_the_platform_never_reverts_a_withdrawal(self):
+        """Guards against a lagging replica of the platform that brings v1 back."""
+        async with LocalDeployment(router_count=3) as deployment:
+            await start(deployment)
+            await deployment.switch(deployment.platform_url, "old_data", {"on": True})
+            await deployment.ctl(
+                "--wait_s=5", "withdraw", "feed", "advisor-small", "v1", check=False
+            )
+            for index in range(3):
+                await until_held(deployment, index, WITHDRAWN)
+            held = [await version_at(deployment, i, WITHDRAWN) for i in range(3)]
+            await deployment.switch(deployment.platform_url, "old_data", {"on": False})
+            await deployment.until_ready()
+            after = [await version_at(deployment, i, WITHDRAWN) for i in range(3)]
+            self.assertThat(after, Equals(held))
+            response = await ask(deployment, deployment.routers[0], "after")
+            self.assertThat(response.headers["X-Version"], Equals("v2"))
+
+
+class DomainTest(TestCase):
+    @run
+    async def test_a_domain_out_gets_no_new_work_and_loses_no_request(self):
+        """Guards against queued requests that are sent to a domain that is out."""
+        async with LocalDeployment(
+            router_count=3, endpoint_flags=["--token_s=0.01"]
+        ) as deployment:
+            await start(deployment)
+            loads = [
+                asyncio.create_task(
+                    ask(deployment, deployment.routers[n % 3], f"domain {n}")
+                )
+                for n in range(120)
+            ]
+            await asyncio.sleep(0.2)
+            output = await deployment.ctl("domain", "out", "burullus")
+            self.assertThat(output, Contains("in force on 3 of 3 hosts"))
+            url = deployment.endpoint_urls["knot-advisor-2"]
+            in_force_s = (await deployment.json(f"{url}/standin/record"))["now_s"]
+            later = [
+                asyncio.create_task(
+                    ask(deployment, deployment.routers[n % 3], f"later {n}")
+                )
+                for n in range(60)
+            ]
+            responses = await asyncio.gather(*loads, *later)
+            codes = {response.code for response in responses}
+            self.assertThat(codes, Equals({200}))
+            record = await deployment.json(f"{url}/standin/record")
+            new = [e for e in record["executions"] if e["start_s"] > in_force_s]
+            self.assertThat(new, Equals([]))
+            self.assertThat(len(record["executions"]), GreaterThan(0))
+
+    @run
+    async def test_a_leaving_endpoint_gets_no_new_work_within_seconds(self):
+        """Guards against sending to an endpoint that announced that it leaves."""
+        async with LocalDeployment(router_count=3) as deployment:
+            await start(deployment)
+            url = deployment.endpoint_urls["knot-advisor-1"]
+            await deployment.switch(url, "leaving", {"leaving": True})
+            left_s = (await deployment.json(f"{url}/standin/record"))["now_s"]
+            for round_number in range(12):
+                responses = await asyncio.gather(
+                    *(
+                        ask(deployment, place, f"leave {round_number}")
+                        for place in deployment.routers
+                    )
+                )
+                self.assertThat({r.code for r in responses}, Equals({200}))
+                await asyncio.sleep(0.3)
+            record = await deployment.json(f"{url}/standin/record")
+            new = [e for e in record["executions"] if e["start_s"] > left_s]
+            self.assertThat(new, Equals([]))
+
+
+class ColdStartTest(TestCase):
+    @run
+    async def test_nine_routers_keep_within_a_cold_endpoints_slots(self):
+        """Guards against one request of each router at an endpoint that bears two."""
+        async with LocalDeployment(
+            router_count=9, endpoint_flags=["--cold_s=8", "--token_s=0.02"]
+        ) as deployment:
+            await start(deployment)
+            responses = await asyncio.gather(
+                *(
+                    ask(deployment, deployment.routers[n % 9], f"cold {n}")
+                    for n in range(54)
+                )
+            )
+            for endpoint_id, url in deployment.endpoint_urls.items():
+                record = await deployment.json(f"{url}/standin/record")
+                self.assertThat(record["fall_count"], Equals(0), endpoint_id)
+                self.assertThat(record["largest_cold_count"], LessThan(5))
+            answered = [r for r in responses if r is not None and r.code == 200]
+            self.assertThat(answered, HasLength(54))
+
+
+class ReplacementTest(TestCase):
+    @run
+    async def test_replacing_all_routers_cuts_no_request(self):
+        """Guards against a planned stop that cuts requests or loses claims."""
+        async with LocalDeployment(
+            router_count=4, endpoint_flags=["--token_s=0.02"]
+        ) as deployment:
+            await start(deployment)
+            up = list(deployment.routers)
+            failures = []
+            stopped = asyncio.Event()
+
+            async def load(worker: int) -> None:
+                number = 0
+                while not stopped.is_set():
+                    place = up[(worker + number) % len(up)]
+                    response = await ask(
+                        deployment, place, f"replace {worker}.{number}"
+                    )
+                    if response is None or response.code != 200:
+                        body = None if response is None else response.body
+                        failures.append((place.host_id, body))
+                    number += 1
+
+            workers = [asyncio.create_task(load(worker)) for worker in range(6)]
+            for place in deployment.routers:
+                up.remove(place)  # what the load balancer does on readiness
+                code = await asyncio.to_thread(place.process.stop)
+                self.assertThat(code, Equals(0))
+                place.process.start()
+                await deployment.until_answers(f"{place.url}/readyz")
+                up.append(place)
+            stopped.set()
+            await asyncio.gather(*workers)
+            self.assertThat(failures, Equals([]))
+
+    @run
+    async def test_a_new_host_serves_while_the_platform_is_down(self):
+        """Guards against a host with empty memory that waits for the platform."""
+        async with LocalDeployment(router_count=4) as deployment:
+            newcomer = deployment.routers[3]
+            await start(deployment)
+            newcomer.process.kill()
+            await deployment.switch(
+                deployment.platform_url, "outage", {"mode": "refuse"}
+            )
+            newcomer.process.start()
+            await deployment.until_answers(f"{newcomer.url}/readyz")
+            response = await ask(deployment, newcomer, "first")
+            self.assertThat(response.code, Equals(200), response.body)
