Test the catalogue, headers, wait queue and drain

Cause: the request path had tests with separate processes only. The tests cover a withdrawal that later settings must not undo, settings that do not parse, header values of any form, the order of waiting requests, and the end of draining.

--- /dev/null
+++ b/tests/router/test_request_parts.py
@@ -0,0 +1,118 @@
+"""Tests of small parts of the request path."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+from tornado.httputil import HTTPHeaders
+
+from sesameknot.errors import RequestError
+from sesameknot.protocol.objects import StoredObject
+from sesameknot.router.call import CallHeaders, read_headers
+from sesameknot.router.catalogue import CatalogueKeeper
+from sesameknot.router.drain import Drain
+from sesameknot.router.wait_queue import WaitQueue
+from sesameknot.state.object_store import ObjectStore
+
+TEAM = {
+    "team": "feed",
+    "customers": [
+        {"name": "barge-1", "token_sha256": "0" * 64, "allow": [{"model": "small"}]}
+    ],
+    "models": [
+        {
+            "name": "small",
+            "versions": [{"name": "v1"}, {"name": "v2"}],
+            "stable_version": "v1",
+        }
+    ],
+}
+
+
+class CatalogueTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = ObjectStore()
+        self.keeper = CatalogueKeeper(self.store)
+        self.store.merge([StoredObject("settings/feed", 1, TEAM)])
+
+    def _versions(self):
+        (customer,) = self.keeper.current.customers.values()
+        return self.keeper.current.usable_versions(customer, "small")
+
+    def test_a_withdrawn_version_is_not_usable(self):
+        """Guards against a withdrawal that settings applied later would undo."""
+        withdrawal = {"withdrawn": True}
+        self.store.merge([StoredObject("withdrawals/feed.small.v1", 2, withdrawal)])
+        self.assertThat(self._versions(), Equals(["v2"]))
+        self.store.merge([StoredObject("settings/feed", 3, TEAM)])
+        self.assertThat(self._versions(), Equals(["v2"]))
+
+    def test_settings_that_do_not_parse_leave_the_last_good_ones(self):
+        """Guards against a bad platform object that takes a team out of service."""
+        self.store.merge([StoredObject("settings/feed", 2, {"team": 7})])
+        self.assertThat(self._versions(), Equals(["v1", "v2"]))
+        self.store.merge([StoredObject("domains/idku", 3, "out")])
+        self.assertThat(self.keeper.current.is_domain_out("idku"), Equals(False))
+
+
+class HeaderTest(TestCase):
+    @given(st.text(max_size=30), st.sampled_from(["X-Priority", "X-Deadline-Ms"]))
+    def test_any_header_value_is_read_or_refused_as_not_run(self, value, name):
+        """Guards against a header that ends in an internal error."""
+        headers = {"Authorization": "Bearer t", name: value}
+        try:
+            read = read_headers(headers, default_deadline_s=30.0)
+        except RequestError as error:
+            self.assertThat((error.status, error.outcome), Equals((400, "not-run")))
+            self.assertThat(error.message, Contains(name))
+        else:
+            self.assertThat(isinstance(read, CallHeaders), Equals(True))
+
+    def test_a_request_without_a_token_is_refused(self):
+        """Guards against work for no customer."""
+        with self.assertRaises(RequestError) as caught:
+            read_headers(HTTPHeaders(), default_deadline_s=30.0)
+        self.assertThat(caught.exception.status, Equals(401))
+
+
+class WaitQueueTest(TestCase):
+    @given(st.lists(st.integers(0, 9), min_size=1, max_size=12))
+    def test_slots_go_to_the_most_urgent_and_then_to_the_first(self, priorities):
+        """Guards against a late request of low priority that passes a waiting one."""
+
+        async def scenario():
+            queue = WaitQueue()
+            served = []
+
+            async def waiter(number, priority):
+                with queue.enter(priority) as turn:
+                    await asyncio.sleep(0)
+                    while not turn.is_first:
+                        await turn.wait(1.0)
+                    served.append((-priority, number))
+
+            async with asyncio.TaskGroup() as group:
+                for number, priority in enumerate(priorities):
+                    group.create_task(waiter(number, priority))
+            return served
+
+        served = asyncio.run(scenario())
+        self.assertThat(served, Equals(sorted(served)))
+
+
+class DrainTest(TestCase):
+    def test_it_is_idle_only_when_no_request_is_left(self):
+        """Guards against a shutdown that cuts the last request."""
+
+        async def scenario():
+            drain = Drain()
+            with drain.request():
+                with drain.request():
+                    pass
+                busy = await drain.wait_idle(0.01)
+            return busy, await drain.wait_idle(0.01)
+
+        self.assertThat(asyncio.run(scenario()), Equals((False, True)))
