--- a/src/sesameknot/coordination/membership.py
+++ b/src/sesameknot/coordination/membership.py
@@ -36,7 +36,6 @@
     LIVE_STATES,
     MemberState,
     MemberTable,
-    must_refute,
     precedence,
 )
 from sesameknot.transport.peer_client import PeerClient
@@ -249,7 +248,7 @@
     # Messages
 
     async def _ping(self, address: str, target: MemberInfo | None = None) -> Ack | None:
-        ping = Ping(**self._content(target))
+        ping = Ping(**self._content(target.host_id if target else ""))
         sent_s = self._clock.monotonic_s()
         timeout_s = self.settings.timing.ping_timeout_s
         try:
@@ -282,10 +281,11 @@
             return False
         return answer.reached
 
-    def _content(self, receiver: MemberInfo | None) -> dict[str, Any]:
+    def _content(self, receiver_id: str) -> dict[str, Any]:
         updates = self._gossip.take(len(self._table) + 1)
-        held = self._table.get(receiver.host_id) if receiver else None
-        if receiver and held and must_refute(held, receiver):
+        held = self._table.get(receiver_id)
+        if held is not None and held.state != MemberState.ALIVE:
+            # The receiver must learn that it is thought dead, or it never refutes.
             updates.append(held)
         return {
             "member": self._self,
@@ -297,7 +297,7 @@
 
     async def _handle_ping(self, ping: Ping) -> Ack:
         self._take(ping, None)
-        return Ack(**self._content(ping.member))
+        return Ack(**self._content(ping.member.host_id))
 
     async def _handle_indirect_ping(self, request: IndirectPing) -> IndirectAck:
         ack = await self._ping(request.target_address)
--- a/src/sesameknot/state/member_table.py
+++ b/src/sesameknot/state/member_table.py
@@ -28,15 +28,6 @@
     return (member.incarnation, member.sequence, _RANKS.get(member.state, -1))
 
 
-def must_refute(held: MemberInfo, announced: MemberInfo) -> bool:
-    """Return whether a host that announces itself must learn what is held of it.
-
-    A host that is thought dead never refutes unless it is told. One that restarted
-    with its clock set back must learn the higher incarnation.
-    """
-    return held.state != MemberState.ALIVE or precedence(held) > precedence(announced)
-
-
 class MemberTable:
     """Keep the winning record of each host."""
 
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -224,6 +224,19 @@
             fleet.world.run_for(15.0)
             self.assertThat(refusals, Equals(set()))
 
+    def test_a_part_without_watchers_elects_its_own_in_time(self):
+        """Guards against waiting for membership to notice a lost watcher."""
+        for seed in range(20, 24):
+            fleet = self._fleet(9, seed=seed)
+            watching = {n for n, h in fleet.hosts.items() if h.replication.is_watcher()}
+            part = [name for name in fleet.names if name not in watching][:3]
+            fleet.world.run_for(float(fleet.world.random.uniform(0.0, 2.0)))
+            fleet.world.cut(part, [n for n in fleet.names if n not in part])
+            refusals = self._watch_refusals(fleet, fleet.names)
+            self._write(fleet, "domains/a")
+            fleet.world.run_for(15.0)
+            self.assertThat(refusals, Equals(set()))
+
     def test_a_new_host_without_the_platform_serves_but_owns_nothing(self):
         """Guards against a host that serves before it has the configuration."""
         fleet = self._fleet(5, seed=8)
