--- a/src/sesameknot/coordination/claim_owner.py
+++ b/src/sesameknot/coordination/claim_owner.py
@@ -141,6 +141,7 @@
 
     def start(self) -> None:
         """Start copying claims after roster changes."""
+        self.observe()
         self._task = asyncio.create_task(self._run())
 
     def close(self) -> None:
