--- a/src/sesameknot/coordination/membership.py
+++ b/src/sesameknot/coordination/membership.py
@@ -47,6 +47,7 @@
 PINGS_FEW_HOSTS = 3
 INDIRECT_PINGS = 2
 LEAVE_ANNOUNCEMENTS = 8
+ANNOUNCEMENT_LIMIT = 27
 CONTACTS_ALONE = 8
 
 # A dead host is remembered so long that a paused one learns of its death on waking.
@@ -169,8 +170,19 @@
         self._change_self(
             sequence=self._self.sequence + 1, state=MemberState.LEAVING.value
         )
+        return await self._announce(LEAVE_ANNOUNCEMENTS)
+
+    async def announce(self) -> int:
+        """Send what pings carry to peers now; return how many acknowledged.
+
+        All peers of a small deployment are told, and some of a large fleet, from
+        which the news spreads with the heartbeats.
+        """
+        return await self._announce(ANNOUNCEMENT_LIMIT)
+
+    async def _announce(self, limit: int) -> int:
         peers = self._table.in_state(LIVE_STATES)
-        chosen = sample(self.random_state, peers, LEAVE_ANNOUNCEMENTS)
+        chosen = sample(self.random_state, peers, limit)
         answers = await asyncio.gather(*(self._ping(m.address) for m in chosen))
         return sum(answer is not None for answer in answers)
 
@@ -204,21 +216,14 @@
         return None
 
     async def _probe(self, member: MemberInfo) -> None:
-        timing = self.settings.timing
-        started_s = self._clock.monotonic_s()
         ack = await self._ping(member.address, member)
         if ack is not None and ack.member.host_id == member.host_id:
             held = self._table.get(member.host_id)
             if held is not None and held.state == MemberState.LEAVING:
                 self._timers.clear(held.host_id)
             return
-        if await self._ping_indirectly(member):
-            return
-        elapsed_s = self._clock.monotonic_s() - started_s
-        if elapsed_s > 2 * (timing.ping_timeout_s + timing.heartbeat_s):
-            # This process was paused; the silence tells nothing about the peer.
-            return
-        self._suspect(member)
+        if not await self._ping_indirectly(member):
+            self._suspect(member)
 
     def _suspect(self, member: MemberInfo) -> None:
         held = self._table.get(member.host_id)
--- a/src/sesameknot/operator/fleet.py
+++ b/src/sesameknot/operator/fleet.py
@@ -1,7 +1,6 @@
 """Calls to the routers' HTTP endpoints for operators."""
 
 import asyncio
-import ssl
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -47,8 +46,8 @@
     addresses : tuple of str
         HTTP addresses to push to and poll.
     host_ids : tuple of str
-        Live routers of the roster; empty if there is no roster, and then the
-        routers at ``addresses`` count.
+        Live routers of the roster and of its members' lists. Routers at
+        ``addresses`` count too if they answer, or if no live router is known.
     """
 
     addresses: tuple[str, ...] = ()
@@ -66,8 +65,6 @@
         Source of monotonic time.
     token : str, default=""
         Operator token.
-    tls : ssl.SSLContext or None, default=None
-        Context for HTTPS; None uses HTTP.
     peer : PeerClient or None, default=None
         Asks routers for members; None leaves ``addresses`` as the only routers.
     """
@@ -78,14 +75,12 @@
         *,
         clock: Clock,
         token: str = "",
-        tls: ssl.SSLContext | None = None,
         peer: PeerClient | None = None,
     ) -> None:
         self.addresses = tuple(addresses)
         self.token = token
         self.peer = peer
         self._clock = clock
-        self._tls = tls
         self._http = SimpleAsyncHTTPClient(
             force_instance=True, max_clients=CONCURRENT_CALL_COUNT
         )
@@ -144,15 +139,13 @@
     async def _call(
         self, address: str, path: str, *, body: bytes | None = None
     ) -> bytes:
-        scheme = "https" if self._tls else "http"
         request = HTTPRequest(
-            f"{scheme}://{address}{path}",
+            f"http://{address}{path}",
             method="GET" if body is None else "POST",
             body=body,
             headers={"Authorization": f"Bearer {self.token}"} if self.token else {},
             connect_timeout=CALL_TIMEOUT_S,
             request_timeout=CALL_TIMEOUT_S,
-            ssl_options=self._tls,
         )
         try:
             return (await self._http.fetch(request)).body
@@ -197,10 +190,13 @@
                 self._leaving.add(status.host_id)
 
     def result(self) -> InForce:
-        names = self._targets.host_ids or [
-            self._host_by_address.get(address, address)
-            for address in self._targets.addresses
-        ]
+        names = [*self._targets.host_ids, *self._host_by_address.values()]
+        if not self._targets.host_ids:
+            names += [
+                address
+                for address in self._targets.addresses
+                if address not in self._host_by_address
+            ]
         # A leaving router takes no new work, so nothing needs to be in force there.
         expected = {
             name
