--- a/src/sesameknot/coordination/grant_holder.py
+++ b/src/sesameknot/coordination/grant_holder.py
@@ -23,12 +23,10 @@
 )
 from sesameknot.protocol.roster import Roster, RosterMember
 from sesameknot.settings.process import TimingSettings
-from sesameknot.state.endpoint_table import EndpointState, EndpointTable, parse_state
+from sesameknot.state.endpoint_table import EndpointTable, parse_state
 from sesameknot.transport.endpoint_client import ObservedLoad
 from sesameknot.transport.peer_server import PeerServer
 
-# Grants of endpoints that were not used for this time are no longer renewed.
-IDLE_S = 5.0
 # Time between two requests for one endpoint while callers wait.
 MIN_ASK_S = 0.1
 UNMET_ASK_S = 0.25
@@ -121,11 +119,17 @@
 
         A refusal counts as demand and asks the owner for more.
         """
+        slot = self._reserve(endpoint_id)
+        if slot is None:
+            held = self._grant(endpoint_id)
+            held.denied_count += 1
+            self._ask_soon(held, held.asked_s + MIN_ASK_S)
+        return slot
+
+    def _reserve(self, endpoint_id: str) -> Slot | None:
         held = self._grant(endpoint_id)
         held.used_s = self._clock.monotonic_s()
         if self.free_count(endpoint_id) <= 0:
-            held.denied_count += 1
-            self._ask_soon(held, held.asked_s + MIN_ASK_S)
             return None
         if held.next_ask_s == math.inf and not held.asking:
             self._ask_soon(held, held.used_s)
@@ -146,16 +150,19 @@
         timeout_s : float
             Longest time to wait.
         """
+        for endpoint_id in endpoint_ids:
+            if slot := self.acquire(endpoint_id):
+                return slot
         held = [self._grant(endpoint_id) for endpoint_id in endpoint_ids]
         for grant in held:
             grant.waiter_count += 1
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
+                    await self._change()
                     for endpoint_id in endpoint_ids:
-                        if slot := self.acquire(endpoint_id):
+                        if slot := self._reserve(endpoint_id):
                             return slot
-                    await self._change()
         except TimeoutError:
             return None
         finally:
@@ -259,9 +266,6 @@
         held = self._grant(endpoint_id)
         in_flight_count = held.in_flight_count(self._clock.monotonic_s())
         wanted_count = len(held.reserved) + max(held.denied_count, held.waiter_count)
-        if self.table.state(endpoint_id) == EndpointState.WARM:
-            # Spare slots let the next requests start without asking first.
-            wanted_count += max(1, in_flight_count // 2)
         held.denied_count = 0
         same_owner = held.owner == (owner.host_id, owner.incarnation)
         return GrantRequest(
@@ -282,7 +286,8 @@
     ) -> None:
         """Take an owner's reply to the request sent at ``sent_s``."""
         held = self._grant(endpoint_id)
-        if reply.report.endpoint_id and not self.owner.is_self(owner):
+        if reply.report.state and not self.owner.is_self(owner):
+            reply.report.endpoint_id = endpoint_id
             as_of_s = sent_s - reply.report.age_ms / 1000
             self.table.report(reply.report, as_of_s=as_of_s)
         held.ownerless = reply.status != "granted"
@@ -351,21 +356,27 @@
         )
 
     def _plan_next_ask(self, held: HeldGrant) -> None:
-        now_s = self._clock.monotonic_s()
-        if not held.busy() and now_s - held.used_s > IDLE_S:
-            return
-        if held.ownerless:
-            interval_s = OWNERLESS_ASK_S
-        elif self._limit(held) <= held.in_flight_count(now_s) + len(held.reserved):
-            interval_s = UNMET_ASK_S if held.waiter_count else self._renewal_s
-        else:
-            interval_s = self._renewal_s
-        self._ask_soon(held, held.asked_s + interval_s)
-
-    @property
-    def _renewal_s(self) -> float:
-        # Two tries fit into the lifetime of a grant.
-        return self.timing.grant_ttl_s / 2
+        interval_s = self._renewal_interval_s(held)
+        if interval_s is not None:
+            self._ask_soon(held, held.asked_s + interval_s)
+
+    def _renewal_interval_s(self, held: HeldGrant) -> float | None:
+        """Return the time until the next request, None if there is no need.
+
+        Notes
+        -----
+        A grant is kept alive only where requests start. Requests that merely run
+        are reported half as often; after that the next use asks first.
+        """
+        if held.ownerless and held.busy():
+            return OWNERLESS_ASK_S
+        if held.waiter_count and self.free_count(held.endpoint_id) <= 0:
+            return UNMET_ASK_S
+        if held.reserved or held.used_s >= held.asked_s:
+            return self.timing.grant_ttl_s / 2
+        if held.in_flight_count(self._clock.monotonic_s()):
+            return self.timing.grant_ttl_s
+        return None
 
     async def run(self) -> None:
         """Renew grants until cancelled."""
--- a/src/sesameknot/coordination/grant_owner.py
+++ b/src/sesameknot/coordination/grant_owner.py
@@ -175,6 +175,7 @@
         key = (request.host_id, request.incarnation)
         owned.book.hear(self._report(request, key))
         reply.report = self.table.held_report(request.endpoint_id)
+        reply.report.endpoint_id = ""
         self._strip_prefixes(reply.report, request, owned, key)
         if reply.status == "granted":
             reply.slot_count = self._slots(request.endpoint_id, owned, key)
--- a/src/sesameknot/protocol/_grants.py
+++ b/src/sesameknot/protocol/_grants.py
@@ -34,7 +34,8 @@
 class GrantReply:
     """``status`` is granted, waiting, not-owner, stale or unknown-endpoint.
 
-    A granted reply replaces all grants with a lower ``number``.
+    A granted reply replaces all grants with a lower ``number``. The report is about
+    the endpoint of the request and does not repeat its id.
     """
 
     status: str = ""
--- a/src/sesameknot/state/grant_book.py
+++ b/src/sesameknot/state/grant_book.py
@@ -179,25 +179,27 @@
     def warm_slots(self, key: HolderKey, capacity_count: int) -> int:
         """Return a fair share of the capacity, and more if others leave it unused.
 
-        A holder gets at least one slot, so that its first request need not wait for
-        the others to shrink.
+        Notes
+        -----
+        What nobody needs is given as spare slots, so that the next requests start
+        without asking first. A holder gets at least one slot; the sum may exceed the
+        capacity by these and queues at the endpoint.
         """
-        target = self._holders[key].target_count
-        room = capacity_count - self.bound_of_others(key)
-        fair = capacity_count // max(1, len(self._active()))
-        wanted = min(target, max(fair, self._left_over(key, capacity_count)))
-        return max(min(target, 1), min(room, wanted))
-
-    def _left_over(self, key: HolderKey, capacity_count: int) -> int:
+        active = self._active()
+        needed = self._holders[key].target_count
         others = sum(
-            min(h.target_count, capacity_count)
-            for other, h in self._active().items()
+            min(holder.target_count, capacity_count)
+            for other, holder in active.items()
             if other != key
         )
-        return capacity_count - others
+        left = capacity_count - others
+        fair = capacity_count // max(1, len(active))
+        spare = min(max(1, needed // 2), max(0, left - needed))
+        return max(1, min(needed, max(fair, left)) + spare)
 
     def _active(self) -> dict[HolderKey, _Holder]:
-        since_s = self._clock.monotonic_s() - self.ttl_s
+        # Holders whose requests merely run report once in a grant's lifetime.
+        since_s = self._clock.monotonic_s() - 2 * self.ttl_s
         return {
             key: holder
             for key, holder in self._holders.items()
--- a/src/sesameknot/transport/_attempt_connection.py
+++ b/src/sesameknot/transport/_attempt_connection.py
@@ -1,11 +1,13 @@
 """Connections of single HTTP attempts, observed up to the moment of sending."""
 
+import sys
 from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import Any
 
 from tornado.iostream import IOStream
+from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
 from tornado.tcpclient import TCPClient
 
 from sesameknot.errors import ConnectError
@@ -62,3 +64,33 @@
             raise
         attempt.may_have_sent = True
         return stream
+
+
+class _AttemptHTTPConnection(_HTTPConnection):
+    """HTTP connection whose fetch also ends when the peer resets it.
+
+    Notes
+    -----
+    Tornado raises the stream's error in this callback, its reader swallows it, and
+    the fetch ends only at the request timeout. There is no public hook.
+    """
+
+    def on_connection_close(self) -> None:
+        """End the fetch with the error of the stream."""
+        try:
+            super().on_connection_close()
+        except OSError:
+            self._handle_exception(*sys.exc_info())
+
+
+class AttemptHTTPClient(SimpleAsyncHTTPClient):
+    """HTTP client that connects through an ``AttemptTCPClient``."""
+
+    def initialize(self, **options: Any) -> None:
+        """Set the client up and replace its TCP client."""
+        super().initialize(**options)
+        self.tcp_client.close()
+        self.tcp_client = AttemptTCPClient(resolver=self.resolver)
+
+    def _connection_class(self) -> type:
+        return _AttemptHTTPConnection
--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -5,7 +5,6 @@
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders, parse_response_start_line
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from sesameknot.clock import Clock
 from sesameknot.errors import (
@@ -17,6 +16,7 @@
 from sesameknot.transport._attempt_connection import (
     CURRENT_ATTEMPT,
     AttemptConnection,
+    AttemptHTTPClient,
 )
 from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
 
@@ -31,14 +31,14 @@
     ----------
     call : EndpointCall
         The request and its limits.
-    http : SimpleAsyncHTTPClient
-        Client whose TCP client is an ``AttemptTCPClient``.
+    http : AttemptHTTPClient
+        Client that reports on the attempt's connection.
     clock : Clock
         Source of monotonic time.
     """
 
     def __init__(
-        self, call: EndpointCall, *, http: SimpleAsyncHTTPClient, clock: Clock
+        self, call: EndpointCall, *, http: AttemptHTTPClient, clock: Clock
     ) -> None:
         self.call = call
         self.status = 0
@@ -68,7 +68,7 @@
         """Bytes of the body that were received and not read yet."""
         return self._buffered_bytes
 
-    def _start(self, http: SimpleAsyncHTTPClient) -> None:
+    def _start(self, http: AttemptHTTPClient) -> None:
         limits = self._limits
         request = HTTPRequest(
             self.call.url + self.call.path,
--- a/src/sesameknot/transport/endpoint_client.py
+++ b/src/sesameknot/transport/endpoint_client.py
@@ -10,7 +10,6 @@
 from urllib.parse import quote
 
 from tornado.httputil import HTTPHeaders
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from sesameknot.clock import Clock
 from sesameknot.errors import FrameError, RouterError, TransportError
@@ -26,7 +25,7 @@
     parse_engine_state,
     parse_load,
 )
-from sesameknot.transport._attempt_connection import AttemptTCPClient
+from sesameknot.transport._attempt_connection import AttemptHTTPClient
 from sesameknot.transport._endpoint_call import (
     CallLimits,
     EndpointAnswer,
@@ -162,13 +161,11 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._http = SimpleAsyncHTTPClient(
+        self._http = AttemptHTTPClient(
             force_instance=True,
             max_clients=CONCURRENT_LIMIT_COUNT,
             max_body_size=ANSWER_LIMIT_BYTES,
         )
-        self._http.tcp_client.close()
-        self._http.tcp_client = AttemptTCPClient(resolver=self._http.resolver)
 
     async def call(self, call: EndpointCall) -> EndpointAnswer:
         """Send a request and return the whole answer, whatever its status.
--- a/tests/transport/test_endpoint_client.py
+++ b/tests/transport/test_endpoint_client.py
@@ -1,8 +1,11 @@
 """Tests of calls to endpoints."""
 
 import asyncio
+import socket
+import struct
 
 from testtools.matchers import Contains, Equals, Is, IsInstance
+from tornado.tcpserver import TCPServer
 from tornado.testing import bind_unused_port, gen_test
 
 from sesameknot.clock import SystemClock
@@ -138,6 +141,28 @@
         self.assertThat(caught.exception, IsInstance(TransportError))
         self.assertThat(len(tokens) < 20, Is(True))
 
+    @gen_test
+    async def test_a_reset_connection_ends_the_attempt_at_once(self):
+        """Guards against waiting for the deadline on a connection that is gone."""
+        self._start()
+
+        class ResettingServer(TCPServer):
+            async def handle_stream(self, stream, address):
+                await stream.read_until(b"\r\n\r\n")
+                chunk = b"data: x\n\n"
+                await stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")
+                await stream.write(chunk)
+                linger = struct.pack("ii", 1, 0)
+                stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                stream.close()
+
+        self.url = f"http://{self.listen(ResettingServer())}"
+        limits = CallLimits(
+            first_byte_timeout_s=3600.0, progress_timeout_s=3600.0, deadline_s=3600.0
+        )
+        with self.assertRaises(TransportError):
+            await self.endpoints.call(self._plain(limits=limits))
+
     @gen_test
     async def test_refusals_state_and_orders_are_typed(self):
         """Guards against a refusal or an old fence that looks like a lost answer."""
