--- a/src/sesameknot/coordination/_owner_map.py
+++ b/src/sesameknot/coordination/_owner_map.py
@@ -46,6 +46,12 @@
         best = self._best.get(endpoint_id)
         return self._members[best[1]] if best else None
 
+    def address(self, host_id: str) -> str:
+        """Return the peer address of a roster member, empty for other hosts."""
+        self._update()
+        member = self._members.get(host_id)
+        return member.address if member else ""
+
     def owned_by(self, host_id: str, incarnation: int) -> list[str]:
         """Return the endpoints of one incarnation of a host."""
         self._update()
--- /dev/null
+++ b/src/sesameknot/coordination/_warm_share.py
@@ -0,0 +1,78 @@
+"""Use of warm endpoints whose owner gives no decision."""
+
+from collections.abc import Callable
+
+import structlog
+
+from sesameknot.clock import Clock
+from sesameknot.coordination.grant_owner import GrantOwner, sampled_at
+from sesameknot.errors import RouterError
+from sesameknot.protocol.roster import Roster
+from sesameknot.state.endpoint_table import EndpointTable
+
+# With older evidence one request goes first, so that an endpoint that turned cold
+# gets no more than one from each router.
+FULL_SHARE_EVIDENCE_S = 1.0
+# With older evidence nothing is sent: an endpoint that starts leaving must get no new
+# work after 3 s.
+EVIDENCE_LIMIT_S = 2.0
+
+log = structlog.get_logger(__name__)
+
+
+class WarmShare:
+    """Limit requests to endpoints without an owner, by the age of the evidence.
+
+    Parameters
+    ----------
+    owner : GrantOwner
+        This host's owner part; its poll is used to refresh the evidence.
+    table : EndpointTable
+        States of the endpoints.
+    roster : callable
+        Returns the newest roster that this host knows.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        owner: GrantOwner,
+        *,
+        table: EndpointTable,
+        roster: Callable[[], Roster],
+        clock: Clock,
+    ) -> None:
+        self.owner = owner
+        self.table = table
+        self.roster = roster
+        self._clock = clock
+        self._polling: set[str] = set()
+
+    def slot_count(self, endpoint_id: str) -> int:
+        """Return how many requests may be in flight if the endpoint is warm."""
+        spec = self.table.spec(endpoint_id)
+        age_s = self.table.state_age_s(endpoint_id)
+        if spec is None or age_s > EVIDENCE_LIMIT_S:
+            return 0
+        if age_s > FULL_SHARE_EVIDENCE_S:
+            return 1
+        return max(1, spec.capacity_count // max(1, len(self.roster().members)))
+
+    async def refresh(self, endpoint_id: str) -> None:
+        """Poll the endpoint if the evidence for its state is old."""
+        spec = self.table.spec(endpoint_id)
+        if spec is None or endpoint_id in self._polling:
+            return
+        if self.table.state_age_s(endpoint_id) <= FULL_SHARE_EVIDENCE_S:
+            return
+        self._polling.add(endpoint_id)
+        started_s = self._clock.monotonic_s()
+        try:
+            report = await self.owner.poll(endpoint_id, spec.url)
+        except RouterError as error:
+            log.debug("endpoint_poll_failed", endpoint=endpoint_id, reason=str(error))
+        else:
+            self.table.report(report, as_of_s=sampled_at(report, started_s))
+        finally:
+            self._polling.discard(endpoint_id)
--- a/src/sesameknot/coordination/grant_holder.py
+++ b/src/sesameknot/coordination/grant_holder.py
@@ -13,6 +13,7 @@
 from sesameknot.coordination._endpoint_notices import EndpointNotices
 from sesameknot.coordination._held_grant import HeldGrant
 from sesameknot.coordination._slot import GrantError, Slot, SlotOutcome
+from sesameknot.coordination._warm_share import WarmShare
 from sesameknot.coordination.grant_owner import GrantOwner, PeerCaller
 from sesameknot.errors import RouterError
 from sesameknot.protocol.messages import (
@@ -34,8 +35,6 @@
 # An engine may run a request for some time after its caller has left.
 LINGER_SILENT_S = 2.0
 LINGER_CANCELLED_S = 0.5
-# Without an owner and without evidence for this time, one request goes first.
-WARM_EVIDENCE_S = 1.0
 # Event loops run timers early by up to the resolution of their clock.
 TIMER_SLACK_S = 0.001
 _LINGER_S = {
@@ -95,6 +94,7 @@
         self.owner = owner
         self.timing = timing
         self._clock = clock
+        self._warm_share = WarmShare(owner, table=table, roster=roster, clock=clock)
         self._grants: dict[str, HeldGrant] = {}
         self._tokens = itertools.count(1)
         self._table_tokens: dict[int, int] = {}
@@ -194,17 +194,9 @@
         return held.limit(
             self.table.state(held.endpoint_id),
             self._clock.monotonic_s(),
-            self._warm_share(held.endpoint_id),
+            self._warm_share.slot_count(held.endpoint_id),
         )
 
-    def _warm_share(self, endpoint_id: str) -> int:
-        spec = self.table.spec(endpoint_id)
-        if spec is None:
-            return 0
-        if self.table.state_age_s(endpoint_id) > WARM_EVIDENCE_S:
-            return 1
-        return max(1, spec.capacity_count // max(1, len(self.roster().members)))
-
     def _grant(self, endpoint_id: str) -> HeldGrant:
         held = self._grants.get(endpoint_id)
         if held is None:
@@ -272,7 +264,7 @@
             endpoint_id=endpoint_id,
             host_id=self.host_id,
             incarnation=self.incarnation,
-            address=self.address,
+            address="" if self._listed() else self.address,
             in_flight_count=in_flight_count,
             wanted_count=wanted_count,
             roster_version=self.roster().version,
@@ -281,6 +273,10 @@
             prefix_digest=self.table.prefix_digest(endpoint_id),
         )
 
+    def _listed(self) -> bool:
+        member = self.roster().member(self.host_id)
+        return member is not None and member.incarnation == self.incarnation
+
     def apply(
         self, endpoint_id: str, owner: RosterMember, reply: GrantReply, sent_s: float
     ) -> None:
@@ -328,6 +324,8 @@
         held.asked_s = sent_s = self._clock.monotonic_s()
         held.next_ask_s = math.inf
         owner = self.owner.owners.owner(held.endpoint_id)
+        if held.ownerless:
+            self._background.spawn(self._refresh(held))
         try:
             if owner is None:
                 held.ownerless = True
@@ -339,11 +337,17 @@
             log.debug("grant_request_failed", endpoint=held.endpoint_id, reason=error)
         finally:
             held.asking = False
+        if held.ownerless:
+            self._background.spawn(self._refresh(held))
         self._plan_next_ask(held)
         # A denial during the call may have set an earlier time.
         self._wake.set()
         self._notify_change()
 
+    async def _refresh(self, held: HeldGrant) -> None:
+        await self._warm_share.refresh(held.endpoint_id)
+        self._notify_change()
+
     async def _call(self, endpoint_id: str, owner: RosterMember) -> GrantReply:
         request = self.request_for(endpoint_id, owner)
         if self.owner.is_self(owner):
--- a/src/sesameknot/coordination/grant_owner.py
+++ b/src/sesameknot/coordination/grant_owner.py
@@ -56,6 +56,19 @@
         """Send a message and return its answer."""
 
 
+def sampled_at(report: EndpointReport, started_s: float) -> float:
+    """Return the earliest time that a polled report can describe.
+
+    Parameters
+    ----------
+    report : EndpointReport
+        The report.
+    started_s : float
+        Monotonic time at which the poll started.
+    """
+    return started_s - max(report.age_ms / 1000, LOAD_LAG_S)
+
+
 @dataclass(slots=True)
 class _Owned:
     book: GrantBook
@@ -202,7 +215,7 @@
         same_owner = request.owner_incarnation == self.incarnation
         return Report(
             holder=key,
-            address=request.address,
+            address=request.address or self.owners.address(request.host_id),
             in_flight_count=request.in_flight_count,
             wanted_count=request.wanted_count,
             seen_number=request.seen_number if same_owner else 0,
@@ -331,7 +344,7 @@
         owned = self._owned.get(endpoint_id)
         if owned is None:
             return
-        sampled_s = started_s - max(report.age_ms / 1000, LOAD_LAG_S)
+        sampled_s = sampled_at(report, started_s)
         owned.polled_s = started_s
         owned.failure_count = 0
         self.table.report(report, as_of_s=sampled_s)
--- a/src/sesameknot/protocol/_grants.py
+++ b/src/sesameknot/protocol/_grants.py
@@ -14,7 +14,8 @@
     ``in_flight_count`` counts requests that were sent and have not ended;
     ``wanted_count`` is how many more the holder would start. ``seen_number`` is the
     newest grant that the holder has from the owner incarnation
-    ``owner_incarnation``. ``address`` takes revocations.
+    ``owner_incarnation``. ``address`` takes revocations; it is empty if the roster
+    gives it.
     """
 
     endpoint_id: str = ""
