--- a/src/sesameknot/protocol/_grants.py
+++ b/src/sesameknot/protocol/_grants.py
@@ -14,7 +14,8 @@
     ``in_flight_count`` counts requests that were sent and have not ended;
     ``wanted_count`` is how many more the holder would start. ``seen_number`` is the
     newest grant that the holder has from the owner incarnation
-    ``owner_incarnation``. ``address`` takes revocations.
+    ``owner_incarnation``. ``address`` takes revocations; it is empty if the roster
+    gives it.
     """
 
     endpoint_id: str = ""
@@ -34,7 +35,8 @@
 class GrantReply:
     """``status`` is granted, waiting, not-owner, stale or unknown-endpoint.
 
-    A granted reply replaces all grants with a lower ``number``.
+    A granted reply replaces all grants with a lower ``number``. The report is about
+    the endpoint of the request and does not repeat its id.
     """
 
     status: str = ""
