Test late answers and cut-off hosts, seed the partition of a large fleet

Trials that counted the age of an answer from its receipt, did not tell a host that it is thought dead, or sampled live hosts only passed the tests so far.

--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -94,6 +94,33 @@
             fleet.world.run_for(0.01)
             self.assertThat(fleet.settle(limit_s=8.0), Is(True))
 
+    def test_an_answer_that_waited_through_a_pause_is_as_old_as_its_question(self):
+        """Guards against an age that starts when the answer is read."""
+        fleet = self._fleet(3, seed=19)
+        name = next(n for n, h in fleet.hosts.items() if h.replication.is_watcher())
+        platform = fleet.hosts[name].platform
+        calls = platform.call_count
+        fleet.world.run_until(lambda: platform.call_count > calls, limit_s=3.0)
+        fleet.world.frozen.add(name)
+        fleet.world.run_for(1.2)
+        self._write(fleet, "domains/a")
+        fleet.world.run_for(1.2)
+        fleet.world.cut([name], [other for other in fleet.names if other != name])
+        fleet.platform.cut_hosts.add(name)
+        fleet.world.frozen.clear()
+        fleet.world.run_for(8.0)
+        self.assertThat(self._verdicts(fleet, [name]), Equals({Verdict.STALE}))
+
+    def test_a_host_that_was_cut_off_is_back_in_seconds(self):
+        """Guards against a live host that never learns that it is thought dead."""
+        for seed in range(5):
+            fleet = self._fleet(5, seed=seed)
+            fleet.world.cut(["h03"], ["h00", "h01", "h02", "h04"])
+            fleet.world.run_for(20.0)
+            self.assertThat("h03" in fleet.hosts["h00"].live_ids(), Is(False))
+            fleet.world.cuts.clear()
+            self.assertThat(fleet.settle(limit_s=6.0), Is(True))
+
     def test_a_host_that_wakes_suspects_nobody(self):
         """Guards against a pause that a host takes for the death of its peers."""
         for seed in range(6):
@@ -380,7 +407,8 @@
 
     def test_a_small_part_of_a_large_fleet_refuses_in_seconds(self):
         """Guards against an outage verdict from a member table that is behind."""
-        fleet = self._fleet(40, seed=15)
+        # With seed 24 one host accepts if only live hosts are sampled.
+        fleet = self._fleet(40, seed=24)
         fleet.world.check_interval_s = 0.05
         lost, rest = fleet.names[:10], fleet.names[10:]
         fleet.platform.cut_hosts |= set(lost)
