Test the shift detection and the end of a crash history

Cause: of 13 deliberate faults two passed all tests: a window that is not shortened after a shift, and crashes that count beyond the retention period once a new one is recorded.

Change: one test and one assertion; each fails with its fault.

--- a/tests/policy/test_choices.py
+++ b/tests/policy/test_choices.py
@@ -8,6 +8,7 @@
 
 from sesameknot.clock import ManualClock
 from sesameknot.policy._mix import ModelPoint, cheapest_mix
+from sesameknot.policy._quality import WindowedEstimate
 from sesameknot.policy.cascade import AdaptivePolicy, Candidate
 from sesameknot.policy.endpoint_choice import EndpointView, RequestShape
 from sesameknot.policy.registry import ENDPOINT_CHOICES
@@ -48,6 +49,20 @@
         self.assertThat(quality, GreaterThan(min(target, best) - 1e-9))
 
 
+class WindowedEstimateTest(TestCase):
+    def test_a_shift_shortens_the_window_and_noise_does_not(self):
+        """Guards against a long window that hides a shift for hundreds of ratings."""
+        generator = np.random.default_rng(4)
+        estimate = WindowedEstimate(0.5, clock=ManualClock())
+        for rating in generator.beta(4.8, 1.2, size=2000):
+            estimate.add_quality(float(rating))
+        self.assertThat(estimate.count, GreaterThan(1000))
+        self.assertThat(abs(estimate.quality - 0.8), LessThan(0.02))
+        for rating in generator.beta(3.3, 2.7, size=100):
+            estimate.add_quality(float(rating))
+        self.assertThat(abs(estimate.quality - 0.55), LessThan(0.05))
+
+
 class AdaptivePolicyTest(TestCase):
     def test_a_model_that_turns_bad_loses_its_traffic(self):
         """Guards against estimates that never forget the time before a shift."""
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -177,6 +177,8 @@
         clock.advance(600.0)
         self.assertFalse(first.refuses(7))
         self.assertThat(first.entries(), Equals([]))
+        first.record(7, "e3")
+        self.assertFalse(first.refuses(7))
 
     def test_slow_gossip_does_not_renew_an_entry(self):
         """Guards against hosts that add the transit time to each other's entries."""
