--- a/src/sesameknot/coordination/membership.py
+++ b/src/sesameknot/coordination/membership.py
@@ -36,7 +36,6 @@
     LIVE_STATES,
     MemberState,
     MemberTable,
-    must_refute,
     precedence,
 )
 from sesameknot.transport.peer_client import PeerClient
@@ -47,6 +46,7 @@
 PINGS_FEW_HOSTS = 3
 INDIRECT_PINGS = 2
 LEAVE_ANNOUNCEMENTS = 8
+ANNOUNCEMENT_LIMIT = 27
 CONTACTS_ALONE = 8
 
 # A dead host is remembered so long that a paused one learns of its death on waking.
@@ -169,8 +169,19 @@
         self._change_self(
             sequence=self._self.sequence + 1, state=MemberState.LEAVING.value
         )
+        return await self._announce(LEAVE_ANNOUNCEMENTS)
+
+    async def announce(self) -> int:
+        """Send what pings carry to peers now; return how many acknowledged.
+
+        All peers of a small deployment are told, and some of a large fleet, from
+        which the news spreads with the heartbeats.
+        """
+        return await self._announce(ANNOUNCEMENT_LIMIT)
+
+    async def _announce(self, limit: int) -> int:
         peers = self._table.in_state(LIVE_STATES)
-        chosen = sample(self.random_state, peers, LEAVE_ANNOUNCEMENTS)
+        chosen = sample(self.random_state, peers, limit)
         answers = await asyncio.gather(*(self._ping(m.address) for m in chosen))
         return sum(answer is not None for answer in answers)
 
@@ -204,21 +215,14 @@
         return None
 
     async def _probe(self, member: MemberInfo) -> None:
-        timing = self.settings.timing
-        started_s = self._clock.monotonic_s()
         ack = await self._ping(member.address, member)
         if ack is not None and ack.member.host_id == member.host_id:
             held = self._table.get(member.host_id)
             if held is not None and held.state == MemberState.LEAVING:
                 self._timers.clear(held.host_id)
             return
-        if await self._ping_indirectly(member):
-            return
-        elapsed_s = self._clock.monotonic_s() - started_s
-        if elapsed_s > 2 * (timing.ping_timeout_s + timing.heartbeat_s):
-            # This process was paused; the silence tells nothing about the peer.
-            return
-        self._suspect(member)
+        if not await self._ping_indirectly(member):
+            self._suspect(member)
 
     def _suspect(self, member: MemberInfo) -> None:
         held = self._table.get(member.host_id)
@@ -244,7 +248,7 @@
     # Messages
 
     async def _ping(self, address: str, target: MemberInfo | None = None) -> Ack | None:
-        ping = Ping(**self._content(target))
+        ping = Ping(**self._content(target.host_id if target else ""))
         sent_s = self._clock.monotonic_s()
         timeout_s = self.settings.timing.ping_timeout_s
         try:
@@ -277,10 +281,11 @@
             return False
         return answer.reached
 
-    def _content(self, receiver: MemberInfo | None) -> dict[str, Any]:
+    def _content(self, receiver_id: str) -> dict[str, Any]:
         updates = self._gossip.take(len(self._table) + 1)
-        held = self._table.get(receiver.host_id) if receiver else None
-        if receiver and held and must_refute(held, receiver):
+        held = self._table.get(receiver_id)
+        if held is not None and held.state != MemberState.ALIVE:
+            # The receiver must learn that it is thought dead, or it never refutes.
             updates.append(held)
         return {
             "member": self._self,
@@ -292,7 +297,7 @@
 
     async def _handle_ping(self, ping: Ping) -> Ack:
         self._take(ping, None)
-        return Ack(**self._content(ping.member))
+        return Ack(**self._content(ping.member.host_id))
 
     async def _handle_indirect_ping(self, request: IndirectPing) -> IndirectAck:
         ack = await self._ping(request.target_address)
--- a/src/sesameknot/state/bill_book.py
+++ b/src/sesameknot/state/bill_book.py
@@ -63,6 +63,10 @@
         """Key of the platform object."""
         return BILLS_PREFIX + self.batch_id
 
+    def covered(self) -> set[str]:
+        """Return the identifiers of the bills that a replica holds."""
+        return set().union(*(r.bill_ids for r in self.replicas.values()))
+
     def add(self, bills: Iterable[BillRecord]) -> None:
         """Add bills by their identifier."""
         self.bills = merge_bills([*self.bills.values(), *bills])
@@ -71,8 +75,9 @@
 def merge_bills(bills: Iterable[BillRecord]) -> dict[str, BillRecord]:
     """Return distinct bills by identifier.
 
-    Of two bills with one identifier, that of an answered request counts over one with
-    unknown outcome, then the earlier one. The result does not depend on the order.
+    Of two bills with one identifier, that of an answered request counts over that of a
+    cancelled one, and both over one with unknown outcome; then the earlier one counts.
+    The result does not depend on the order.
     """
     merged: dict[str, BillRecord] = {}
     for bill in bills:
@@ -83,7 +88,8 @@
 
 
 def _preference(bill: BillRecord) -> tuple[Any, ...]:
-    return (bill.outcome != "answered", bill.wall_ms, astuple(bill))
+    rank = {"answered": 0, "cancelled": 1}.get(bill.outcome, 2)
+    return (rank, bill.wall_ms, astuple(bill))
 
 
 def bills_to_value(bills: Iterable[BillRecord]) -> dict[str, Any]:
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -123,6 +123,25 @@
             report.lines[-1], Equals("in force on 1 of 2 hosts, missing: h9")
         )
 
+    @gen_test
+    async def test_a_router_that_is_not_in_the_roster_yet_counts(self):
+        """Guards against "in force" while a router that just started is old."""
+        self.router("h1")
+        self.router("h2", deaf=True)
+        member = RosterMember("h1", 1, "127.0.0.1:1", "r", "d")
+        self.core.table.put(
+            "roster/main",
+            Roster(members=(member,)).to_value(),
+            expected_version=0,
+            write_id="w",
+        )
+        report = await self.run_ctl(
+            f"apply {self.write(FEED)}", self.context(wait_s=0.0)
+        )
+        self.assertThat(
+            report.lines[-1], Equals("in force on 1 of 2 hosts, missing: h2")
+        )
+
     @gen_test
     async def test_unchanged_teams_are_not_written(self):
         """Guards against writes that use up the platform's limit."""
@@ -200,6 +219,35 @@
         self.assertThat(report.exit_code, Equals(ExitCode.OUTCOME_UNKNOWN))
         self.assertThat(report.lines[0], Contains("may or may not have taken effect"))
 
+    @gen_test
+    async def test_an_outage_between_two_teams_reports_the_first(self):
+        """Guards against a written team that is neither reported nor spread."""
+        router = self.router("h1")
+        self.write(FEED)
+        self.write({"team": "lace"}, "lace.yaml")
+        context = self.context()
+        put = context.platform.put
+
+        async def put_then_outage(*arguments, **options):
+            stored = await put(*arguments, **options)
+            self.core.switch(outage="refuse")
+            return stored
+
+        context.platform.put = put_then_outage
+        report = await self.run_ctl(f"apply {self.directory}", context)
+        self.assertThat(report.exit_code, Equals(ExitCode.OUTCOME_UNKNOWN))
+        self.assertThat(
+            report.lines[:2],
+            Equals(
+                [
+                    "settings/feed: accepted at version 1",
+                    "in force on 1 of 1 hosts",
+                ]
+            ),
+        )
+        self.assertThat(report.lines[2], Contains("settings/lace"))
+        self.assertThat(router.objects, Contains("settings/feed"))
+
     @gen_test
     async def test_an_outage_gives_one_clear_error(self):
         """Guards against a trace or a hang when the platform is down."""
@@ -211,6 +259,15 @@
             report.lines, Equals(["error: list in-process: connection closed"])
         )
 
+    @gen_test
+    async def test_status_shows_the_routers_while_the_platform_is_down(self):
+        """Guards against operators who see nothing during an outage."""
+        self.router("h1")
+        self.core.switch(outage="refuse")
+        report = await self.run_ctl("status")
+        self.assertThat(report.exit_code, Equals(ExitCode.PLATFORM_UNAVAILABLE))
+        self.assertThat(report.lines[-1], Contains("h1"))
+
     @gen_test
     async def test_wrong_settings_are_refused_with_their_places(self):
         """Guards against a forbidden cascade or a misspelt key reaching routers."""
@@ -223,7 +280,7 @@
         report = await self.run_ctl(f"apply {self.directory}")
         self.assertThat(report.exit_code, Equals(ExitCode.INVALID_SETTINGS))
         self.assertThat(report.lines, HasLength(2))
-        self.assertThat(report.lines[0], Contains("$.customers[0].cascade"))
+        self.assertThat(report.lines[0], Contains("feed.yaml $.customers[0].cascade"))
         self.assertThat(report.lines[0], Contains("'large'"))
         self.assertThat(report.lines[1], Contains("`modles`"))
         self.assertThat(self.core.table.version, Equals(0))
@@ -305,7 +362,7 @@
         )
         await self.run_ctl("rollout stop feed july")
         value = self.present("rollouts/feed.july").value
-        self.assertThat(value["state"], Equals("stopped"))
+        self.assertThat((value["state"], value["share"]), Equals(("stopped", 0.0)))
         withdrawal = self.present("withdrawals/feed.small.v2")
         self.assertThat(withdrawal.value, Equals({"withdrawn": True}))
         self.assertThat(
