Treat a roster made anew as a loss of custody

Cause: a roster object that an operator deletes and the hosts make anew names no predecessor, so its owners served keys that may have run.

--- a/src/sesameknot/coordination/_claim_custody.py
+++ b/src/sesameknot/coordination/_claim_custody.py
@@ -129,7 +129,8 @@
 
     def _forget_old(self) -> None:
         kept = sorted(self._placements)[-HISTORY_COUNT:]
-        for version in [v for v in self._placements if v < kept[0]]:
+        # Version 0 stands for "no predecessor" and has no members.
+        for version in [v for v in self._placements if 0 < v < kept[0]]:
             del self._placements[version]
         for version, roster in list(self._rosters.items()):
             if not {version, roster.previous_version} <= self._placements.keys():
