Limit each host to a subset of many endpoints

Cause: endpoint_subset_count was a setting that nothing read. With 146 endpoints a model each host would hold grants for all of them.

Change: the catalogue keeps a rendezvous subset per model or service and host, none at today's sizes.

--- a/src/sesameknot/_wiring_requests.py
+++ b/src/sesameknot/_wiring_requests.py
@@ -55,7 +55,11 @@
     in_flight: Callable[[], int],
 ) -> RequestPath:
     """Return the connected request path; ``stack`` closes what it holds open."""
-    catalogue = CatalogueKeeper(parts.store)
+    catalogue = CatalogueKeeper(
+        parts.store,
+        host_id=settings.host_id,
+        subset_count=settings.requests.endpoint_subset_count,
+    )
     _follow_endpoints(parts, catalogue)
     metrics = RouterMetrics(registry)
     traffic = TrafficCounters()
--- a/src/sesameknot/router/catalogue.py
+++ b/src/sesameknot/router/catalogue.py
@@ -2,9 +2,11 @@
 
 import hashlib
 from dataclasses import dataclass, field
+from typing import Any
 
 import structlog
 
+from sesameknot.coordination.ownership import weight
 from sesameknot.errors import RouterError
 from sesameknot.protocol.objects import (
     DOMAINS_PREFIX,
@@ -100,9 +102,18 @@
     ----------
     store : ObjectStore
         Source of objects; this object subscribes to it.
+    host_id : str, default=""
+        This host; different hosts use different subsets of many endpoints.
+    subset_count : int, default=24
+        Most endpoints of one model or service that this host uses. In a large fleet
+        it bounds the grants that a host keeps renewing.
     """
 
-    def __init__(self, store: ObjectStore) -> None:
+    def __init__(
+        self, store: ObjectStore, *, host_id: str = "", subset_count: int = 24
+    ) -> None:
+        self.host_id = host_id
+        self.subset_count = subset_count
         self._store = store
         self._teams: dict[str, TeamSettings] = {}
         self._current = Catalogue()
@@ -123,6 +134,13 @@
             self._stale = False
         return self._current
 
+    def _limit(self, endpoint_ids: dict[Any, list[str]]) -> None:
+        """Keep this host's subset where a model or service has many endpoints."""
+        for name, ids in endpoint_ids.items():
+            if len(ids) > self.subset_count:
+                ids = sorted(ids, key=lambda e: -weight("subset", e, self.host_id))
+                endpoint_ids[name] = ids[: self.subset_count]
+
     def _on_change(self, changed: list[StoredObject]) -> None:
         self._stale = True
         for stored in changed:
@@ -149,6 +167,8 @@
         catalogue = Catalogue()
         for name in sorted(self._teams):
             _add_team(catalogue, self._teams[name])
+        self._limit(catalogue.endpoint_ids_by_model)
+        self._limit(catalogue.endpoint_ids_by_service)
         for item in self._store.list(WITHDRAWALS_PREFIX):
             if _flag(item, "withdrawn", True):
                 catalogue.withdrawn.add(item.key.removeprefix(WITHDRAWALS_PREFIX))
--- a/tests/router/test_request_parts.py
+++ b/tests/router/test_request_parts.py
@@ -1,6 +1,7 @@
 """Tests of small parts of the request path."""
 
 import asyncio
+from collections import Counter
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -57,6 +58,29 @@
         self.store.merge([StoredObject("domains/idku", 3, "out")])
         self.assertThat(self.keeper.current.is_domain_out("idku"), Equals(False))
 
+    def test_hosts_use_different_subsets_of_many_endpoints(self):
+        """Guards against a fleet whose hosts all prefer the same few endpoints."""
+        endpoints = [
+            {
+                "endpoint_id": f"e{number}",
+                "url": "http://127.0.0.1:1",
+                "domain": "idku",
+                "models": ["small"],
+            }
+            for number in range(146)
+        ]
+        team = TEAM | {"endpoints": endpoints}
+        used = Counter()
+        for host in range(100):
+            store = ObjectStore()
+            keeper = CatalogueKeeper(store, host_id=f"h{host}", subset_count=24)
+            store.merge([StoredObject("settings/feed", 1, team)])
+            ids = keeper.current.endpoint_ids_by_model["feed", "small"]
+            self.assertThat(len(ids), Equals(24))
+            used.update(ids)
+        self.assertThat(len(used), Equals(146))
+        self.assertThat(max(used.values()) < 2 * 100 * 24 / 146, Equals(True))
+
 
 class HeaderTest(TestCase):
     @given(st.text(max_size=30), st.sampled_from(["X-Priority", "X-Deadline-Ms"]))
