--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -102,10 +102,10 @@
         calls = platform.call_count
         fleet.world.run_until(lambda: platform.call_count > calls, limit_s=3.0)
         fleet.world.frozen.add(name)
+        fleet.world.cut([name], [other for other in fleet.names if other != name])
         fleet.world.run_for(1.2)
         self._write(fleet, "domains/a")
         fleet.world.run_for(1.2)
-        fleet.world.cut([name], [other for other in fleet.names if other != name])
         fleet.platform.cut_hosts.add(name)
         fleet.world.frozen.clear()
         fleet.world.run_for(8.0)
