--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -5,7 +5,6 @@
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders, parse_response_start_line
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from sesameknot.clock import Clock
 from sesameknot.errors import (
@@ -17,6 +16,7 @@
 from sesameknot.transport._attempt_connection import (
     CURRENT_ATTEMPT,
     AttemptConnection,
+    AttemptHTTPClient,
 )
 from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
 
@@ -31,14 +31,14 @@
     ----------
     call : EndpointCall
         The request and its limits.
-    http : SimpleAsyncHTTPClient
-        Client whose TCP client is an ``AttemptTCPClient``.
+    http : AttemptHTTPClient
+        Client that reports on the attempt's connection.
     clock : Clock
         Source of monotonic time.
     """
 
     def __init__(
-        self, call: EndpointCall, *, http: SimpleAsyncHTTPClient, clock: Clock
+        self, call: EndpointCall, *, http: AttemptHTTPClient, clock: Clock
     ) -> None:
         self.call = call
         self.status = 0
@@ -68,7 +68,7 @@
         """Bytes of the body that were received and not read yet."""
         return self._buffered_bytes
 
-    def _start(self, http: SimpleAsyncHTTPClient) -> None:
+    def _start(self, http: AttemptHTTPClient) -> None:
         limits = self._limits
         request = HTTPRequest(
             self.call.url + self.call.path,
@@ -210,7 +210,7 @@
             await self._wait()
 
     async def read(self) -> bytes:
-        """Return the next part of the body, or ``b""`` at its end.
+        """Return the parts of the body received so far, or ``b""`` at its end.
 
         Raises
         ------
@@ -223,15 +223,12 @@
             if self._ended:
                 return b""
             await self._wait()
-        part = self._parts.popleft()
-        self._buffered_bytes -= len(part)
-        if (
-            self._drained is not None
-            and not self._drained.done()
-            and self._buffered_bytes <= BUFFER_LIMIT_BYTES // 2
-        ):
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._buffered_bytes = 0
+        if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
-        return part
+        return data
 
     def _stop_watch(self) -> None:
         if self._watch is not None:
--- a/src/sesameknot/transport/endpoint_client.py
+++ b/src/sesameknot/transport/endpoint_client.py
@@ -10,7 +10,6 @@
 from urllib.parse import quote
 
 from tornado.httputil import HTTPHeaders
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from sesameknot.clock import Clock
 from sesameknot.errors import FrameError, RouterError, TransportError
@@ -26,7 +25,7 @@
     parse_engine_state,
     parse_load,
 )
-from sesameknot.transport._attempt_connection import AttemptTCPClient
+from sesameknot.transport._attempt_connection import AttemptHTTPClient
 from sesameknot.transport._endpoint_call import (
     CallLimits,
     EndpointAnswer,
@@ -100,8 +99,8 @@
         """Load in the headers, if any."""
         return observed_load(self.headers)
 
-    async def __aiter__(self) -> AsyncIterator[ChatChunk]:
-        """Yield the chunks up to the end mark.
+    async def batches(self) -> AsyncIterator[list[ChatChunk]]:
+        """Yield the chunks up to the end mark, those that arrived together as one list.
 
         Raises
         ------
@@ -111,17 +110,33 @@
             If an event is not a chunk.
         """
         parser = SseParser()
-        peer = self._exchange.call.url
         while data := await self._exchange.read():
+            chunks = []
             for event in parser.feed(data):
                 chunk = parse_chunk(event)
                 if chunk is None:
+                    yield chunks
                     return
-                yield chunk
+                chunks.append(chunk)
+            yield chunks
         raise TransportError(
-            "stream ended without its end mark", step="progress", peer=peer
+            "stream ended without its end mark",
+            step="progress",
+            peer=self._exchange.call.url,
         )
 
+    async def __aiter__(self) -> AsyncIterator[ChatChunk]:
+        """Yield the chunks up to the end mark one by one.
+
+        Raises
+        ------
+        TransportError, FrameError
+            As :meth:`batches` does.
+        """
+        async for chunks in self.batches():
+            for chunk in chunks:
+                yield chunk
+
     def close(self) -> None:
         """Drop the connection; the engine stops generating."""
         self._exchange.close()
@@ -162,13 +177,11 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._http = SimpleAsyncHTTPClient(
+        self._http = AttemptHTTPClient(
             force_instance=True,
             max_clients=CONCURRENT_LIMIT_COUNT,
             max_body_size=ANSWER_LIMIT_BYTES,
         )
-        self._http.tcp_client.close()
-        self._http.tcp_client = AttemptTCPClient(resolver=self._http.resolver)
 
     async def call(self, call: EndpointCall) -> EndpointAnswer:
         """Send a request and return the whole answer, whatever its status.
