--- a/src/sesameknot/coordination/grant_holder.py
+++ b/src/sesameknot/coordination/grant_holder.py
@@ -13,6 +13,7 @@
 from sesameknot.coordination._endpoint_notices import EndpointNotices
 from sesameknot.coordination._held_grant import HeldGrant
 from sesameknot.coordination._slot import GrantError, Slot, SlotOutcome
+from sesameknot.coordination._waiters import Waiters
 from sesameknot.coordination._warm_share import WarmShare
 from sesameknot.coordination.grant_owner import GrantOwner, PeerCaller
 from sesameknot.errors import RouterError
@@ -106,8 +107,7 @@
             timeout_s=timing.ping_timeout_s,
         )
         self._wake = asyncio.Event()
-        # Waiting callers in the order in which they came.
-        self._changed: dict[asyncio.Future[None], None] = {}
+        self._waiters = Waiters()
         self._background = BackgroundTasks()
 
     def register(self, server: PeerServer) -> None:
@@ -159,7 +159,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 while True:
-                    await self._change()
+                    await self._waiters.wait()
                     for endpoint_id in endpoint_ids:
                         if slot := self._reserve(endpoint_id):
                             return slot
@@ -169,19 +169,6 @@
             for grant in held:
                 grant.waiter_count -= 1
 
-    async def _change(self) -> None:
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._changed[future] = None
-        try:
-            await future
-        finally:
-            del self._changed[future]
-
-    def _notify_change(self) -> None:
-        for future in list(self._changed):
-            if not future.done():
-                future.set_result(None)
-
     def free_count(self, endpoint_id: str) -> int:
         """Return how many more requests may start at an endpoint now."""
         held = self._grants.get(endpoint_id)
@@ -235,7 +222,7 @@
         held.sent.discard(token)
         self.table.finished(endpoint_id, self._table_tokens.pop(token, 0))
         self._notices.saw(endpoint_id, outcome)
-        self._notify_change()
+        self._waiters.notify()
 
     def observe(self, endpoint_id: str, load: ObservedLoad) -> None:
         """Take the load in the headers of an answer."""
@@ -342,11 +329,11 @@
         self._plan_next_ask(held)
         # A denial during the call may have set an earlier time.
         self._wake.set()
-        self._notify_change()
+        self._waiters.notify()
 
     async def _refresh(self, held: HeldGrant) -> None:
         await self._warm_share.refresh(held.endpoint_id)
-        self._notify_change()
+        self._waiters.notify()
 
     async def _call(self, endpoint_id: str, owner: RosterMember) -> GrantReply:
         request = self.request_for(endpoint_id, owner)
