--- a/examples/local_deployment.py
+++ b/examples/local_deployment.py
@@ -337,7 +337,9 @@
 
     async def json(self, url: str) -> Any:
         """Return the JSON that a GET answers."""
-        response = await self.fetch(url)
+        response = await self.fetch(
+            url, headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        )
         response.rethrow()
         return json.loads(response.body)
 
--- a/src/sesameknot/router/operator_handlers.py
+++ b/src/sesameknot/router/operator_handlers.py
@@ -53,6 +53,24 @@
     def initialize(self, api: OperatorApi) -> None:
         self.api = api
 
+    def authorise(self) -> None:
+        """Refuse a request without the operator token.
+
+        Raises
+        ------
+        tornado.web.HTTPError
+            401 if the token is missing or wrong.
+        """
+        _, _, token = self.request.headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        if not hmac.compare_digest(digest, self.api.token_sha256):
+            raise HTTPError(401, "operator token is missing or wrong")
+
+    def _authorise_if_set(self) -> None:
+        # Reading needs a token only where one is configured.
+        if self.api.token_sha256:
+            self.authorise()
+
     def write_json(self, value: Any) -> None:
         """Send ``value`` as JSON."""
         self.set_header("Content-Type", "application/json")
@@ -96,6 +114,7 @@
 
     def get(self) -> None:
         """Send configuration age, verdict and object versions."""
+        self._authorise_if_set()
         self.write_json(self.api.status())
 
 
@@ -104,6 +123,7 @@
 
     def get(self) -> None:
         """Send the counters of each version."""
+        self._authorise_if_set()
         self.write_json([asdict(stats) for stats in self.api.traffic()])
 
 
@@ -112,7 +132,7 @@
 
     def post(self) -> None:
         """Merge the objects; the platform version decides which is newer."""
-        self._authorise()
+        self.authorise()
         try:
             objects = _read_objects(self.request.body)
         except RouterError as error:
@@ -122,13 +142,6 @@
         self.api.accept_objects(objects)
         self.write_json({"accepted": len(objects)})
 
-    def _authorise(self) -> None:
-        _, _, token = self.request.headers.get("Authorization", "").partition(" ")
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        expected = self.api.token_sha256
-        if not expected or not hmac.compare_digest(digest, expected):
-            raise HTTPError(401, "operator token is missing or wrong")
-
 
 def _read_objects(body: bytes) -> list[StoredObject]:
     try:
