Share the stop signal and the serve loop between binaries

Cause: six binaries installed their signal handlers alike and two stand-ins had the same serve loop. Change: apps/_serving.

--- a/src/sesameknot/apps/controller.py
+++ b/src/sesameknot/apps/controller.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import signal
 import sys
 from pathlib import Path
 
@@ -10,6 +9,7 @@
 
 from sesameknot.apps._logging import configure_logging
 from sesameknot.apps._rollout_decision import decide
+from sesameknot.apps._serving import stop_event
 from sesameknot.clock import SystemClock
 from sesameknot.coordination.rollout_runner import RolloutRunner
 from sesameknot.coordination.router_view import RouterView
@@ -34,10 +34,7 @@
     """Run roll-outs until the process is asked to stop."""
     clock = SystemClock()
     tls = client_context(settings.tls) if settings.tls else None
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = stop_event()
     with contextlib.ExitStack() as stack:
         peer = PeerClient(f"controller-{settings.host_id}", clock=clock, tls=tls)
         stack.callback(peer.close)
--- a/src/sesameknot/apps/endpoint_standin.py
+++ b/src/sesameknot/apps/endpoint_standin.py
@@ -1,10 +1,10 @@
 """Run an endpoint stand-in."""
 
 import asyncio
-import signal
 
 from absl import app, flags
 
+from sesameknot.apps._serving import serve_until_stopped
 from sesameknot.standins.endpoint import EndpointStandin, EngineOptions
 
 FLAGS = flags.FLAGS
@@ -52,14 +52,7 @@
         **{name: FLAGS[name].value for name in OPTION_FLAGS},
     )
     server = EndpointStandin(options).server()
-    server.listen(FLAGS.port, address=FLAGS.address)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
-    server.stop()
-    await server.close_all_connections()
+    await serve_until_stopped(server, FLAGS.address, FLAGS.port)
 
 
 def main(argv: list[str]) -> None:
--- a/src/sesameknot/apps/platform_standin.py
+++ b/src/sesameknot/apps/platform_standin.py
@@ -1,12 +1,12 @@
 """Binary ``sesameknot-platform-standin``: a platform for tests and the demo."""
 
 import asyncio
-import signal
 
 from absl import app, flags
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from sesameknot.apps._serving import stop_event
 from sesameknot.clock import SystemClock
 from sesameknot.standins.platform import PlatformCore, make_application
 
@@ -33,10 +33,7 @@
     server.add_sockets(sockets)
     port = sockets[0].getsockname()[1]
     print(f"listening on {_ADDRESS.value}:{port}", flush=True)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = stop_event()
     await stopped.wait()
     server.stop()
     await server.close_all_connections()
--- a/src/sesameknot/apps/rating_standin.py
+++ b/src/sesameknot/apps/rating_standin.py
@@ -1,10 +1,10 @@
 """Run the stand-in of the rating service and the weight store."""
 
 import asyncio
-import signal
 
 from absl import app, flags
 
+from sesameknot.apps._serving import serve_until_stopped
 from sesameknot.standins.rating import RatingOptions, RatingStandin
 
 FLAGS = flags.FLAGS
@@ -37,14 +37,7 @@
     )
     standin = RatingStandin(options, weight_rate_per_s=FLAGS.weight_rate_per_s)
     server = standin.server()
-    server.listen(FLAGS.port, address=FLAGS.address)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
-    server.stop()
-    await server.close_all_connections()
+    await serve_until_stopped(server, FLAGS.address, FLAGS.port)
 
 
 def main(argv: list[str]) -> None:
--- a/src/sesameknot/apps/router.py
+++ b/src/sesameknot/apps/router.py
@@ -1,13 +1,13 @@
 """Binary ``sesameknot-router``: the router on an entry host."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 from absl import app, flags
 
 from sesameknot.apps._logging import configure_logging
+from sesameknot.apps._serving import stop_event
 from sesameknot.errors import SettingsError
 from sesameknot.settings.loader import load_file
 from sesameknot.settings.process import RouterSettings
@@ -25,10 +25,7 @@
 
 async def _serve(settings: RouterSettings) -> None:
     router = Router(settings)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = stop_event()
     try:
         await router.start()
         print(f"listening on {settings.http_address}", flush=True)
--- a/src/sesameknot/apps/screen.py
+++ b/src/sesameknot/apps/screen.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import signal
 import sys
 from importlib import resources
 from pathlib import Path
@@ -14,6 +13,7 @@
 from tornado.web import Application, RequestHandler, StaticFileHandler
 
 from sesameknot.apps._logging import configure_logging
+from sesameknot.apps._serving import stop_event
 from sesameknot.apps._tls_flags import peer_context
 from sesameknot.clock import SystemClock
 from sesameknot.coordination.router_view import RouterView
@@ -102,10 +102,7 @@
 
 
 async def _serve() -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopped.set)
+    stopped = stop_event()
     with contextlib.ExitStack() as stack:
         poller = _make_poller(stack)
         server = HTTPServer(make_application(poller))
