--- a/src/sesameknot/router/chat_pipeline.py
+++ b/src/sesameknot/router/chat_pipeline.py
@@ -120,7 +120,6 @@
             call, request, sink, clock=self._clock, metrics=self._metrics
         )
         try:
-            self._gate.admit(call)
             await self._run(call, request, writer)
         except BaseException:
             await self._keyed.fail(call)
@@ -133,6 +132,8 @@
         models = self._versions.models(call, request)
         model = self._with_room(call, models)
         choice = await self._versions.version(call, model)
+        target = self._target(call, request, choice)
+        self._gate.admit(call, self._picker.estimate(target))
         while True:
             picked = await self._picker.pick(
                 call,
@@ -259,7 +260,7 @@
                 call, picked, lambda: self._versions.still_usable(call, choice)
             ),
         )
-        sent_s = self._clock.monotonic_s()
+        sent_s = first_s = self._clock.monotonic_s()
         endpoint_id = picked.endpoint.endpoint_id
         async with self._client.stream(attempt) as stream:
             if stream.load is not None:
@@ -268,12 +269,15 @@
             async for chunks in stream.batches():
                 if first and chunks:
                     first = False
-                    elapsed_s = self._clock.monotonic_s() - sent_s
-                    self._grants.first_token(endpoint_id, elapsed_s)
+                    first_s = self._clock.monotonic_s()
+                    self._grants.first_token(endpoint_id, first_s - sent_s)
                 try:
                     await writer.take(chunks)
                 except TransportError as error:
                     raise CallerGoneError(error.message, step="answer") from error
+        self._picker.observe(
+            f"{call.team}/{choice.settings.name}", self._clock.monotonic_s() - first_s
+        )
 
     async def _complete(
         self,
--- a/src/sesameknot/router/service_pipeline.py
+++ b/src/sesameknot/router/service_pipeline.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from sesameknot.clock import Clock
 from sesameknot.errors import RequestError, RouterError
 from sesameknot.router.attempts import AttemptRules, Failure
 from sesameknot.router.bills import Billing
@@ -54,6 +55,8 @@
         Settings in force.
     traffic : TrafficCounters
         Counters per service.
+    clock : Clock
+        Source of monotonic time.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         billing: Billing,
         catalogue: CatalogueKeeper,
         traffic: TrafficCounters,
+        clock: Clock,
     ) -> None:
         self._gate = gate
         self._keyed = keyed
@@ -76,6 +80,7 @@
         self._billing = billing
         self._catalogue = catalogue
         self._traffic = traffic
+        self._clock = clock
 
     async def serve(
         self, headers: CallHeaders, request: ServiceRequest, sink: AnswerSink
@@ -96,7 +101,6 @@
             await replay(stored, sink)
             return
         try:
-            self._gate.admit(call)
             answer, picked = await self._run(call, request, service, idempotent)
         except BaseException:
             await self._keyed.fail(call)
@@ -128,13 +132,16 @@
                 service.settings.name, []
             ),
         )
+        self._gate.admit(call, self._picker.estimate(target))
         while True:
             picked = await self._picker.pick(
                 call, target, suspected=self._rules.suspected(call)
             )
+            started_s = self._clock.monotonic_s()
             result = await self._attempt(call, request, picked)
             self._picker.slot_freed(target.name)
             if isinstance(result, EndpointAnswer):
+                self._picker.observe(target.name, self._clock.monotonic_s() - started_s)
                 return result, picked
             final = result.may_have_run and not idempotent
             if final or not self._rules.may_retry(call, result):
--- a/src/sesameknot/wiring.py
+++ b/src/sesameknot/wiring.py
@@ -83,7 +83,7 @@
             registry=self.registry,
             in_flight=lambda: self.drain.in_flight_count,
         )
-        self.coordination.peer_server.handle(StatsRequest)(self._answer_stats)
+        self.coordination.base.peer_server.handle(StatsRequest)(self._answer_stats)
         self._listen()
         self.coordination.start(self._stack)
         self._spawn("ratings", self.requests.ratings.run())
@@ -105,8 +105,8 @@
 
     def _listen(self) -> None:
         ip, port = _split(self.settings.peer_address)
-        self.coordination.peer_server.add_sockets(bind_sockets(port, ip))
-        self._stack.push_async_callback(self.coordination.peer_server.close)
+        self.coordination.base.peer_server.add_sockets(bind_sockets(port, ip))
+        self._stack.push_async_callback(self.coordination.base.peer_server.close)
         server = HTTPServer(
             self._application(),
             xheaders=False,
@@ -182,7 +182,8 @@
             "config_age_ms": age_ms if age_ms != float("inf") else -1.0,
             "verdict": freshness.verdict().value,
             "versions": {
-                entry.key: entry.version for entry in self.coordination.store.versions()
+                entry.key: entry.version
+                for entry in self.coordination.base.store.versions()
             },
             "draining": self.drain.leaving,
         }
@@ -190,7 +191,7 @@
     def _refresh_metrics(self) -> None:
         metrics = self.requests.metrics
         metrics.in_flight.set({}, self.drain.in_flight_count)
-        metrics.platform_calls.set({}, self.coordination.platform.call_count)
+        metrics.platform_calls.set({}, self.coordination.base.platform.call_count)
         if self.coordination.freshness.verdict() is not Verdict.STALE:
             metrics.config_age_s.set({}, self.coordination.freshness.age_s())
 
