Let the controller follow the ramp and the watch of the experiment

Cause: the controller wrote the whole share of a step at once and judged a completed version on all counters since completion, while the exposure experiment measures the ramp. Its figures were not those of the product.

Change: RolloutDecision is the interface that the controller injects; its StepDecision gives the verdict and the share of one step. SequentialDecision implements it with RolloutTest, RolloutRamp and RolloutWatch. A holder writes a share at most every two seconds and only if it changes by a tenth or reaches the full share of the step. A share grows only after it was stored. A step begins with its first share and is not begun anew by later ones. RolloutRamp takes the share to begin from, so a successor and the next step never lower it.

Ruled out: a threshold without exception for the full share, since a step could then never end; a ramp that runs on while writes fail, since it would jump after an outage.

Changed expectations: the first write of a step has the ramp's first share, no longer the whole one.

--- a/src/sesameknot/apps/controller.py
+++ b/src/sesameknot/apps/controller.py
@@ -9,7 +9,7 @@
 from absl import app, flags
 
 from sesameknot.apps._logging import configure_logging
-from sesameknot.apps._rollout_decision import decide
+from sesameknot.apps._rollout_decision import SequentialDecision
 from sesameknot.clock import SystemClock
 from sesameknot.coordination.rollout_runner import RolloutRunner
 from sesameknot.coordination.router_view import RouterView
@@ -50,7 +50,7 @@
             view=RouterView(settings.router_address, peer=peer),
             platform=platform,
             orders=endpoints,
-            decide=decide,
+            decision=SequentialDecision(clock),
             clock=clock,
             lease_s=settings.timing.lease_s,
             margin_s=settings.timing.margin_s,
--- a/src/sesameknot/coordination/_held_rollout.py
+++ b/src/sesameknot/coordination/_held_rollout.py
@@ -1,6 +1,6 @@
 """Steps of one held roll-out."""
 
-from collections.abc import Callable
+import dataclasses
 
 import structlog
 
@@ -11,6 +11,11 @@
     needed_endpoints,
 )
 from sesameknot.coordination._rollout_lease import Hold, new_write_id
+from sesameknot.coordination.rollout_decision import (
+    Move,
+    RolloutDecision,
+    StepDecision,
+)
 from sesameknot.coordination.router_view import View
 from sesameknot.coordination.version_counters import VersionCounters
 from sesameknot.errors import ConflictError
@@ -26,7 +31,11 @@
 from sesameknot.settings.tree import EndpointSettings, RolloutSettings, TeamSettings
 from sesameknot.transport.platform_client import PlatformClient
 
-Decide = Callable[[VersionStats, VersionStats, RolloutSettings, float], str]
+# Every share is spread to all hosts. Counters are collected as often, so a faster
+# ramp would have no new evidence.
+SHARE_INTERVAL_S = 2.0
+# Least relative change of a share that is worth a write to the platform.
+SHARE_CHANGE = 0.1
 
 log = structlog.get_logger(__name__)
 
@@ -48,9 +57,8 @@
         Client of the engines.
     counters : VersionCounters
         Counters of all routers.
-    decide : callable
-        ``decide(stable, new, settings, step_elapsed_s)`` returns ``"continue"``,
-        ``"advance"`` or ``"stop"``.
+    decision : RolloutDecision
+        Decides on shares, steps and stops.
     clock : Clock
         Source of time.
     order_timeout_s : float
@@ -66,7 +74,7 @@
         platform: PlatformClient,
         orders: EngineOrders,
         counters: VersionCounters,
-        decide: Decide,
+        decision: RolloutDecision,
         clock: Clock,
         order_timeout_s: float,
     ) -> None:
@@ -78,8 +86,10 @@
         self._view = view
         self._platform = platform
         self._counters = counters
-        self._decide = decide
+        self._decision = decision
         self._clock = clock
+        # The previous holder may have written a share just before.
+        self._share_sent_s = clock.monotonic_s() if hold.rollout.share else None
         self._begin_step()
 
     async def tick(self) -> None:
@@ -111,9 +121,7 @@
 
     async def _move(self, team: TeamSettings, plan: RolloutSettings) -> None:
         rollout = self.hold.rollout
-        shares = plan.step_shares
-        step = min(rollout.step, len(shares) - 1)
-        verdict = "continue"
+        verdict: Move = "continue"
         if rollout.share > 0.0:
             verdict = self._verdict(plan)
             if verdict == "stop":
@@ -121,25 +129,47 @@
                 return
         if plan.paused or rollout.state == "paused":
             return
+        step = min(rollout.step, len(plan.step_shares) - 1)
+        step_share = plan.step_shares[step]
         if rollout.state == "complete":
             self._prepare(team, rollout.share)
-        elif verdict == "advance" and rollout.share == shares[step]:
-            await self._advance(team, shares, step)
-        elif self._prepare(team, shares[step]) and (
-            rollout.state == "planned" or rollout.share != shares[step]
-        ):
-            await self._write_step(step, shares[step])
+        elif verdict == "advance" and rollout.share == step_share:
+            await self._advance(team, plan, step)
+        elif self._prepare(team, step_share):
+            await self._follow_ramp(plan, step)
 
     async def _advance(
-        self, team: TeamSettings, shares: list[float], step: int
+        self, team: TeamSettings, plan: RolloutSettings, step: int
     ) -> None:
-        if step + 1 == len(shares):
-            log.info("rollout_complete", rollout=self.hold.rollout.key)
+        rollout = self.hold.rollout
+        if step + 1 == len(plan.step_shares):
+            log.info("rollout_complete", rollout=rollout.key)
             await self.hold.write(state="complete", reason="all steps passed")
-        elif self._prepare(team, shares[step + 1]):
-            await self._write_step(step + 1, shares[step + 1])
+        elif self._prepare(team, plan.step_shares[step + 1]):
+            begun = dataclasses.replace(rollout, step=step + 1)
+            share = self._decision.begin(plan, begun).share
+            await self._write_share(step + 1, share)
+
+    async def _follow_ramp(self, plan: RolloutSettings, step: int) -> None:
+        rollout = self.hold.rollout
+        decision = self._step_decision(plan)
+        step_share = plan.step_shares[step]
+        # A share that is not stored yet must not grow further: no caller has met it.
+        if not _is_due(rollout.share, decision.share, step_share):
+            decision.grow(self._stable(), self._window.growth())
+        if rollout.state == "planned" or _is_due(
+            rollout.share, decision.share, step_share
+        ):
+            await self._write_share(step, decision.share)
 
-    async def _write_step(self, step: int, share: float) -> None:
+    async def _write_share(self, step: int, share: float) -> None:
+        now_s = self._clock.monotonic_s()
+        if (
+            self._share_sent_s is not None
+            and now_s - self._share_sent_s < SHARE_INTERVAL_S
+        ):
+            return
+        self._share_sent_s = now_s
         log.info("rollout_step", rollout=self.hold.rollout.key, step=step, share=share)
         await self.hold.write(
             state="running", step=step, share=share, reason=f"step {step}"
@@ -202,13 +232,21 @@
         stored = self._view.get(domain_key(endpoint.domain))
         return stored is None or stored.value.get("state") != "out"
 
-    def _verdict(self, plan: RolloutSettings) -> str:
-        rollout = self.hold.rollout
-        stable = self._counters.total(
-            (rollout.team, rollout.model, rollout.from_version)
-        )
+    def _verdict(self, plan: RolloutSettings) -> Move:
         elapsed_s = self._clock.monotonic_s() - self._step_began_s
-        return self._decide(stable, self._window.growth(), plan, elapsed_s)
+        return self._step_decision(plan).verdict(
+            self._stable(), self._window.growth(), elapsed_s=elapsed_s
+        )
+
+    def _stable(self) -> VersionStats:
+        rollout = self.hold.rollout
+        return self._counters.total((rollout.team, rollout.model, rollout.from_version))
+
+    def _step_decision(self, plan: RolloutSettings) -> StepDecision:
+        if self._present is None or self._present_plan != plan:
+            self._present = self._decision.begin(plan, self.hold.rollout)
+            self._present_plan = plan
+        return self._present
 
     def _begin_step(self) -> None:
         rollout = self.hold.rollout
@@ -216,6 +254,8 @@
         self._step = _step_of(rollout)
         self._step_began_s = self._clock.monotonic_s()
         self._window = self._counters.window(key)
+        self._present: StepDecision | None = None
+        self._present_plan: RolloutSettings | None = None
 
     def _team(self) -> TeamSettings | None:
         key = settings_key(self.hold.rollout.team)
@@ -239,8 +279,18 @@
         return stored is not None and is_withdrawn(stored.value)
 
 
-def _step_of(rollout: RolloutObject) -> tuple[int, float, bool]:
-    return rollout.step, rollout.share, rollout.state == "complete"
+def _step_of(rollout: RolloutObject) -> tuple[int, bool, bool]:
+    # A step begins with its first share. Later shares of the ramp do not begin it
+    # anew: its evidence would be lost.
+    return rollout.step, rollout.share > 0.0, rollout.state == "complete"
+
+
+def _is_due(stored: float, share: float, step_share: float) -> bool:
+    """Return whether ``share`` is to be written in place of the stored one."""
+    if share == stored:
+        return False
+    # The step cannot advance before its full share is stored, however close it is.
+    return share == step_share or abs(share - stored) >= SHARE_CHANGE * stored
 
 
 def _plan(team: TeamSettings | None, rollout: RolloutObject) -> RolloutSettings | None:
--- a/src/sesameknot/coordination/rollout_runner.py
+++ b/src/sesameknot/coordination/rollout_runner.py
@@ -7,7 +7,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination._engine_loading import EngineOrders
-from sesameknot.coordination._held_rollout import Decide, HeldRollout
+from sesameknot.coordination._held_rollout import HeldRollout
 from sesameknot.coordination._rollout_lease import (
     Hold,
     LeaseWatch,
@@ -15,6 +15,7 @@
     new_write_id,
     takeover_wait_s,
 )
+from sesameknot.coordination.rollout_decision import RolloutDecision
 from sesameknot.coordination.router_view import View
 from sesameknot.coordination.version_counters import VersionCounters
 from sesameknot.errors import ConflictError, PlatformError, RouterError
@@ -49,9 +50,8 @@
         The object API.
     orders : EngineOrders
         Client of the engines.
-    decide : callable
-        ``decide(stable, new, settings, step_elapsed_s)`` returns ``"continue"``,
-        ``"advance"`` or ``"stop"``.
+    decision : RolloutDecision
+        Decides on shares, steps and stops.
     clock : Clock
         Source of time.
     lease_s : float, default=5.0
@@ -69,7 +69,7 @@
         view: View,
         platform: PlatformClient,
         orders: EngineOrders,
-        decide: Decide,
+        decision: RolloutDecision,
         clock: Clock,
         lease_s: float = 5.0,
         margin_s: float = 0.5,
@@ -82,7 +82,7 @@
         self._view = view
         self._platform = platform
         self._orders = orders
-        self._decide = decide
+        self._decision = decision
         self._clock = clock
         self._counters = VersionCounters()
         self._stats_s: float | None = None
@@ -208,7 +208,7 @@
             platform=self._platform,
             orders=self._orders,
             counters=self._counters,
-            decide=self._decide,
+            decision=self._decision,
             clock=self._clock,
             order_timeout_s=self.order_timeout_s,
         )
--- a/src/sesameknot/policy/rollout_ramp.py
+++ b/src/sesameknot/policy/rollout_ramp.py
@@ -1,22 +1,25 @@
-"""Growth of a roll-out's first step while the evidence is favourable."""
+"""Growth of a roll-out's share within a step while the evidence is favourable."""
 
 from sesameknot.clock import Clock
 from sesameknot.policy.rollout_test import RolloutTest, VersionSample
 
 
 class RolloutRamp:
-    """Share of callers during the first step.
+    """Share of callers during one step.
 
     Parameters
     ----------
     test : RolloutTest
         Test whose evidence steers the growth.
     step_share : float
-        Share of the first step, which the ramp ends at.
+        Share of the step, which the ramp ends at.
     clock : Clock
         Source of time.
     start_ratio : float, default=0.05
         First share, relative to ``step_share``.
+    begun_share : float, default=0.0
+        Share that callers have already, from the step before or an earlier holder of
+        the roll-out; the ramp goes on from it.
     growth_factor : float, default=2.0
         Factor of each growth.
     growth_ratings : int, default=10
@@ -60,6 +63,7 @@
         *,
         clock: Clock,
         start_ratio: float = 0.05,
+        begun_share: float = 0.0,
         growth_factor: float = 2.0,
         growth_ratings: int = 10,
         idle_s: float = 1200.0,
@@ -70,7 +74,7 @@
         self.growth_factor = growth_factor
         self.growth_ratings = growth_ratings
         self.idle_s = idle_s
-        self._share = step_share * start_ratio
+        self._share = min(step_share, max(begun_share, step_share * start_ratio))
         self._grown_s = clock.monotonic_s()
         self._request_count = 0
         self._rating_count = 0
--- a/tests/apps/test_rollout_decision.py
+++ b/tests/apps/test_rollout_decision.py
@@ -1,11 +1,16 @@
 """Tests of the decision that moves roll-outs."""
 
+import asyncio
+import dataclasses
+
+import numpy as np
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, Is, LessThan
 
-from sesameknot.apps._rollout_decision import decide
-from sesameknot.protocol.messages import VersionStats
+from sesameknot.apps._rollout_decision import SequentialDecision, decide
+from sesameknot.protocol.messages import StatsReply, VersionStats
 from sesameknot.settings.tree import RolloutSettings
+from tests.coordination.rollout_fakes import World, tick
 
 PLAN = RolloutSettings(name="july", model="small", to_version="v2", step_min_s=30.0)
 
@@ -20,6 +25,103 @@
     )
 
 
+RAMPED_SHARES = [0.2, 0.5, 1.0]
+FIRST_SHARE = 0.05 * RAMPED_SHARES[0]
+REQUESTS_PER_COLLECTION = 1000
+
+
+class SeededRollout:
+    """A roll-out under the product's decision, with counters that follow its share."""
+
+    def __init__(self, seed, *, drop=0.0, rise=0.0):
+        self.world = World(decision=SequentialDecision, step_shares=RAMPED_SHARES)
+        self.world.stats = self._stats
+        self.runner = self.world.runner("h0")
+        self.drop, self.rise = drop, rise
+        self.shares = []
+        self._generator = np.random.default_rng(seed)
+        self._counters = [
+            VersionStats(team="feed", model="small", version=version)
+            for version in ("v1", "v2")
+        ]
+
+    async def run_to(self, *states, limit=3000):
+        """Tick until the roll-out is in one of ``states``; return the ticks."""
+        for count in range(limit):
+            rollout = self.world.rollout
+            self.shares.append(rollout.share)
+            if rollout.state in states:
+                return count
+            self.world.clock.advance(2.0)
+            await tick(self.runner)
+        raise AssertionError(f"{self.world.rollout} is in none of {states}")
+
+    def _stats(self):
+        share = self.world.rollout.share
+        for stats, part, drop, rise in zip(
+            self._counters,
+            (1.0 - share, share),
+            (0.0, self.drop),
+            (0.0, self.rise),
+            strict=True,
+        ):
+            count = int(self._generator.poisson(REQUESTS_PER_COLLECTION * part))
+            quality = 0.8 - drop
+            ratings = self._generator.beta(
+                8 * quality, 8 * (1 - quality), size=count // 4
+            )
+            stats.request_count += count
+            stats.error_count += int(self._generator.binomial(count, 0.01 + rise))
+            stats.rating_count += len(ratings)
+            stats.rating_sum += float(ratings.sum())
+            stats.rating_square_sum += float((ratings**2).sum())
+        versions = [dataclasses.replace(stats) for stats in self._counters]
+        return [StatsReply(host_id="h1", incarnation=1, versions=versions)]
+
+
+class SequentialDecisionTest(TestCase):
+    def test_a_version_that_is_bad_from_the_start_stays_at_the_first_share(self):
+        """Guards against a ramp that grows before the test has stopped the version."""
+        for seed in range(10):
+            for change in ({"drop": 0.2}, {"rise": 0.2}):
+                rollout = SeededRollout(seed, **change)
+                asyncio.run(rollout.run_to("stopped"))
+                self.assertThat(
+                    set(rollout.shares), Equals({0.0, FIRST_SHARE}), f"{seed} {change}"
+                )
+                self.assertThat(rollout.world.withdrawn, Is(True))
+
+    def test_a_good_version_goes_through_the_ramp_of_each_step(self):
+        """Guards against a ramp that falls, jumps a step or never ends."""
+        ramp = [0.0, *(FIRST_SHARE * 2.0**k for k in range(5)), 0.2, 0.4, 0.5, 1.0]
+        false_alarms = 0
+        for seed in range(40):
+            rollout = SeededRollout(seed)
+            asyncio.run(rollout.run_to("complete", "stopped"))
+            if rollout.world.rollout.state == "stopped":
+                false_alarms += 1
+            else:
+                self.assertThat(list(dict.fromkeys(rollout.shares)), Equals(ramp))
+        # The false-alarm rate of a roll-out is 5%, two of 40.
+        self.assertThat(false_alarms, LessThan(3))
+
+    def test_a_complete_version_that_turns_bad_is_stopped_soon(self):
+        """Guards against good evidence of the past that hides a fault for hours."""
+        # Seed 0 is a false alarm of the roll-out itself.
+        for seed in range(1, 6):
+            asyncio.run(self._turn_bad(seed))
+
+    async def _turn_bad(self, seed):
+        rollout = SeededRollout(seed)
+        await rollout.run_to("complete")
+        for _ in range(300):
+            rollout.world.clock.advance(2.0)
+            await tick(rollout.runner)
+        self.assertThat(rollout.world.rollout.state, Equals("complete"))
+        rollout.drop = 0.1
+        self.assertThat(await rollout.run_to("stopped"), LessThan(10))
+
+
 class DecideTest(TestCase):
     def test_a_good_version_advances_after_the_least_time_only(self):
         """Guards against a step that is over before its least time."""
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -360,6 +360,13 @@
         self.assertThat(
             self.present("rollouts/feed.july").value["state"], Equals("paused")
         )
+        present = self.present("rollouts/feed.july")
+        self.core.table.put(
+            present.key,
+            {**present.value, "share": 0.005},
+            expected_version=present.version,
+            write_id="controller-h1/1",
+        )
         await self.run_ctl("rollout stop feed july")
         value = self.present("rollouts/feed.july").value
         self.assertThat((value["state"], value["share"]), Equals(("stopped", 0.0)))
