Rate versions with a small roll-out share more often

Cause: the exposure experiment sends balanced_rating_share of a new version's answers for rating, the router sent the same share of all answers. Under the ramp a new version begins with a twentieth of a step's share, so its ratings would hold up the roll-out.

Change: Ratings asks for the roll-out share of an answer's version and samples with balanced_rating_share. A roll-out without a share (planned or stopped) has the usual rating share.

--- a/src/sesameknot/_wiring_requests.py
+++ b/src/sesameknot/_wiring_requests.py
@@ -71,6 +71,7 @@
     ratings = Ratings(
         settings.rating_url,
         share=settings.rating_share,
+        rollout_share=rollout_share_reader(catalogue),
         generator=parts.generator,
         on_rating=_rating_taker(traffic, versions),
     )
@@ -192,6 +193,21 @@
     return make
 
 
+def rollout_share_reader(
+    catalogue: CatalogueKeeper,
+) -> Callable[[RatedAnswer], float]:
+    """Return the function that ``Ratings`` asks for the share of a version."""
+
+    def rollout_share(answer: RatedAnswer) -> float:
+        rollout = catalogue.current.rollouts.get((answer.team, answer.model))
+        if rollout is None or rollout.to_version != answer.version:
+            return 1.0
+        # A roll-out that is planned or stopped has no share.
+        return rollout.share or 1.0
+
+    return rollout_share
+
+
 def _rating_taker(
     traffic: TrafficCounters, versions: VersionPicker
 ) -> Callable[[RatedAnswer, float], None]:
--- a/src/sesameknot/router/ratings.py
+++ b/src/sesameknot/router/ratings.py
@@ -12,6 +12,8 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from sesameknot.policy.rollout_test import balanced_rating_share
+
 PENDING_LIMIT_COUNT = 5_000
 POLL_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 5.0
@@ -45,6 +47,10 @@
         Base URL of the rating service; empty turns ratings off.
     share : float
         Share of answers that are sent.
+    rollout_share : callable
+        Returns the traffic share of an answer's version while it is being rolled out,
+        and 1 for other versions. Answers of a version with a small share are sent more
+        often, so that a roll-out is judged on enough ratings.
     generator : numpy.random.Generator
         Source of the sample.
     on_rating : callable
@@ -56,11 +62,13 @@
         url: str,
         *,
         share: float,
+        rollout_share: Callable[[RatedAnswer], float],
         generator: np.random.Generator,
         on_rating: Callable[[RatedAnswer, float], None],
     ) -> None:
         self.url = url.rstrip("/")
         self.share = share
+        self.rollout_share = rollout_share
         self._generator = generator
         self._on_rating = on_rating
         self._pending: OrderedDict[str, RatedAnswer] = OrderedDict()
@@ -70,7 +78,10 @@
 
     def offer(self, answer: RatedAnswer) -> None:
         """Send the answer for rating if the sample takes it."""
-        if not self.url or self._generator.random() >= self.share:
+        if not self.url:
+            return
+        share = balanced_rating_share(self.share, self.rollout_share(answer))
+        if self._generator.random() >= share:
             return
         if self._queue.full():
             log.info("rating_dropped", request_id=answer.request_id, step="queue")
