--- a/src/sesameknot/settings/tree.py
+++ b/src/sesameknot/settings/tree.py
@@ -168,6 +168,8 @@
         New version; it replaces the model's stable version.
     step_shares : list of float, default=[0.01, 0.05, 0.25, 1.0]
         Share of new sessions that get the new version, step by step.
+    start_ratio : float, default=0.05
+        First share of a step, relative to the step's share; it grows on ratings.
     step_min_s : float, default=30.0
         Least time per step.
     step_min_ratings : int, default=20
@@ -186,6 +188,7 @@
     step_shares: Annotated[list[Share], Meta(min_length=1)] = field(
         default_factory=lambda: [0.01, 0.05, 0.25, 1.0]
     )
+    start_ratio: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.05
     step_min_s: DurationS = 30.0
     step_min_ratings: Count = 20
     quality_drop: Annotated[float, Meta(gt=0.0, lt=1.0)] = 0.05
