Count requests, share the pipelines' parts, test bad requests

Cause: sesameknot_requests_total and the latency histogram were never fed, the error type of a malformed chat request was spelt unlike all others, and both pipelines listed the same nine constructor arguments.

Change: PipelineParts, observation at the end of each request, one spelling, a test of seven bad requests that ends with the metrics.

--- a/src/sesameknot/_wiring_requests.py
+++ b/src/sesameknot/_wiring_requests.py
@@ -23,6 +23,7 @@
 from sesameknot.router.gate import Gate
 from sesameknot.router.keyed import KeyedCalls
 from sesameknot.router.metrics import RouterMetrics
+from sesameknot.router.parts import PipelineParts
 from sesameknot.router.ratings import RatedAnswer, Ratings
 from sesameknot.router.service_pipeline import ServicePipeline
 from sesameknot.router.traffic import TrafficCounters
@@ -76,10 +77,42 @@
         on_rating=_rating_taker(traffic, versions),
     )
     stack.callback(ratings.close)
-    gate = Gate(
+    shared = _pipeline_parts(
+        settings, clock, parts, catalogue, traffic, metrics, in_flight
+    )
+    chat = ChatPipeline(
+        shared,
+        versions=versions,
+        grants=parts.grant_holder,
+        ratings=ratings,
+        metrics=metrics,
+    )
+    return RequestPath(
         catalogue=catalogue,
-        admission=Admission(clock=clock, random_generator=parts.base.generator),
+        traffic=traffic,
+        ratings=ratings,
         crash_guard=parts.base.crash_guard,
+        metrics=metrics,
+        picker=shared.picker,
+        chat=chat,
+        services=ServicePipeline(shared),
+    )
+
+
+def _pipeline_parts(
+    settings: RouterSettings,
+    clock: Clock,
+    parts: Coordination,
+    catalogue: CatalogueKeeper,
+    traffic: TrafficCounters,
+    metrics: RouterMetrics,
+    in_flight: Callable[[], int],
+) -> PipelineParts:
+    base = parts.base
+    gate = Gate(
+        catalogue=catalogue,
+        admission=Admission(clock=clock, random_generator=base.generator),
+        crash_guard=base.crash_guard,
         clock=clock,
         in_flight=in_flight,
         limit_count=settings.requests.concurrent_limit_count,
@@ -87,61 +120,34 @@
     picker = EndpointPicker(
         settings.host_id,
         catalogue=catalogue,
-        table=parts.base.endpoint_table,
+        table=base.endpoint_table,
         grants=parts.grant_holder,
         new_choice=lambda load: ENDPOINT_CHOICES.get("adaptive")(
-            random_generator=parts.base.generator, load_model=load
+            random_generator=base.generator, load_model=load
         ),
         clock=clock,
     )
     rules = AttemptRules(
         picker=picker,
-        client=parts.base.endpoint_client,
+        client=base.endpoint_client,
         budget=RetryBudget(settings.requests.retry_ratio),
-        crash_guard=parts.base.crash_guard,
+        crash_guard=base.crash_guard,
         announce=parts.membership.announce,
         settings=settings.requests,
         clock=clock,
         metrics=metrics,
     )
-    keyed = KeyedCalls(parts.claims)
-    billing = Billing(parts.bill_writer, clock=clock)
-    chat = ChatPipeline(
-        gate=gate,
-        keyed=keyed,
-        versions=versions,
-        picker=picker,
-        rules=rules,
-        grants=parts.grant_holder,
-        client=parts.base.endpoint_client,
-        billing=billing,
-        catalogue=catalogue,
-        traffic=traffic,
-        ratings=ratings,
-        clock=clock,
-        metrics=metrics,
-    )
-    services = ServicePipeline(
+    return PipelineParts(
         gate=gate,
-        keyed=keyed,
+        keyed=KeyedCalls(parts.claims),
         picker=picker,
         rules=rules,
-        client=parts.base.endpoint_client,
-        billing=billing,
+        client=base.endpoint_client,
+        billing=Billing(parts.bill_writer, clock=clock),
         catalogue=catalogue,
         traffic=traffic,
         clock=clock,
     )
-    return RequestPath(
-        catalogue=catalogue,
-        traffic=traffic,
-        ratings=ratings,
-        crash_guard=parts.base.crash_guard,
-        metrics=metrics,
-        picker=picker,
-        chat=chat,
-        services=services,
-    )
 
 
 def _follow_endpoints(parts: Coordination, catalogue: CatalogueKeeper) -> None:
--- a/src/sesameknot/protocol/chat.py
+++ b/src/sesameknot/protocol/chat.py
@@ -188,7 +188,7 @@
             f"not a chat completion request: {error}",
             status=400,
             outcome="not-run",
-            error_type="invalid_request",
+            error_type="bad-request",
             step="parse",
         ) from error
     return ChatRequest(
--- a/src/sesameknot/router/caller_handlers.py
+++ b/src/sesameknot/router/caller_handlers.py
@@ -44,12 +44,15 @@
         Counts requests in flight.
     may_accept : callable
         Returns an error message if new work is refused, else an empty string.
+    observe : callable
+        Takes the kind of request, the HTTP status and the duration in seconds.
     """
 
     serve_chat: ServeChat
     serve_service: ServeService
     drain: Drain
     may_accept: Callable[[], str]
+    observe: Callable[[str, int, float], None]
     body_limit_bytes: int
     default_deadline_s: float
 
@@ -58,6 +61,8 @@
 class CallerHandler(RequestHandler):
     """Read a bounded body, serve the call and turn errors into answers."""
 
+    kind = ""
+
     def initialize(self, api: CallerApi) -> None:
         """Store the dependencies and an empty body."""
         self.api = api
@@ -144,6 +149,11 @@
             self.set_header("Connection", "close")
         self.finish(json.dumps(error_body(error)))
 
+    def on_finish(self) -> None:
+        """Report status and duration."""
+        duration_s = self.request.request_time()
+        self.api.observe(type(self).kind, self.get_status(), duration_s)
+
     @property
     def body(self) -> bytes:
         """The whole request body."""
@@ -153,6 +163,8 @@
 class ChatHandler(CallerHandler):
     """``POST /v1/chat/completions``."""
 
+    kind = "chat"
+
     async def post(self) -> None:
         """Serve a chat completion."""
         await self.serve(
@@ -163,6 +175,8 @@
 class ServiceHandler(CallerHandler):
     """``/services/<name>/<path>`` with any method."""
 
+    kind = "service"
+
     async def _any(self, service: str, path: str) -> None:
         query = f"?{self.request.query}" if self.request.query else ""
         request = ServiceRequest(
--- a/src/sesameknot/router/chat_pipeline.py
+++ b/src/sesameknot/router/chat_pipeline.py
@@ -2,22 +2,19 @@
 
 import structlog
 
-from sesameknot.clock import Clock
 from sesameknot.coordination.grant_holder import GrantHolder, SlotOutcome
 from sesameknot.errors import FrameError, RequestError, RouterError, TransportError
 from sesameknot.policy.endpoint_choice import RequestShape
 from sesameknot.protocol.chat import ChatRequest, build_request, parse_request
-from sesameknot.router.attempts import AttemptRules, Failure
-from sesameknot.router.bills import CANCELLED, Billing
+from sesameknot.router.attempts import Failure
+from sesameknot.router.bills import CANCELLED
 from sesameknot.router.call import NOT_RUN, AnswerSink, Call, CallHeaders
-from sesameknot.router.catalogue import CatalogueKeeper
 from sesameknot.router.chat_answer import ChatAnswerWriter
-from sesameknot.router.endpoint_picker import EndpointPicker, Picked, Target
-from sesameknot.router.gate import Gate
-from sesameknot.router.keyed import KeyedCalls, replay
+from sesameknot.router.endpoint_picker import Picked, Target
+from sesameknot.router.keyed import replay
 from sesameknot.router.metrics import RouterMetrics
+from sesameknot.router.parts import PipelineParts
 from sesameknot.router.ratings import RatedAnswer, Ratings
-from sesameknot.router.traffic import TrafficCounters
 from sesameknot.router.version_picker import (
     CHARS_PER_TOKEN,
     DEFAULT_OUTPUT_TOKENS,
@@ -25,7 +22,7 @@
     VersionPicker,
 )
 from sesameknot.settings.tree import ModelSettings
-from sesameknot.transport.endpoint_client import EndpointCall, EndpointClient
+from sesameknot.transport.endpoint_client import EndpointCall
 
 PATH = "/v1/chat/completions"
 
@@ -41,63 +38,39 @@
 
     Parameters
     ----------
-    gate : Gate
-        Authorises and admits.
-    keyed : KeyedCalls
-        Idempotency keys.
+    parts : PipelineParts
+        Steps that all pipelines share.
     versions : VersionPicker
         Models and versions.
-    picker : EndpointPicker
-        Endpoints and slots.
-    rules : AttemptRules
-        What permits an attempt and what its failure means.
     grants : GrantHolder
         Learns load and first-token times.
-    client : EndpointClient
-        Sends attempts.
-    billing : Billing
-        Records bills.
-    catalogue : CatalogueKeeper
-        Settings in force.
-    traffic : TrafficCounters
-        Counters per version.
     ratings : Ratings
         Sends answers for rating.
-    clock : Clock
-        Source of monotonic time.
     metrics : RouterMetrics
         Observes latency.
     """
 
     def __init__(
         self,
+        parts: PipelineParts,
         *,
-        gate: Gate,
-        keyed: KeyedCalls,
         versions: VersionPicker,
-        picker: EndpointPicker,
-        rules: AttemptRules,
         grants: GrantHolder,
-        client: EndpointClient,
-        billing: Billing,
-        catalogue: CatalogueKeeper,
-        traffic: TrafficCounters,
         ratings: Ratings,
-        clock: Clock,
         metrics: RouterMetrics,
     ) -> None:
-        self._gate = gate
-        self._keyed = keyed
+        self._gate = parts.gate
+        self._keyed = parts.keyed
+        self._picker = parts.picker
+        self._rules = parts.rules
+        self._client = parts.client
+        self._billing = parts.billing
+        self._catalogue = parts.catalogue
+        self._traffic = parts.traffic
+        self._clock = parts.clock
         self._versions = versions
-        self._picker = picker
-        self._rules = rules
         self._grants = grants
-        self._client = client
-        self._billing = billing
-        self._catalogue = catalogue
-        self._traffic = traffic
         self._ratings = ratings
-        self._clock = clock
         self._metrics = metrics
 
     async def serve(self, headers: CallHeaders, body: bytes, sink: AnswerSink) -> None:
--- a/src/sesameknot/router/metrics.py
+++ b/src/sesameknot/router/metrics.py
@@ -53,3 +53,8 @@
         self.platform_calls = Gauge(
             "sesameknot_platform_calls", "Calls to the platform", registry=registry
         )
+
+    def observe_request(self, kind: str, status: int, duration_s: float) -> None:
+        """Count one answered request and its duration."""
+        self.requests.inc({"kind": kind, "status": str(status)})
+        self.latency_s.observe({"kind": kind}, duration_s)
--- a/src/sesameknot/router/service_pipeline.py
+++ b/src/sesameknot/router/service_pipeline.py
@@ -4,10 +4,8 @@
 
 import structlog
 
-from sesameknot.clock import Clock
 from sesameknot.errors import RequestError, RouterError
-from sesameknot.router.attempts import AttemptRules, Failure
-from sesameknot.router.bills import Billing
+from sesameknot.router.attempts import Failure
 from sesameknot.router.call import (
     NOT_RUN,
     AnswerSink,
@@ -16,15 +14,13 @@
     StoredAnswer,
 )
 from sesameknot.router.caller_handlers import ServiceRequest
-from sesameknot.router.catalogue import CatalogueKeeper, Service
-from sesameknot.router.endpoint_picker import EndpointPicker, Picked, Target
-from sesameknot.router.gate import Gate
-from sesameknot.router.keyed import KeyedCalls, replay
-from sesameknot.router.traffic import TrafficCounters
+from sesameknot.router.catalogue import Service
+from sesameknot.router.endpoint_picker import Picked, Target
+from sesameknot.router.keyed import replay
+from sesameknot.router.parts import PipelineParts
 from sesameknot.transport.endpoint_client import (
     EndpointAnswer,
     EndpointCall,
-    EndpointClient,
     EndpointStatusError,
 )
 
@@ -39,48 +35,20 @@
 
     Parameters
     ----------
-    gate : Gate
-        Authorises and admits.
-    keyed : KeyedCalls
-        Idempotency keys.
-    picker : EndpointPicker
-        Endpoints and slots.
-    rules : AttemptRules
-        What permits an attempt and what its failure means.
-    client : EndpointClient
-        Sends attempts.
-    billing : Billing
-        Records bills.
-    catalogue : CatalogueKeeper
-        Settings in force.
-    traffic : TrafficCounters
-        Counters per service.
-    clock : Clock
-        Source of monotonic time.
+    parts : PipelineParts
+        Steps that all pipelines share.
     """
 
-    def __init__(
-        self,
-        *,
-        gate: Gate,
-        keyed: KeyedCalls,
-        picker: EndpointPicker,
-        rules: AttemptRules,
-        client: EndpointClient,
-        billing: Billing,
-        catalogue: CatalogueKeeper,
-        traffic: TrafficCounters,
-        clock: Clock,
-    ) -> None:
-        self._gate = gate
-        self._keyed = keyed
-        self._picker = picker
-        self._rules = rules
-        self._client = client
-        self._billing = billing
-        self._catalogue = catalogue
-        self._traffic = traffic
-        self._clock = clock
+    def __init__(self, parts: PipelineParts) -> None:
+        self._gate = parts.gate
+        self._keyed = parts.keyed
+        self._picker = parts.picker
+        self._rules = parts.rules
+        self._client = parts.client
+        self._billing = parts.billing
+        self._catalogue = parts.catalogue
+        self._traffic = parts.traffic
+        self._clock = parts.clock
 
     async def serve(
         self, headers: CallHeaders, request: ServiceRequest, sink: AnswerSink
--- a/src/sesameknot/wiring.py
+++ b/src/sesameknot/wiring.py
@@ -141,6 +141,7 @@
             serve_service=self.requests.services.serve,
             drain=self.drain,
             may_accept=self._refusal,
+            observe=self.requests.metrics.observe_request,
             body_limit_bytes=self.settings.requests.body_limit_bytes,
             default_deadline_s=self.settings.requests.default_deadline_s,
         )
--- a/tests/system/test_whole_path.py
+++ b/tests/system/test_whole_path.py
@@ -1,11 +1,12 @@
 """Separate processes on loopback: what callers get while parts fail."""
 
 import asyncio
+import json
 from collections import Counter
 
 from examples.local_deployment import LocalDeployment, RouterPlace
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan, HasLength
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength
 
 from tests.support import eventually
 from tests.system.scenario import (
@@ -246,6 +247,44 @@
             self.assertThat(changed, Equals({}))
 
 
+class BadInputTest(TestCase):
+    @run
+    async def test_bad_requests_get_one_clear_error_and_are_counted(self):
+        """Guards against a request that ends in an internal error or runs."""
+        async with LocalDeployment(router_count=1) as deployment:
+            await start(deployment)
+            place = deployment.routers[0]
+            url = f"{place.url}/v1/chat/completions"
+            known = {"Authorization": "Bearer barge-1-token"}
+            cases = [
+                ({}, b"{}", 401, "unauthorised"),
+                ({"Authorization": "Bearer nobody"}, b"{}", 400, "bad-request"),
+                (known, b"{", 400, "bad-request"),
+                (known, b'{"model": 7}', 400, "bad-request"),
+                (known | {"X-Priority": "high"}, b"{}", 400, "bad-header"),
+                (known, b"x" * 5_000_000, 413, "body-too-large"),
+                (known, _body("no-such-model"), 403, "not-allowed"),
+            ]
+            for headers, body, status, kind in cases:
+                response = await deployment.fetch(
+                    url, method="POST", body=body, headers=headers
+                )
+                self.assertThat(response.code, Equals(status), response.body)
+                self.assertThat(response.headers["X-Outcome"], Equals("not-run"))
+                error = json.loads(response.body)["error"]
+                self.assertThat(error["type"], Equals(kind))
+            response = await ask(deployment, place, "after")
+            self.assertThat(response.code, Equals(200), response.body)
+            metrics = (await deployment.fetch(f"{place.url}/metrics")).body.decode()
+            self.assertThat(metrics, Contains('sesameknot_requests_total{kind="chat"'))
+            self.assertThat(await executions(deployment), HasLength(1))
+
+
+def _body(model: str) -> bytes:
+    message = {"role": "user", "content": "x"}
+    return json.dumps({"model": model, "messages": [message]}).encode()
+
+
 class CrashTest(TestCase):
     @run
     async def test_a_request_that_crashes_endpoints_is_refused(self):
