--- a/src/sesameknot/_wiring_coordination.py
+++ b/src/sesameknot/_wiring_coordination.py
@@ -35,9 +35,11 @@
 
 
 @dataclass(slots=True)
-class Coordination:
-    """Parts that act together with other hosts."""
+class Base:
+    """Parts that the others are built on."""
 
+    settings: RouterSettings
+    clock: Clock
     generator: np.random.Generator
     platform: PlatformClient
     peer_client: PeerClient
@@ -46,6 +48,13 @@
     store: ObjectStore
     crash_guard: CrashGuard
     endpoint_table: EndpointTable
+
+
+@dataclass(slots=True)
+class Coordination:
+    """Parts that act together with other hosts."""
+
+    base: Base
     membership: Membership
     freshness: Freshness
     replication: Replication
@@ -56,6 +65,18 @@
     grant_owner: GrantOwner
     grant_holder: GrantHolder
 
+    def register(self) -> None:
+        """Install the handlers of all parts in the peer server."""
+        for part in (
+            self.membership,
+            self.replication,
+            self.claim_owner,
+            self.bill_writer,
+            self.grant_owner,
+            self.grant_holder,
+        ):
+            part.register(self.base.peer_server)
+
     def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Start all tasks; ``stack`` stops them."""
         self.claim_owner.start()
@@ -78,147 +99,135 @@
     settings: RouterSettings, clock: Clock, stack: contextlib.AsyncExitStack
 ) -> Coordination:
     """Return the connected parts; ``stack`` closes what they hold open."""
-    generator = np.random.default_rng(settings.random_state or None)
-    platform = PlatformClient(settings.platform_url, token=settings.platform_token)
-    stack.callback(platform.close)
-    tls = settings.tls
-    client = PeerClient(
-        settings.host_id, clock=clock, tls=client_context(tls) if tls else None
-    )
-    stack.callback(client.close)
-    endpoint_client = EndpointClient(clock=clock)
-    stack.callback(endpoint_client.close)
-    server = PeerServer(settings.host_id, tls=server_context(tls) if tls else None)
-
-    store = ObjectStore()
-    crash_guard = CrashGuard(
-        clock=clock, limit_count=settings.requests.crash_limit_count
-    )
-    crashes = CrashExchange(crash_guard)
+    base = _build_base(settings, clock, stack)
     freshness = Freshness(
         clock,
         host_id=settings.host_id,
         stale_limit_s=settings.timing.stale_limit_s,
         on_platform_loss=settings.on_platform_loss,
     )
-    membership = Membership(
-        settings,
-        client,
-        clock=clock,
-        random_state=generator,
-        providers=PingProviders(
-            digest=store.digest,
-            config_age_ms=freshness.age_ms,
-            crash_counts=crashes.counts,
-        ),
-    )
-    membership.on_observation(crashes.observe)
+    membership = _membership(base, freshness)
     replication = Replication(
         settings,
-        store,
-        platform,
-        client,
+        base.store,
+        base.platform,
+        base.peer_client,
         membership,
         freshness,
         clock=clock,
-        random_state=generator,
+        random_state=base.generator,
     )
     roster_keeper = RosterKeeper(
         settings,
-        store,
-        platform,
+        base.store,
+        base.platform,
         membership,
         freshness,
         clock=clock,
-        random_state=generator,
+        random_state=base.generator,
         publish=replication.publish,
     )
-    freshness.roster_ids = lambda: [m.host_id for m in roster_keeper.roster.members]
-    freshness.live_ids = lambda: [
-        m.host_id for m in membership.live() if m.state == MemberState.ALIVE
-    ]
-    table = EndpointTable(clock=clock)
-    claim_owner, claims = _claims(
-        settings, clock, client, store, membership, roster_keeper
-    )
-    grant_owner, grant_holder = _grants(
-        settings,
-        clock,
-        client,
-        table,
-        membership,
-        roster_keeper,
-        freshness,
-        endpoint_client,
-    )
+    _connect_freshness(freshness, membership, roster_keeper)
+    claim_owner, claims = _claims(base, membership, roster_keeper)
+    grant_owner, grant_holder = _grants(base, membership, roster_keeper, freshness)
     parts = Coordination(
-        generator=generator,
-        platform=platform,
-        peer_client=client,
-        peer_server=server,
-        endpoint_client=endpoint_client,
-        store=store,
-        crash_guard=crash_guard,
-        endpoint_table=table,
+        base=base,
         membership=membership,
         freshness=freshness,
         replication=replication,
         roster_keeper=roster_keeper,
         claim_owner=claim_owner,
         claims=claims,
-        bill_writer=_bill_writer(settings, clock, client, platform, membership),
+        bill_writer=_bill_writer(base, membership),
         grant_owner=grant_owner,
         grant_holder=grant_holder,
     )
-    for part in (
-        membership,
-        replication,
-        claim_owner,
-        parts.bill_writer,
-        grant_owner,
-        grant_holder,
-    ):
-        part.register(server)
+    parts.register()
     return parts
 
 
+def _build_base(
+    settings: RouterSettings, clock: Clock, stack: contextlib.AsyncExitStack
+) -> Base:
+    platform = PlatformClient(settings.platform_url, token=settings.platform_token)
+    stack.callback(platform.close)
+    tls = settings.tls
+    client = PeerClient(
+        settings.host_id, clock=clock, tls=client_context(tls) if tls else None
+    )
+    stack.callback(client.close)
+    endpoint_client = EndpointClient(clock=clock)
+    stack.callback(endpoint_client.close)
+    return Base(
+        settings=settings,
+        clock=clock,
+        generator=np.random.default_rng(settings.random_state or None),
+        platform=platform,
+        peer_client=client,
+        peer_server=PeerServer(
+            settings.host_id, tls=server_context(tls) if tls else None
+        ),
+        endpoint_client=endpoint_client,
+        store=ObjectStore(),
+        crash_guard=CrashGuard(
+            clock=clock, limit_count=settings.requests.crash_limit_count
+        ),
+        endpoint_table=EndpointTable(clock=clock),
+    )
+
+
+def _membership(base: Base, freshness: Freshness) -> Membership:
+    crashes = CrashExchange(base.crash_guard)
+    membership = Membership(
+        base.settings,
+        base.peer_client,
+        clock=base.clock,
+        random_state=base.generator,
+        providers=PingProviders(
+            digest=base.store.digest,
+            config_age_ms=freshness.age_ms,
+            crash_counts=crashes.counts,
+        ),
+    )
+    membership.on_observation(crashes.observe)
+    return membership
+
+
+def _connect_freshness(
+    freshness: Freshness, membership: Membership, roster_keeper: RosterKeeper
+) -> None:
+    freshness.roster_ids = lambda: [m.host_id for m in roster_keeper.roster.members]
+    freshness.live_ids = lambda: [
+        m.host_id for m in membership.live() if m.state == MemberState.ALIVE
+    ]
+
+
 def _claims(
-    settings: RouterSettings,
-    clock: Clock,
-    client: PeerClient,
-    store: ObjectStore,
-    membership: Membership,
-    roster_keeper: RosterKeeper,
+    base: Base, membership: Membership, roster_keeper: RosterKeeper
 ) -> tuple[ClaimOwner, Claims]:
     def adopt(record: ObjectRecord) -> None:
         with contextlib.suppress(FrameError):
-            store.merge([object_from_record(record)])
+            base.store.merge([object_from_record(record)])
 
     owner = ClaimOwner(
-        settings.host_id,
+        base.settings.host_id,
         membership.self_info.incarnation,
-        clock=clock,
+        clock=base.clock,
         roster=lambda: roster_keeper.roster,
         adopt=adopt,
-        peers=client,
-        retention_s=settings.timing.claim_retention_s,
+        peers=base.peer_client,
+        retention_s=base.settings.timing.claim_retention_s,
     )
     roster_keeper.subscribe(lambda _: owner.roster_changed())
-    return owner, Claims(local=owner, peers=client, clock=clock)
+    return owner, Claims(local=owner, peers=base.peer_client, clock=base.clock)
 
 
-def _bill_writer(
-    settings: RouterSettings,
-    clock: Clock,
-    client: PeerClient,
-    platform: PlatformClient,
-    membership: Membership,
-) -> BillWriter:
+def _bill_writer(base: Base, membership: Membership) -> BillWriter:
     def candidates() -> list[RosterMember]:
         return [
             RosterMember(m.host_id, m.incarnation, m.address, m.region, m.domain)
             for m in membership.live()
-            if m.state == MemberState.ALIVE and m.host_id != settings.host_id
+            if m.state == MemberState.ALIVE and m.host_id != base.settings.host_id
         ]
 
     def is_dead(host_id: str, incarnation: int) -> bool:
@@ -230,50 +239,46 @@
         return member.state == MemberState.DEAD or member.incarnation > incarnation
 
     return BillWriter(
-        settings.host_id,
+        base.settings.host_id,
         membership.self_info.incarnation,
-        domain=settings.domain,
-        clock=clock,
-        platform=platform,
-        peers=client,
+        domain=base.settings.domain,
+        clock=base.clock,
+        platform=base.platform,
+        peers=base.peer_client,
         candidates=candidates,
         is_dead=is_dead,
         host_count=lambda: len(membership.live()),
-        flush_s=settings.timing.bill_flush_s,
+        flush_s=base.settings.timing.bill_flush_s,
     )
 
 
 def _grants(
-    settings: RouterSettings,
-    clock: Clock,
-    client: PeerClient,
-    table: EndpointTable,
+    base: Base,
     membership: Membership,
     roster_keeper: RosterKeeper,
     freshness: Freshness,
-    endpoint_client: EndpointClient,
 ) -> tuple[GrantOwner, GrantHolder]:
     incarnation = membership.self_info.incarnation
     owner = GrantOwner(
-        settings.host_id,
+        base.settings.host_id,
         incarnation,
-        clock=clock,
-        table=table,
+        clock=base.clock,
+        table=base.endpoint_table,
         roster=lambda: roster_keeper.roster,
         stale=lambda: not freshness.may_accept(),
-        poll=endpoint_client.load,
-        peers=client,
-        timing=settings.timing,
+        poll=base.endpoint_client.load,
+        peers=base.peer_client,
+        timing=base.settings.timing,
     )
     holder = GrantHolder(
-        settings.host_id,
+        base.settings.host_id,
         incarnation,
-        settings.peer_address,
-        clock=clock,
-        table=table,
+        base.settings.peer_address,
+        clock=base.clock,
+        table=base.endpoint_table,
         roster=lambda: roster_keeper.roster,
-        peers=client,
+        peers=base.peer_client,
         owner=owner,
-        timing=settings.timing,
+        timing=base.settings.timing,
     )
     return owner, holder
--- a/src/sesameknot/_wiring_requests.py
+++ b/src/sesameknot/_wiring_requests.py
@@ -56,7 +56,7 @@
 ) -> RequestPath:
     """Return the connected request path; ``stack`` closes what it holds open."""
     catalogue = CatalogueKeeper(
-        parts.store,
+        parts.base.store,
         host_id=settings.host_id,
         subset_count=settings.requests.endpoint_subset_count,
     )
@@ -72,14 +72,14 @@
         settings.rating_url,
         share=settings.rating_share,
         rollout_share=rollout_share_reader(catalogue),
-        generator=parts.generator,
+        generator=parts.base.generator,
         on_rating=_rating_taker(traffic, versions),
     )
     stack.callback(ratings.close)
     gate = Gate(
         catalogue=catalogue,
-        admission=Admission(clock=clock, random_generator=parts.generator),
-        crash_guard=parts.crash_guard,
+        admission=Admission(clock=clock, random_generator=parts.base.generator),
+        crash_guard=parts.base.crash_guard,
         clock=clock,
         in_flight=in_flight,
         limit_count=settings.requests.concurrent_limit_count,
@@ -87,16 +87,18 @@
     picker = EndpointPicker(
         settings.host_id,
         catalogue=catalogue,
-        table=parts.endpoint_table,
+        table=parts.base.endpoint_table,
         grants=parts.grant_holder,
-        choice=ENDPOINT_CHOICES.get("adaptive")(random_generator=parts.generator),
+        new_choice=lambda load: ENDPOINT_CHOICES.get("adaptive")(
+            random_generator=parts.base.generator, load_model=load
+        ),
         clock=clock,
     )
     rules = AttemptRules(
         picker=picker,
-        client=parts.endpoint_client,
+        client=parts.base.endpoint_client,
         budget=RetryBudget(settings.requests.retry_ratio),
-        crash_guard=parts.crash_guard,
+        crash_guard=parts.base.crash_guard,
         announce=parts.membership.announce,
         settings=settings.requests,
         clock=clock,
@@ -111,7 +113,7 @@
         picker=picker,
         rules=rules,
         grants=parts.grant_holder,
-        client=parts.endpoint_client,
+        client=parts.base.endpoint_client,
         billing=billing,
         catalogue=catalogue,
         traffic=traffic,
@@ -124,16 +126,17 @@
         keyed=keyed,
         picker=picker,
         rules=rules,
-        client=parts.endpoint_client,
+        client=parts.base.endpoint_client,
         billing=billing,
         catalogue=catalogue,
         traffic=traffic,
+        clock=clock,
     )
     return RequestPath(
         catalogue=catalogue,
         traffic=traffic,
         ratings=ratings,
-        crash_guard=parts.crash_guard,
+        crash_guard=parts.base.crash_guard,
         metrics=metrics,
         picker=picker,
         chat=chat,
@@ -143,7 +146,7 @@
 
 def _follow_endpoints(parts: Coordination, catalogue: CatalogueKeeper) -> None:
     def configure(_: object) -> None:
-        parts.endpoint_table.configure(
+        parts.base.endpoint_table.configure(
             EndpointSpec(
                 endpoint_id=endpoint.endpoint_id,
                 url=endpoint.url,
@@ -156,7 +159,7 @@
             for endpoint in catalogue.current.endpoints.values()
         )
 
-    parts.store.subscribe(SETTINGS_PREFIX, configure)
+    parts.base.store.subscribe(SETTINGS_PREFIX, configure)
 
 
 def _sessions(
@@ -176,7 +179,7 @@
                 team_and_model, _, version = name.rpartition(".")
                 sessions.version_withdrawn(f"{team_and_model}/{version}")
 
-    parts.store.subscribe(WITHDRAWALS_PREFIX, release)
+    parts.base.store.subscribe(WITHDRAWALS_PREFIX, release)
     return sessions
 
 
@@ -187,7 +190,7 @@
         return CASCADE_POLICIES.get("adaptive")(
             quality_target=quality_target,
             clock=clock,
-            random_generator=parts.generator,
+            random_generator=parts.base.generator,
         )
 
     return make
--- a/src/sesameknot/router/endpoint_picker.py
+++ b/src/sesameknot/router/endpoint_picker.py
@@ -12,6 +12,7 @@
 from sesameknot.policy.endpoint_choice import (
     EndpointChoice,
     EndpointView,
+    LoadModel,
     RequestShape,
 )
 from sesameknot.protocol.prefix import BLOCK_CHARS
@@ -22,9 +23,13 @@
 from sesameknot.state.endpoint_table import EndpointState, EndpointTable
 
 RETRY_INTERVAL_S = 0.05
+# Before any answer was seen, a guess that refuses no short deadline.
+FIRST_SERVICE_S = 0.1
 CHARS_PER_TOKEN = 4
 UNUSABLE_STATES = (EndpointState.LEAVING, EndpointState.DOWN)
 
+ChoiceFactory = Callable[[LoadModel], EndpointChoice]
+
 log = structlog.get_logger(__name__)
 
 
@@ -53,6 +58,14 @@
     prefix_hashes: list[int] = field(default_factory=list)
 
 
+@dataclass(slots=True, frozen=True)
+class WaitEstimate:
+    """Time until a request would start at an endpoint, and time it then takes."""
+
+    wait_s: float
+    service_s: float
+
+
 @dataclass(slots=True)
 class Picked:
     """An endpoint and the slot that permits sending to it."""
@@ -74,8 +87,8 @@
         Load and state of endpoints.
     grants : GrantHolder
         Slots.
-    choice : EndpointChoice
-        Policy.
+    new_choice : callable
+        Makes the policy of one model or service from its load model.
     clock : Clock
         Source of monotonic time.
     """
@@ -87,21 +100,46 @@
         catalogue: CatalogueKeeper,
         table: EndpointTable,
         grants: GrantHolder,
-        choice: EndpointChoice,
+        new_choice: ChoiceFactory,
         clock: Clock,
     ) -> None:
         self.host_id = host_id
         self._catalogue = catalogue
         self._table = table
         self._grants = grants
-        self._choice = choice
+        self._new_choice = new_choice
         self._clock = clock
         self._queues: dict[str, WaitQueue] = {}
+        self._loads: dict[str, LoadModel] = {}
+        self._choices: dict[str, EndpointChoice] = {}
 
-    def waiting_count(self, name: str) -> int:
-        """Return how many requests wait for a model or service."""
-        queue = self._queues.get(name)
-        return len(queue) if queue is not None else 0
+    def estimate(self, target: Target) -> WaitEstimate:
+        """Return how long a request would wait now, and then take."""
+        load = self._load(target.name)
+        views = self._known(target)
+        wait_s = load.fleet_wait_s(views) if views else 0.0
+        queue = self._queues.get(target.name)
+        if queue:
+            # Requests of this router end at the rate of those it has in flight.
+            in_flight_count = sum(view.in_flight_count for view in views)
+            wait_s += load.service_s * len(queue) / max(1, in_flight_count)
+        return WaitEstimate(wait_s, load.service_s)
+
+    def observe(self, name: str, service_s: float) -> None:
+        """Take the time that an answer took at its endpoint."""
+        self._load(name).observe(service_s)
+
+    def _load(self, name: str) -> LoadModel:
+        load = self._loads.get(name)
+        if load is None:
+            load = self._loads[name] = LoadModel(service_s=FIRST_SERVICE_S)
+        return load
+
+    def _choice(self, name: str) -> EndpointChoice:
+        choice = self._choices.get(name)
+        if choice is None:
+            choice = self._choices[name] = self._new_choice(self._load(name))
+        return choice
 
     def usable(self, endpoint_id: str) -> bool:
         """Return whether an endpoint may get new work now."""
@@ -176,7 +214,7 @@
             if suspected:
                 view = max(views, key=self._suspect_weight)
             else:
-                view = self._choice.choose(views, target.shape)
+                view = self._choice(target.name).choose(views, target.shape)
             if view is None:
                 return None
             slot = self._grants.acquire(view.endpoint_id)
@@ -189,14 +227,17 @@
         return weight("suspect", self.host_id, view.endpoint_id)
 
     def _views(self, call: Call, target: Target) -> list[EndpointView]:
-        views = [
+        views = self._known(target)
+        fresh = [v for v in views if v.endpoint_id not in call.tried_endpoint_ids]
+        return fresh or views
+
+    def _known(self, target: Target) -> list[EndpointView]:
+        return [
             view
             for endpoint_id in target.endpoint_ids()
             if self.usable(endpoint_id)
             and (view := self._view(endpoint_id, target)) is not None
         ]
-        fresh = [v for v in views if v.endpoint_id not in call.tried_endpoint_ids]
-        return fresh or views
 
     def _view(self, endpoint_id: str, target: Target) -> EndpointView | None:
         """Return what is known of an endpoint, or None if it lacks the version."""
@@ -215,6 +256,7 @@
             in_flight_count=known.in_flight_count,
             sent_since_report_count=known.sent_since_report_count,
             cached_tokens=blocks * BLOCK_CHARS // CHARS_PER_TOKEN,
+            cold=known.state == EndpointState.COLD,
         )
 
     def slot_freed(self, name: str) -> None:
--- a/src/sesameknot/router/gate.py
+++ b/src/sesameknot/router/gate.py
@@ -16,6 +16,7 @@
 from sesameknot.policy.crash_guard import CrashGuard, request_fingerprint
 from sesameknot.router.call import NOT_RUN, PRIORITY_NORMAL, Call, CallHeaders
 from sesameknot.router.catalogue import CatalogueKeeper, Customer
+from sesameknot.router.endpoint_picker import WaitEstimate
 
 REQUEST_ID_BYTES = 12
 
@@ -100,7 +101,7 @@
             priority=headers.priority,
         )
 
-    def admit(self, call: Call, estimated_wait_s: float = 0.0) -> None:
+    def admit(self, call: Call, estimate: WaitEstimate) -> None:
         """Admit the call under the present load.
 
         Raises
@@ -119,7 +120,8 @@
             Pressure(
                 in_flight_count=self._in_flight(),
                 limit_count=self._limit_count,
-                estimated_wait_s=estimated_wait_s,
+                estimated_wait_s=estimate.wait_s,
+                estimated_service_s=estimate.service_s,
             ),
         )
         if result.admitted:
