--- a/tests/coordination/rollout_fakes.py
+++ b/tests/coordination/rollout_fakes.py
@@ -5,12 +5,13 @@
 import msgspec
 
 from sesameknot.clock import ManualClock
+from sesameknot.coordination.ownership import ranked
 from sesameknot.coordination.rollout_runner import RolloutRunner
 from sesameknot.errors import RouterError
 from sesameknot.protocol.messages import EndpointReport, StatsReply, VersionStats
 from sesameknot.protocol.orders import EngineState, OrderFencedError
 from sesameknot.protocol.rollout_object import RolloutObject, rollout_from_value
-from sesameknot.protocol.roster import Roster, RosterMember
+from sesameknot.protocol.roster import Roster, RosterMember, roster_from_value
 from sesameknot.settings.loader import team_from_value
 from sesameknot.standins.platform import InProcessPlatform, PlatformCore
 
@@ -18,6 +19,8 @@
 KEY = "rollouts/feed.july"
 WITHDRAWAL_KEY = "withdrawals/feed.small.v2"
 ORDER_TIMEOUT_S = 4.0
+LEASE_S = 5.0
+MARGIN_S = 0.5
 
 
 def team_value(fencing=True, **rollout):
@@ -222,3 +225,40 @@
     for _ in range(times):
         await runner.tick()
         await settle()
+
+
+def asynchronous(test):
+    """Run a test method in its own event loop."""
+
+    def run(self):
+        asyncio.run(test(self))
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+def by_rank(world):
+    """Return runners in the order in which they may take the roll-out."""
+    stored = world.core.table.get("roster/main")
+    members = roster_from_value(stored.value, stored.version).members
+    return [world.runner(m.host_id) for m in ranked("rollout", KEY, members)]
+
+
+async def run_to(world, runner, state, limit=60):
+    """Tick until the roll-out is in ``state``."""
+    for _ in range(limit):
+        if world.rollout.state == state:
+            return
+        world.clock.advance(0.5)
+        await tick(runner)
+    raise AssertionError(f"{world.rollout} did not become {state}")
+
+
+async def run_to_share(world, runner, share, limit=60):
+    """Tick until the roll-out has ``share``."""
+    for _ in range(limit):
+        if world.rollout.share == share:
+            return
+        world.clock.advance(0.5)
+        await tick(runner)
+    raise AssertionError(f"{world.rollout} did not reach {share}")
