Refuse two customers with one token

Cause: the catalogue finds a customer by its token's digest, so of two customers with one token the later one took all work and bills. Change: the check of a team and the check across teams name the digest. Found while reading; no run had shown it.

--- a/src/sesameknot/settings/_check.py
+++ b/src/sesameknot/settings/_check.py
@@ -30,6 +30,7 @@
 def _duplicates(settings: TeamSettings) -> Iterator[SettingsError]:
     named = {
         "customers": [c.name for c in settings.customers],
+        "customers.token_sha256": [c.token_sha256 for c in settings.customers],
         "models": [m.name for m in settings.models],
         "cascades": [c.name for c in settings.cascades],
         "services": [s.name for s in settings.services],
@@ -39,7 +40,7 @@
     for section, names in named.items():
         for name, count in Counter(names).items():
             if count > 1:
-                yield _fault(f"$.{section}", name, "a name that is used once")
+                yield _fault(f"$.{section}", name, "a value that is used once")
 
 
 def _models(settings: TeamSettings) -> Iterator[SettingsError]:
--- a/src/sesameknot/settings/loader.py
+++ b/src/sesameknot/settings/loader.py
@@ -88,6 +88,7 @@
     for team in teams:
         names = [("team", team.team)]
         names += [("customer", customer.name) for customer in team.customers]
+        names += [("token", customer.token_sha256) for customer in team.customers]
         names += [("service", service.name) for service in team.services]
         names += [("endpoint", endpoint.endpoint_id) for endpoint in team.endpoints]
         for kind, name in names:
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Contains, Equals
 
 from sesameknot.errors import SettingsError
-from sesameknot.settings.loader import team_from_value
+from sesameknot.settings.loader import team_from_value, team_overlaps
 
 TEAM = {
     "team": "feed",
@@ -63,3 +63,16 @@
         (fault,) = self._faults(value)
         self.assertThat(fault, Contains("'large'"))
         self.assertThat(fault, Contains("$.customers[0].cascade"))
+
+    def test_two_customers_with_one_token_are_refused(self):
+        """Guards against work that runs and is billed as another customer's."""
+        value = copy.deepcopy(TEAM)
+        value["customers"].append(value["customers"][0] | {"name": "barge-2"})
+        (fault,) = self._faults(value)
+        self.assertThat(fault, Contains("$.customers.token_sha256"))
+        other = team_from_value(
+            TEAM | {"team": "lace", "customers": [TEAM["customers"][0]]}, place="lace"
+        )
+        first = team_from_value(TEAM, place="feed")
+        faults = [str(fault) for fault in team_overlaps([first, other])]
+        self.assertThat(any("token" in fault for fault in faults), Equals(True))
