Repeat idempotent service calls when a back end is away, charge no failures

Cause: a GET that one server answered with 503 was passed on although others were up, and an answer with status 500 cost the full price. Ruled out: repeating calls that are not idempotent, whatever the status.

Change: 502, 503 and 504 count as failed attempts of idempotent calls; answers from 500 on are billed at 0. Both new tests failed before and pass after.

--- a/src/sesameknot/router/service_pipeline.py
+++ b/src/sesameknot/router/service_pipeline.py
@@ -26,6 +26,9 @@
 
 BODYLESS_METHODS = ("GET", "HEAD")
 NOT_RUN_ERRORS = ("cold", "leaving")
+# Gateways in front of a service answer these for a back end that is away.
+RETRIED_STATUSES = (502, 503, 504)
+SERVER_ERROR_STATUS = 500
 
 log = structlog.get_logger(__name__)
 
@@ -106,7 +109,7 @@
                 call, target, suspected=self._rules.suspected(call)
             )
             started_s = self._clock.monotonic_s()
-            result = await self._attempt(call, request, picked)
+            result = await self._attempt(call, request, picked, idempotent)
             self._picker.slot_freed(target.name)
             if isinstance(result, EndpointAnswer):
                 self._picker.observe(target.name, self._clock.monotonic_s() - started_s)
@@ -116,7 +119,7 @@
                 raise self._rules.exhausted(call, result)
 
     async def _attempt(
-        self, call: Call, request: ServiceRequest, picked: Picked
+        self, call: Call, request: ServiceRequest, picked: Picked, idempotent: bool
     ) -> EndpointAnswer | Failure:
         sent_before = call.sent
         call.tried_endpoint_ids.append(picked.endpoint.endpoint_id)
@@ -132,7 +135,8 @@
         )
         try:
             answer = await self._client.call(self._endpoint_call(call, request, picked))
-            if answer.status == 503 and answer.error_type in NOT_RUN_ERRORS:
+            refused = answer.status == 503 and answer.error_type in NOT_RUN_ERRORS
+            if refused or (idempotent and answer.status in RETRIED_STATUSES):
                 raise EndpointStatusError(answer, peer=picked.endpoint.url)
         except RouterError as error:
             failure = await self._rules.judge(call, picked, error)
@@ -176,7 +180,8 @@
         sink: AnswerSink,
     ) -> None:
         endpoint_id = picked.endpoint.endpoint_id
-        price = service.settings.price_microunits
+        failed = answer.status >= SERVER_ERROR_STATUS
+        price = 0 if failed else service.settings.price_microunits
         stored = StoredAnswer(
             fingerprint=call.fingerprint,
             status=answer.status,
