--- a/tests/system/test_whole_path.py
+++ b/tests/system/test_whole_path.py
@@ -314,3 +314,36 @@
             again = await ask(deployment, deployment.routers[1], "poison")
             self.assertThat(again.code, Equals(422))
             self.assertThat(before, Equals(2))
+
+
+class OverloadTest(TestCase):
+    @run
+    async def test_refusals_under_overload_are_true(self):
+        """Guards against a request that is refused as not run and runs all the same.
+
+        About six times as many requests as the endpoints finish in the deadline.
+        """
+        async with LocalDeployment(
+            router_count=3, endpoint_flags=["--token_s=0.1"]
+        ) as deployment:
+            await start(deployment)
+            responses = await asyncio.gather(
+                *(
+                    ask(
+                        deployment,
+                        deployment.routers[n % 3],
+                        f"overload {n}",
+                        X_Deadline_Ms="3000",
+                    )
+                    for n in range(300)
+                )
+            )
+            outcomes = Counter(
+                "answered" if r.code == 200 else r.headers["X-Outcome"]
+                for r in responses
+                if r is not None
+            )
+            runs = {entry["request_id"] for entry in await executions(deployment)}
+            self.assertThat(outcomes["not-run"], GreaterThan(0))
+            self.assertThat(outcomes["answered"], GreaterThan(0))
+            self.assertThat(len(runs), Equals(300 - outcomes["not-run"]))
