--- a/src/sesameknot/coordination/membership.py
+++ b/src/sesameknot/coordination/membership.py
@@ -185,8 +185,6 @@
         answers = await asyncio.gather(*(self._ping(m.address) for m in chosen))
         return sum(answer is not None for answer in answers)
 
-    # Probing
-
     async def _probe_loop(self) -> None:
         while True:
             self._beat()
@@ -245,8 +243,6 @@
         for host_id in self._timers.take_forgettable():
             self._table.forget(host_id)
 
-    # Messages
-
     async def _ping(self, address: str, target: MemberInfo | None = None) -> Ack | None:
         ping = Ping(**self._content(target.host_id if target else ""))
         sent_s = self._clock.monotonic_s()
@@ -325,8 +321,6 @@
         )
         notify(self._observation_callbacks, observation)
 
-    # Records
-
     def _learn(self, member: MemberInfo) -> None:
         if member.host_id == self._self.host_id:
             self._refute(member)
--- a/src/sesameknot/coordination/replication.py
+++ b/src/sesameknot/coordination/replication.py
@@ -171,8 +171,6 @@
         finally:
             self._background.cancel()
 
-    # Platform
-
     async def _watch_loop(self) -> None:
         backoff = Backoff(self.random_state)
         starting = True
@@ -246,8 +244,6 @@
             return
         self._membership.join(host.address for host in hosts)
 
-    # Peers
-
     def _late(self) -> bool:
         return self._freshness.age_s() > ASK_SHARE * self._freshness.stale_limit_s
 
--- a/src/sesameknot/coordination/roster_keeper.py
+++ b/src/sesameknot/coordination/roster_keeper.py
@@ -138,8 +138,6 @@
             return False
         return await self._propose(members)
 
-    # Rules
-
     def _wanted(self) -> list[RosterMember]:
         wanted = {m.host_id: m for m in map(_roster_member, self._alive())}
         for member in self._roster.members:
@@ -180,8 +178,6 @@
         # partition, it would not be in sight.
         return not roster_ids or holds_majority(roster_ids, set(order))
 
-    # Platform
-
     async def _propose(self, members: list[RosterMember]) -> bool:
         present = self._roster
         roster = Roster(
