Estimate, refuse and expire in one place each

Ruled out: sharing the nine fields of both pipelines, since a common base class would hide where they come from, and removing EndpointClient.cache_events, which the router does not call yet but the endpoint protocol has.

--- a/src/sesameknot/protocol/chat.py
+++ b/src/sesameknot/protocol/chat.py
@@ -12,7 +12,7 @@
 
 from sesameknot.errors import FrameError, RequestError
 from sesameknot.protocol._sse import SseParser
-from sesameknot.protocol.prefix import prefix_hashes
+from sesameknot.protocol.prefix import CHARS_PER_TOKEN, prefix_hashes
 
 __all__ = [
     "ChatAnswer",
@@ -73,6 +73,11 @@
     max_tokens: int | None = None
     extra: dict[str, Any] = field(default_factory=dict)
 
+    @property
+    def estimated_prompt_tokens(self) -> float:
+        """Prompt tokens by the length of the text; engines count them exactly."""
+        return sum(len(m.content) for m in self.messages) / CHARS_PER_TOKEN
+
     def prefix_hashes(self) -> list[int]:
         """Return the hashes of the prompt's prefixes."""
         return prefix_hashes((m.role, m.content) for m in self.messages)
--- a/src/sesameknot/protocol/prefix.py
+++ b/src/sesameknot/protocol/prefix.py
@@ -5,6 +5,8 @@
 import xxhash
 
 BLOCK_CHARS = 64
+# Usual length of a token in text of European languages.
+CHARS_PER_TOKEN = 4
 BLOCK_LIMIT_COUNT = 64
 
 
--- a/src/sesameknot/router/attempts.py
+++ b/src/sesameknot/router/attempts.py
@@ -16,7 +16,7 @@
 )
 from sesameknot.policy.crash_guard import CrashGuard
 from sesameknot.policy.retry_budget import RetryBudget
-from sesameknot.router.call import Call
+from sesameknot.router.call import Call, crash_refusal
 from sesameknot.router.endpoint_picker import EndpointPicker, Picked
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.process import RequestSettings
@@ -197,13 +197,8 @@
     def exhausted(self, call: Call, failure: Failure) -> RequestError:
         """Return the error for the caller when no attempt follows."""
         if self._crash_guard.refuses(call.fingerprint):
-            return RequestError(
-                "this request took down several endpoints and is refused",
-                status=422,
-                outcome=call.outcome_if_failed,
-                error_type="request-crashes-endpoints",
-                step="attempt",
-                peer=picked_name(call),
+            return crash_refusal(
+                outcome=call.outcome_if_failed, step="attempt", peer=picked_name(call)
             )
         return RequestError(
             f"all attempts failed, the last one with: {failure.error.message}",
--- a/src/sesameknot/router/call.py
+++ b/src/sesameknot/router/call.py
@@ -12,6 +12,7 @@
 
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
+CRASHES_ENDPOINTS = "request-crashes-endpoints"
 DEFAULT_KIND = "default"
 HEADER_LIMIT_BYTES = 256
 PRIORITY_NORMAL = 5
@@ -150,6 +151,18 @@
     )
 
 
+def crash_refusal(*, outcome: str, step: str, peer: str = "") -> RequestError:
+    """Return the error for a request that took down several endpoints."""
+    return RequestError(
+        "this request took down several endpoints and is refused",
+        status=422,
+        outcome=outcome,
+        error_type=CRASHES_ENDPOINTS,
+        step=step,
+        peer=peer,
+    )
+
+
 def _text(headers: HTTPHeaders, name: str) -> str:
     value = headers.get(name, "")
     if len(value) > HEADER_LIMIT_BYTES or not value.isprintable():
--- a/src/sesameknot/router/chat_answer.py
+++ b/src/sesameknot/router/chat_answer.py
@@ -14,8 +14,8 @@
 from sesameknot.router.metrics import RouterMetrics
 
 END_MARK = b"data: [DONE]\n\n"
-CHARS_PER_TOKEN = 4
 OK_STATUS = 200
+STREAM_TYPE = "text/event-stream"
 
 
 class ChatAnswerWriter:
@@ -74,8 +74,7 @@
         """Token counts of the engine, or an estimate for a cut answer."""
         if self._usage is not None:
             return self._usage
-        characters = sum(len(message.content) for message in self._request.messages)
-        return Usage(characters // CHARS_PER_TOKEN, self.token_count)
+        return Usage(int(self._request.estimated_prompt_tokens), self.token_count)
 
     def set_route(self, model_name: str, headers: dict[str, str]) -> None:
         """Set what the answer's headers tell, before its first part."""
@@ -104,7 +103,7 @@
         if not self._request.stream:
             return b""
         if first:
-            self._start("text/event-stream")
+            self._start(STREAM_TYPE)
         return build_chunk(self._call.request_id, self.model_name, chunk.text)
 
     async def _send(self, part: bytes) -> None:
@@ -123,16 +122,11 @@
 
     async def finish(self) -> StoredAnswer:
         """Send the last part and return the answer for later requests."""
-        if not self._request.stream:
-            self._start("application/json")
-            await self._send(self._whole())
-        else:
-            if not self._texts:
-                self._start("text/event-stream")
-            await self._send(self._stream_end())
-        content_type = (
-            "text/event-stream" if self._request.stream else "application/json"
-        )
+        streamed = self._request.stream
+        content_type = STREAM_TYPE if streamed else "application/json"
+        if not (streamed and self._texts):
+            self._start(content_type)
+        await self._send(self._stream_end() if streamed else self._whole())
         return StoredAnswer(
             fingerprint=self._call.fingerprint,
             status=OK_STATUS,
--- a/src/sesameknot/router/chat_pipeline.py
+++ b/src/sesameknot/router/chat_pipeline.py
@@ -3,12 +3,12 @@
 import structlog
 
 from sesameknot.coordination.grant_holder import GrantHolder, SlotOutcome
-from sesameknot.errors import FrameError, RequestError, RouterError, TransportError
+from sesameknot.errors import RequestError, RouterError, TransportError
 from sesameknot.policy.endpoint_choice import RequestShape
 from sesameknot.protocol.chat import ChatRequest, build_request, parse_request
 from sesameknot.router.attempts import Failure
 from sesameknot.router.bills import CANCELLED
-from sesameknot.router.call import NOT_RUN, AnswerSink, Call, CallHeaders
+from sesameknot.router.call import AnswerSink, Call, CallHeaders
 from sesameknot.router.chat_answer import ChatAnswerWriter
 from sesameknot.router.endpoint_picker import Picked, Target
 from sesameknot.router.keyed import replay
@@ -16,7 +16,6 @@
 from sesameknot.router.parts import PipelineParts
 from sesameknot.router.ratings import RatedAnswer, Ratings
 from sesameknot.router.version_picker import (
-    CHARS_PER_TOKEN,
     DEFAULT_OUTPUT_TOKENS,
     ModelChoice,
     VersionPicker,
@@ -83,7 +82,7 @@
         TransportError
             If the caller left.
         """
-        request = _parse(body)
+        request = parse_request(body)
         call = self._gate.open(headers, PATH, body)
         stored = await self._keyed.begin(call, idempotent=True)
         if stored is not None:
@@ -109,9 +108,7 @@
         self._gate.admit(call, self._picker.estimate(target))
         while True:
             picked = await self._picker.pick(
-                call,
-                self._target(call, request, choice),
-                suspected=self._rules.suspected(call),
+                call, target, suspected=self._rules.suspected(call)
             )
             failure = await self._attempt(call, request, choice, picked, writer)
             if failure is None:
@@ -120,6 +117,7 @@
                 raise self._rules.exhausted(call, failure)
             if not self._versions.still_usable(call, choice):
                 choice = await self._replace_version(call, choice, writer)
+                target = self._target(call, request, choice)
 
     def _with_room(self, call: Call, models: list[ModelSettings]) -> ModelSettings:
         """Return the first model that has a usable endpoint."""
@@ -147,13 +145,12 @@
         return index.get((call.team, model), [])
 
     def _target(self, call: Call, request: ChatRequest, choice: ModelChoice) -> Target:
-        characters = sum(len(message.content) for message in request.messages)
         return Target(
-            name=f"{call.team}/{choice.settings.name}",
+            name=_target_name(call, choice),
             endpoint_ids=lambda: self._endpoint_ids(call, choice.settings.name),
             version=choice.name,
             shape=RequestShape(
-                prompt_tokens=characters // CHARS_PER_TOKEN,
+                prompt_tokens=int(request.estimated_prompt_tokens),
                 output_tokens=request.max_tokens or DEFAULT_OUTPUT_TOKENS,
                 priority=call.priority,
             ),
@@ -184,7 +181,7 @@
             failure = await self._rules.judge(call, picked, error)
             picked.slot.release(failure.outcome)
             call.sent = sent_before or failure.may_have_run
-            self._picker.slot_freed(f"{call.team}/{choice.settings.name}")
+            self._picker.slot_freed(_target_name(call, choice))
             if failure.may_have_run:
                 self._traffic.count_error(
                     call.team, choice.settings.name, choice.version
@@ -194,7 +191,7 @@
             picked.slot.release(SlotOutcome.CANCELLED)
             raise
         picked.slot.release()
-        self._picker.slot_freed(f"{call.team}/{choice.settings.name}")
+        self._picker.slot_freed(_target_name(call, choice))
         await self._complete(call, choice, endpoint_id, writer)
         return None
 
@@ -249,7 +246,7 @@
                 except TransportError as error:
                     raise CallerGoneError(error.message, step="answer") from error
         self._picker.observe(
-            f"{call.team}/{choice.settings.name}", self._clock.monotonic_s() - first_s
+            _target_name(call, choice), self._clock.monotonic_s() - first_s
         )
 
     async def _complete(
@@ -310,17 +307,8 @@
         )
 
 
-def _parse(body: bytes) -> ChatRequest:
-    try:
-        return parse_request(body)
-    except FrameError as error:
-        raise RequestError(
-            error.message,
-            status=400,
-            outcome=NOT_RUN,
-            error_type="bad-request",
-            step=error.step or "parse",
-        ) from error
+def _target_name(call: Call, choice: ModelChoice) -> str:
+    return f"{call.team}/{choice.settings.name}"
 
 
 def _engine_headers(call: Call, choice: ModelChoice, offset: int) -> dict[str, str]:
--- a/src/sesameknot/router/endpoint_picker.py
+++ b/src/sesameknot/router/endpoint_picker.py
@@ -15,7 +15,7 @@
     LoadModel,
     RequestShape,
 )
-from sesameknot.protocol.prefix import BLOCK_CHARS
+from sesameknot.protocol.prefix import BLOCK_CHARS, CHARS_PER_TOKEN
 from sesameknot.router.call import Call
 from sesameknot.router.catalogue import CatalogueKeeper
 from sesameknot.router.wait_queue import WaitQueue
@@ -25,7 +25,6 @@
 RETRY_INTERVAL_S = 0.05
 # Before any answer was seen, a guess that refuses no short deadline.
 FIRST_SERVICE_S = 0.1
-CHARS_PER_TOKEN = 4
 UNUSABLE_STATES = (EndpointState.LEAVING, EndpointState.DOWN)
 
 ChoiceFactory = Callable[[LoadModel], EndpointChoice]
--- a/src/sesameknot/router/gate.py
+++ b/src/sesameknot/router/gate.py
@@ -14,7 +14,14 @@
     Pressure,
 )
 from sesameknot.policy.crash_guard import CrashGuard, request_fingerprint
-from sesameknot.router.call import NOT_RUN, PRIORITY_NORMAL, Call, CallHeaders
+from sesameknot.router.call import (
+    CRASHES_ENDPOINTS,
+    NOT_RUN,
+    PRIORITY_NORMAL,
+    Call,
+    CallHeaders,
+    crash_refusal,
+)
 from sesameknot.router.catalogue import CatalogueKeeper, Customer
 from sesameknot.router.endpoint_picker import WaitEstimate
 
@@ -80,16 +87,10 @@
             log.warning(
                 "route_refused",
                 customer=customer.settings.name,
-                reason="request-crashes-endpoints",
+                reason=CRASHES_ENDPOINTS,
                 fingerprint=fingerprint,
             )
-            raise RequestError(
-                "this request took down several endpoints and is refused",
-                status=422,
-                outcome=NOT_RUN,
-                error_type="request-crashes-endpoints",
-                step="crash_guard",
-            )
+            raise crash_refusal(outcome=NOT_RUN, step="crash_guard")
         return Call(
             request_id=secrets.token_hex(REQUEST_ID_BYTES),
             customer=customer,
--- a/src/sesameknot/router/service_pipeline.py
+++ b/src/sesameknot/router/service_pipeline.py
@@ -25,7 +25,6 @@
 )
 
 BODYLESS_METHODS = ("GET", "HEAD")
-NOT_RUN_ERRORS = ("cold", "leaving")
 # Gateways in front of a service answer these for a back end that is away.
 RETRIED_STATUSES = (502, 503, 504)
 SERVER_ERROR_STATUS = 500
@@ -135,8 +134,7 @@
         )
         try:
             answer = await self._client.call(self._endpoint_call(call, request, picked))
-            refused = answer.status == 503 and answer.error_type in NOT_RUN_ERRORS
-            if refused or (idempotent and answer.status in RETRIED_STATUSES):
+            if answer.refused or (idempotent and answer.status in RETRIED_STATUSES):
                 raise EndpointStatusError(answer, peer=picked.endpoint.url)
         except RouterError as error:
             failure = await self._rules.judge(call, picked, error)
--- a/src/sesameknot/router/version_picker.py
+++ b/src/sesameknot/router/version_picker.py
@@ -16,7 +16,6 @@
 from sesameknot.settings.tree import CascadeSettings, ModelSettings
 
 AUTO_MODEL = "auto"
-CHARS_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 256
 SERVING_STATES = ("running", "paused", "complete")
 
@@ -228,12 +227,11 @@
 
 
 def _candidate(model: ModelSettings, request: ChatRequest) -> Candidate:
-    characters = sum(len(message.content) for message in request.messages)
     output_tokens = request.max_tokens or DEFAULT_OUTPUT_TOKENS
     return Candidate(
         model=model.name,
         cost_microunits=(
-            characters / CHARS_PER_TOKEN * model.prompt_microunits_per_token
+            request.estimated_prompt_tokens * model.prompt_microunits_per_token
             + output_tokens * model.output_microunits_per_token
         ),
         prior_quality=model.expected_quality,
--- a/src/sesameknot/transport/_endpoint_call.py
+++ b/src/sesameknot/transport/_endpoint_call.py
@@ -84,6 +84,10 @@
         return None
 
 
+NOT_RUN_TYPES = frozenset({"cold", "leaving"})
+REFUSED_STATUS = 503
+
+
 @dataclass(slots=True, kw_only=True)
 class EndpointAnswer:
     """A whole answer."""
@@ -107,8 +111,10 @@
         except (ValueError, KeyError, TypeError, RecursionError):
             return ""
 
-
-NOT_RUN_TYPES = frozenset({"cold", "leaving"})
+    @property
+    def refused(self) -> bool:
+        """Whether the endpoint refused the request without running it."""
+        return self.status == REFUSED_STATUS and self.error_type in NOT_RUN_TYPES
 
 
 class EndpointStatusError(RouterError):
@@ -133,4 +139,4 @@
     @property
     def refused(self) -> bool:
         """Whether the endpoint refused the request without running it."""
-        return self.answer.status == 503 and self.answer.error_type in NOT_RUN_TYPES
+        return self.answer.refused
--- a/src/sesameknot/wiring.py
+++ b/src/sesameknot/wiring.py
@@ -200,7 +200,6 @@
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
             self.requests.crash_guard.expire()
-            self.coordination.claim_owner.table.expire()
 
     def _spawn(self, name: str, work: Any) -> None:
         task = asyncio.create_task(work, name=name)
