--- /dev/null
+++ b/src/sesameknot/coordination/fleet_sinks.py
@@ -0,0 +1,151 @@
+"""Apply the store's objects, kind by kind, to the fleet view."""
+
+from collections.abc import Callable, Sequence
+
+import structlog
+
+from sesameknot.coordination.store_follower import ObjectSink
+from sesameknot.platform import (
+    CONFIGURATION_KIND,
+    ENDPOINT_KIND,
+    EVACUATION_KIND,
+    ROLLOUT_KIND,
+    EntryError,
+    StoredEntry,
+    decode_configuration,
+    decode_endpoint,
+    decode_rollout,
+)
+from sesameknot.registry import Registry
+from sesameknot.state.fleet_view import FleetView
+
+log = structlog.get_logger(__name__)
+
+SinkFactory = Callable[[FleetView], ObjectSink]
+SINKS: Registry[SinkFactory] = Registry("object sink")
+
+
+@SINKS.register(CONFIGURATION_KIND)
+def configuration_sink(view: FleetView) -> ObjectSink:
+    """Return the sink that puts configurations in force."""
+
+    def apply(entries: Sequence[StoredEntry]) -> None:
+        for entry in entries:
+            if entry.deleted:
+                continue
+            try:
+                configuration = decode_configuration(entry)
+            except EntryError as error:
+                _rejected(error)
+                continue
+            if view.set_configuration(configuration):
+                log.info(
+                    "configuration_applied",
+                    version=configuration.version,
+                    revision=entry.revision,
+                    routes=len(configuration.routes),
+                )
+
+    return ObjectSink(replace=apply, change=apply)
+
+
+@SINKS.register(ENDPOINT_KIND)
+def endpoint_sink(view: FleetView) -> ObjectSink:
+    """Return the sink that keeps the endpoints."""
+
+    def replace(entries: Sequence[StoredEntry]) -> None:
+        view.replace_endpoints(
+            endpoint
+            for entry in entries
+            if not entry.deleted and (endpoint := _endpoint(entry)) is not None
+        )
+        log.info("endpoints_listed", count=len(view.endpoints))
+
+    def change(entries: Sequence[StoredEntry]) -> None:
+        for entry in entries:
+            endpoint = None if entry.deleted else _endpoint(entry)
+            if endpoint is None:
+                view.remove_endpoint(entry.name)
+            else:
+                view.put_endpoint(endpoint)
+            log.info(
+                "endpoint_changed",
+                endpoint=entry.name,
+                revision=entry.revision,
+                state=str(endpoint.state) if endpoint else "gone",
+                cold_s=endpoint.cold_remaining_s if endpoint else None,
+                version=endpoint.version if endpoint else None,
+            )
+        view.forget_gone()
+
+    return ObjectSink(replace=replace, change=change)
+
+
+def _endpoint(entry: StoredEntry):  # noqa: ANN202
+    try:
+        return decode_endpoint(entry)
+    except EntryError as error:
+        _rejected(error)
+        return None
+
+
+@SINKS.register(EVACUATION_KIND)
+def evacuation_sink(view: FleetView) -> ObjectSink:
+    """Return the sink that keeps the evacuated failure domains."""
+
+    def replace(entries: Sequence[StoredEntry]) -> None:
+        put({entry.name for entry in entries if not entry.deleted})
+
+    def change(entries: Sequence[StoredEntry]) -> None:
+        domains = set(view.evacuated_domains)
+        for entry in entries:
+            if entry.deleted:
+                domains.discard(entry.name)
+            else:
+                domains.add(entry.name)
+        put(domains)
+
+    def put(domains: set[str]) -> None:
+        if domains != view.evacuated_domains:
+            log.info("evacuations_changed", domains=sorted(domains))
+        view.set_evacuated(domains)
+
+    return ObjectSink(replace=replace, change=change)
+
+
+@SINKS.register(ROLLOUT_KIND)
+def rollout_sink(view: FleetView) -> ObjectSink:
+    """Return the sink that keeps the roll-out orders."""
+
+    def replace(entries: Sequence[StoredEntry]) -> None:
+        listed = {entry.name for entry in entries if not entry.deleted}
+        for service in set(view.rollouts) - listed:
+            del view.rollouts[service]
+        change(entries)
+
+    def change(entries: Sequence[StoredEntry]) -> None:
+        for entry in entries:
+            if entry.deleted:
+                view.rollouts.pop(entry.name, None)
+                log.info("rollout_removed", service=entry.name)
+                continue
+            try:
+                order = decode_rollout(entry)
+            except EntryError as error:
+                _rejected(error)
+                continue
+            view.rollouts[order.service] = order
+            log.info(
+                "rollout_changed",
+                service=order.service,
+                target=order.target_version,
+                outcome=str(order.outcome),
+                share=order.share,
+                revision=order.revision,
+            )
+
+    return ObjectSink(replace=replace, change=change)
+
+
+def _rejected(error: EntryError) -> None:
+    log.warning("entry_rejected", entry=error.peer, reason=error.message)
--- /dev/null
+++ b/src/sesameknot/coordination/host_directory.py
@@ -0,0 +1,98 @@
+"""Announce this host in the store and learn of the others."""
+
+import asyncio
+import random
+
+import structlog
+
+from sesameknot.errors import ConflictError, PlatformError
+from sesameknot.platform import (
+    HOST_KIND,
+    EntryError,
+    StoreClient,
+    decode_host,
+    encode_host,
+)
+from sesameknot.protocol.fleet_records import HostEntry
+from sesameknot.settings.front import StoreSettings
+from sesameknot.state.fleet_view import FleetView
+
+log = structlog.get_logger(__name__)
+
+
+class HostDirectory:
+    """Task that keeps the list of front hosts.
+
+    The list is read at a tenth of the usual price and may be seconds old; it only
+    divides rates and names the host that carries a roll-out, and a host that is
+    missing or gone does no harm there.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    view : FleetView
+        Receives the list.
+    own : HostEntry
+        This host.
+    settings : StoreSettings
+        Interval and pauses.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        view: FleetView,
+        own: HostEntry,
+        settings: StoreSettings,
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._own = own
+        self._settings = settings
+        self._announced = False
+
+    async def run(self) -> None:
+        """Announce this host, then refresh the list until cancelled."""
+        while True:
+            pause_s = self._settings.host_list_interval_s
+            try:
+                if not self._announced:
+                    await self._announce()
+                await self._refresh()
+            except PlatformError as error:
+                log.info("host_list_failed", step=error.step, reason=error.message)
+                pause_s = self._settings.retry_max_s
+            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
+
+    async def _announce(self) -> None:
+        content = encode_host(self._own)
+        try:
+            await self._store.create(HOST_KIND, self._own.host_id, content)
+        except ConflictError:
+            # An earlier process of this host did not remove its entry.
+            await self._store.replace(HOST_KIND, self._own.host_id, content)
+        self._announced = True
+
+    async def _refresh(self) -> None:
+        known = len(self._view.hosts)
+        changes = await self._store.list(HOST_KIND, stale=known > 1)
+        hosts = {self._own.host_id: self._own}
+        for entry in changes.entries:
+            try:
+                host = decode_host(entry)
+            except EntryError as error:
+                log.warning("entry_rejected", entry=error.peer, reason=error.message)
+                continue
+            hosts[host.host_id] = host
+        if set(hosts) != set(self._view.hosts):
+            log.info("hosts_changed", count=len(hosts), before=known)
+        self._view.hosts = hosts
+
+    async def withdraw(self) -> None:
+        """Remove this host's entry; a failure is logged only."""
+        try:
+            await self._store.delete(HOST_KIND, self._own.host_id)
+        except PlatformError as error:
+            log.info("host_entry_left", reason=error.message)
--- /dev/null
+++ b/src/sesameknot/coordination/rollout_duty.py
@@ -0,0 +1,237 @@
+"""Carry roll-outs from the order to their end, one host at a time.
+
+Every host computes the same order of hosts for a service. A host acts if no host
+before it answers. Two hosts that act at once do no harm: each step is a conditional
+update of the roll-out's status.
+"""
+
+import asyncio
+from dataclasses import replace
+
+import structlog
+
+from sesameknot.clock import Clock
+from sesameknot.errors import ConflictError, PlatformError, RouterError
+from sesameknot.platform import ROLLOUT_KIND, StoreClient, encode_rollout_progress
+from sesameknot.policy.rendezvous import ranked
+from sesameknot.policy.rollout_course import (
+    RolloutCourse,
+    RolloutProgress,
+    RolloutStep,
+)
+from sesameknot.policy.rollout_test import VersionSample
+from sesameknot.protocol.fleet_records import RolloutOrder, RolloutOutcome
+from sesameknot.protocol.messages import StatsReply, StatsRequest, VersionStats
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.state.version_counts import VersionCounts
+from sesameknot.transport.peer_client import PeerClient
+
+PEER_TIMEOUT_S = 0.3
+OPEN_OUTCOMES = frozenset({RolloutOutcome.REQUESTED, RolloutOutcome.RUNNING})
+
+log = structlog.get_logger(__name__)
+
+
+class _Course:
+    """What this host has seen of one roll-out; times are monotonic."""
+
+    __slots__ = ("share", "share_s", "started_s", "target_version")
+
+    def __init__(self, order: RolloutOrder, started_s: float, now_s: float) -> None:
+        self.target_version = order.target_version
+        self.started_s = started_s
+        self.share = order.share
+        self.share_s = now_s
+
+
+class RolloutDuty:
+    """Task that moves roll-outs on.
+
+    Parameters
+    ----------
+    view : FleetView
+        Orders, endpoints and hosts.
+    store : StoreClient
+        Takes the progress.
+    peers : PeerClient
+        Collects the counters of other hosts.
+    counts : VersionCounts
+        Counters of this host.
+    course : RolloutCourse
+        Decides the steps.
+    host_id : str
+        This host.
+    interval_s : float
+        Pause between two looks.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        store: StoreClient,
+        peers: PeerClient,
+        counts: VersionCounts,
+        course: RolloutCourse,
+        host_id: str,
+        interval_s: float,
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        self._store = store
+        self._peers = peers
+        self._counts = counts
+        self._course = course
+        self._host_id = host_id
+        self._interval_s = interval_s
+        self._clock = clock
+        self._courses: dict[str, _Course] = {}
+
+    async def run(self) -> None:
+        """Look after all open roll-outs until cancelled."""
+        while True:
+            await asyncio.sleep(self._interval_s)
+            for order in list(self._view.rollouts.values()):
+                if order.outcome not in OPEN_OUTCOMES:
+                    continue
+                self._follow(order)
+                try:
+                    await self._look_after(order)
+                except RouterError as error:
+                    log.warning(
+                        "rollout_step_failed",
+                        service=order.service,
+                        step=error.step,
+                        reason=error.message,
+                    )
+
+    def _follow(self, order: RolloutOrder) -> _Course:
+        now_s = self._clock.monotonic_s()
+        course = self._courses.get(order.service)
+        if course is None or course.target_version != order.target_version:
+            elapsed_s = 0.0
+            if order.started_ms:
+                elapsed_s = (self._clock.wall_ms() - order.started_ms) / 1000.0
+            # Wall clocks of hosts differ and may jump.
+            elapsed_s = min(order.duration_s, max(0.0, elapsed_s))
+            course = _Course(order, now_s - elapsed_s, now_s)
+            self._courses[order.service] = course
+        if course.share != order.share:
+            course.share = order.share
+            course.share_s = now_s
+        return course
+
+    async def _look_after(self, order: RolloutOrder) -> None:
+        if not await self._is_first(order.service):
+            return
+        new, stable = await self._samples(order)
+        course = self._follow(order)
+        now_s = self._clock.monotonic_s()
+        progress = RolloutProgress(
+            started=order.outcome is RolloutOutcome.RUNNING,
+            share=order.share,
+            elapsed_share=(now_s - course.started_s) / order.duration_s,
+            share_age_share=(now_s - course.share_s) / order.duration_s,
+            target_endpoint_count=self._target_count(order),
+        )
+        step, share = self._course.step(progress, new, stable)
+        if step is RolloutStep.WAIT:
+            return
+        await self._record(order, step, share, course)
+        log.info(
+            "rollout_step",
+            service=order.service,
+            target=order.target_version,
+            decision=str(step),
+            share=share,
+            elapsed_share=round(progress.elapsed_share, 3),
+            new_answers=new.request_count,
+            new_bad=new.error_count,
+            stable_answers=stable.request_count,
+            stable_bad=stable.error_count,
+            revision=order.revision,
+        )
+
+    async def _record(
+        self, order: RolloutOrder, step: RolloutStep, share: float, course: _Course
+    ) -> None:
+        outcomes = {
+            RolloutStep.FINISH: RolloutOutcome.SUCCEEDED,
+            RolloutStep.ROLL_BACK: RolloutOutcome.ROLLED_BACK,
+        }
+        elapsed_ms = int((self._clock.monotonic_s() - course.started_s) * 1000)
+        changed = replace(
+            order,
+            outcome=outcomes.get(step, RolloutOutcome.RUNNING),
+            share=share,
+            started_ms=order.started_ms or self._clock.wall_ms() - elapsed_ms,
+        )
+        try:
+            entry = await self._store.write_status(
+                ROLLOUT_KIND,
+                order.service,
+                encode_rollout_progress(changed),
+                expected_revision=order.revision,
+            )
+        except ConflictError as error:
+            log.info("rollout_changed_meanwhile", service=error.peer)
+            return
+        except PlatformError:
+            # The watch shows whether the update took effect.
+            log.info("rollout_update_unknown", service=order.service, decision=step)
+            raise
+        current = self._view.rollouts.get(order.service)
+        if current is not None and current.revision <= order.revision:
+            self._view.rollouts[order.service] = replace(
+                changed, revision=entry.revision
+            )
+
+    async def _is_first(self, service: str) -> bool:
+        for host_id in ranked(service, self._view.hosts):
+            if host_id == self._host_id:
+                return True
+            if await self._counters_of(host_id) is not None:
+                return False
+        return True
+
+    async def _samples(
+        self, order: RolloutOrder
+    ) -> tuple[VersionSample, VersionSample]:
+        others = [h for h in self._view.hosts if h != self._host_id]
+        found = await asyncio.gather(*(self._counters_of(h) for h in others))
+        records = self._counts.records()
+        for reply in found:
+            records += reply or []
+        new = [0, 0]
+        stable = [0, 0]
+        for record in records:
+            if record.model != order.service:
+                continue
+            counts = new if record.version == order.target_version else stable
+            counts[0] += record.request_count
+            counts[1] += record.error_count
+        return VersionSample(new[0], new[1]), VersionSample(stable[0], stable[1])
+
+    async def _counters_of(self, host_id: str) -> list[VersionStats] | None:
+        """Return a peer's counters, None if it does not answer."""
+        try:
+            reply = await self._peers.call(
+                self._view.hosts[host_id].peer_address,
+                StatsRequest(requester=self._host_id),
+                expect=StatsReply,
+                timeout_s=PEER_TIMEOUT_S,
+            )
+        except RouterError as error:
+            log.info("peer_silent", peer=host_id, reason=error.message)
+            return None
+        return reply.versions
+
+    def _target_count(self, order: RolloutOrder) -> int:
+        return sum(
+            known.entry.service == order.service
+            and known.entry.version == order.target_version
+            and self._view.may_send(known)
+            for known in self._view.endpoints.values()
+        )
--- /dev/null
+++ b/src/sesameknot/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The request path of the front process: requests are passed on unchanged."""
--- /dev/null
+++ b/src/sesameknot/forwarding/caller.py
@@ -0,0 +1,89 @@
+"""The caller's side of one request."""
+
+import asyncio
+
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from sesameknot.errors import TransportError
+from sesameknot.forwarding.refusal import Refusal
+
+
+class CallerConnection:
+    """Writes one answer to a caller.
+
+    Parameters
+    ----------
+    request : tornado.httputil.HTTPServerRequest
+        The request as the HTTP server read it.
+    """
+
+    __slots__ = ("_connection", "bytes_sent", "closing", "head_sent", "status")
+
+    def __init__(self, request: HTTPServerRequest) -> None:
+        self._connection = request.connection
+        self.closing = False
+        self.head_sent = False
+        self.status = 0
+        self.bytes_sent = 0
+
+    def cancel_on_close(self, task: "asyncio.Task[None]") -> None:
+        """Cancel ``task`` when the caller closes the connection."""
+        self._connection.set_close_callback(lambda: task.cancel())
+
+    async def send_head(
+        self, status: int, headers: HTTPHeaders, *, reason: str = "", data: bytes = b""
+    ) -> None:
+        """Send status and headers, and the first bytes of the body.
+
+        Raises
+        ------
+        TransportError
+            If the caller is gone.
+        """
+        if self.closing:
+            headers["Connection"] = "close"
+        self.head_sent = True
+        self.status = status
+        self.bytes_sent += len(data)
+        start = ResponseStartLine("HTTP/1.1", status, reason or "Answer")
+        try:
+            await self._connection.write_headers(start, headers, data or None)
+        except StreamClosedError as error:
+            raise TransportError("caller is gone", step="answer") from error
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body.
+
+        Raises
+        ------
+        TransportError
+            If the caller is gone.
+        """
+        self.bytes_sent += len(data)
+        try:
+            await self._connection.write(data)
+        except StreamClosedError as error:
+            raise TransportError("caller is gone", step="answer") from error
+
+    def finish(self) -> None:
+        """Mark the answer as complete."""
+        self._connection.finish()
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Send an answer of the system's own, or break off one that has begun."""
+        if self.head_sent:
+            self.break_off()
+            return
+        body = (refusal.reason + "\n").encode()
+        headers = HTTPHeaders(
+            {"Content-Type": "text/plain", "Content-Length": str(len(body))}
+        )
+        if refusal.retry_after_s:
+            headers["Retry-After"] = f"{refusal.retry_after_s:.3f}"
+        await self.send_head(refusal.status, headers, data=body)
+        self.finish()
+
+    def break_off(self) -> None:
+        """Close the connection, so that an unfinished answer does not look complete."""
+        self._connection.close()
--- /dev/null
+++ b/src/sesameknot/forwarding/target_picker.py
@@ -0,0 +1,154 @@
+"""Pick the endpoint of an attempt."""
+
+from dataclasses import dataclass
+
+import structlog
+
+from sesameknot.clock import Clock
+from sesameknot.forwarding.request import ForwardedRequest
+from sesameknot.policy.cold_admission import ColdAdmission
+from sesameknot.policy.prompt_placement import (
+    Placement,
+    PlacementCandidate,
+    PlacementRequest,
+)
+from sesameknot.state.fleet_view import FleetView, KnownEndpoint, VersionFilter
+
+# Wait that a refused caller is told where nothing tells when an endpoint is back.
+UNKNOWN_WAIT_S = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class NoTarget:
+    """Why there is no endpoint, and when there may be one."""
+
+    reason: str
+    wait_s: float
+
+
+class TargetPicker:
+    """Chooses among the endpoints that may get a request now.
+
+    Parameters
+    ----------
+    view : FleetView
+        What is known of the fleet.
+    placement : Placement
+        Choice among the candidates.
+    cold : ColdAdmission
+        Limits on cold endpoints.
+    domain : str
+        Failure domain of this host.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        placement: Placement,
+        cold: ColdAdmission,
+        domain: str,
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        self._placement = placement
+        self._cold = cold
+        self._domain = domain
+        self._clock = clock
+
+    def versions(self, request: ForwardedRequest) -> VersionFilter:
+        """Return the versions that the request may use now."""
+        return self._view.allowed_versions(request.service, request.session_position)
+
+    def pick(
+        self, request: ForwardedRequest, *, model: str
+    ) -> KnownEndpoint | NoTarget:
+        """Return the endpoint for the next attempt of ``request``."""
+        versions = self.versions(request)
+        usable = versions.narrow(self._view.usable(request.service, versions))
+        fresh = [known for known in usable if known.endpoint_id not in request.tried_ids]
+        if not fresh:
+            reason = "all endpoints were tried" if usable else "no endpoint is usable"
+            return NoTarget(reason, UNKNOWN_WAIT_S)
+        warm = self._admissible(fresh)
+        if not warm:
+            return NoTarget("all endpoints are cold", self._cold_wait_s(fresh))
+        # An endpoint that failed lately is better than none.
+        healthy = [known for known in warm if not known.health.ejected] or warm
+        chosen = self._choose(healthy, request, model)
+        self._note_cold(chosen)
+        log.info(
+            "endpoint_picked",
+            request_id=request.request_id,
+            endpoint=chosen.endpoint_id,
+            domain=chosen.entry.domain,
+            version=chosen.entry.version,
+            model=model,
+            candidates=len(healthy),
+            ejected=len(warm) - len(healthy),
+            in_flight=chosen.in_flight_count,
+            failure_share=round(chosen.health.failure_share, 3),
+            attempt=len(request.tried_ids) + 1,
+        )
+        return chosen
+
+    def still_usable(self, request: ForwardedRequest, known: KnownEndpoint) -> bool:
+        """Return whether the endpoint may get the request at the moment of sending."""
+        return known in self._view.usable(request.service, self.versions(request))
+
+    def _is_cold(self, known: KnownEndpoint) -> bool:
+        return self._clock.monotonic_s() < known.cold_until_s
+
+    def _cold_rate_per_s(self, known: KnownEndpoint) -> float:
+        configuration = self._view.configuration
+        if configuration is None:
+            return 0.0
+        return configuration.service(known.entry.service).cold_rate_per_s
+
+    def _admissible(self, candidates: list[KnownEndpoint]) -> list[KnownEndpoint]:
+        admissible = []
+        for known in candidates:
+            rate_per_s = self._cold_rate_per_s(known)
+            if not rate_per_s or not self._is_cold(known):
+                admissible.append(known)
+            elif self._cold.may_use(known.endpoint_id, rate_per_s, self._view.hosts):
+                admissible.append(known)
+        return admissible
+
+    def _note_cold(self, known: KnownEndpoint) -> None:
+        rate_per_s = self._cold_rate_per_s(known)
+        if rate_per_s and self._is_cold(known):
+            self._cold.take(known.endpoint_id, rate_per_s, self._view.hosts)
+
+    def _cold_wait_s(self, candidates: list[KnownEndpoint]) -> float:
+        now_s = self._clock.monotonic_s()
+        return max(0.05, min(known.cold_until_s for known in candidates) - now_s)
+
+    def _choose(
+        self, candidates: list[KnownEndpoint], request: ForwardedRequest, model: str
+    ) -> KnownEndpoint:
+        views = [self._candidate(known) for known in candidates]
+        chosen = self._placement.choose(views, placement_request(request, model))
+        return candidates[views.index(chosen)]
+
+    def _candidate(self, known: KnownEndpoint) -> PlacementCandidate:
+        return PlacementCandidate(
+            endpoint_id=known.endpoint_id,
+            same_domain=known.entry.domain == self._domain,
+            in_flight_count=known.in_flight_count,
+            pending_tokens=known.pending_tokens,
+            failure_share=known.health.failure_share,
+            slot_count=known.entry.slot_count,
+        )
+
+
+def placement_request(request: ForwardedRequest, model: str) -> PlacementRequest:
+    """Return what the placement needs to know of a request."""
+    return PlacementRequest(
+        model=model,
+        prompt=tuple((part.part_id, part.token_count) for part in request.facts.prompt),
+    )
--- /dev/null
+++ b/src/sesameknot/front.py
@@ -0,0 +1,326 @@
+"""Composition root of the front process: build its parts and run them."""
+
+import asyncio
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
+
+import numpy as np
+import structlog
+from aioprometheus.collectors import Registry
+from aioprometheus.renderer import render
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
+
+from sesameknot.clock import Clock, SystemClock
+from sesameknot.coordination.fleet_sinks import SINKS
+from sesameknot.coordination.host_directory import HostDirectory
+from sesameknot.coordination.rollout_duty import RolloutDuty
+from sesameknot.coordination.store_follower import StoreFollower
+from sesameknot.forwarding.attempt import AttemptRunner
+from sesameknot.forwarding.ingress import Ingress
+from sesameknot.forwarding.plain import AttemptLoop, PlainForwarder, RetryWindows
+from sesameknot.forwarding.stream import StreamForwarder
+from sesameknot.forwarding.target_picker import TargetPicker
+from sesameknot.platform import READY_PATH, StoreClient
+from sesameknot.policy.cold_admission import ColdAdmission
+from sesameknot.policy.confidence_cascade import CASCADES
+from sesameknot.policy.prompt_placement import (
+    PLACEMENTS,
+    PlacementCosts,
+    PromptCacheMemory,
+)
+from sesameknot.policy.rollout_course import CoursePlan, RolloutCourse
+from sesameknot.protocol.fleet_records import HostEntry
+from sesameknot.protocol.messages import StatsReply, StatsRequest
+from sesameknot.router.drain import Drain
+from sesameknot.router.metrics import RouterMetrics
+from sesameknot.settings.front import FrontSettings
+from sesameknot.settings.host import HostSettings
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.state.version_counts import VersionCounts
+from sesameknot.transport.endpoint_client import EndpointClient
+from sesameknot.transport.peer_client import PeerClient
+from sesameknot.transport.peer_server import PeerServer
+
+METRICS_PATH = "/metrics"
+# Hosts may count requests and repeats in slightly different windows.
+RETRY_RATIO_PART = 0.85
+# Hosts for which the retry slack is divided before others are known.
+FIRST_HOST_COUNT = 32
+# The balancer asks once a second and takes a host out after two misses.
+LISTEN_AFTER_SIGTERM_S = 3.0
+# Left of the grace time for closing connections and the last log lines.
+EXIT_MARGIN_S = 1.0
+FORGET_INTERVAL_S = 1.0
+
+log = structlog.get_logger(__name__)
+
+
+class Front:
+    """One front process.
+
+    Parameters
+    ----------
+    host : HostSettings
+        Identity, addresses and bounds.
+    settings : FrontSettings
+        The project's own settings.
+    clock : Clock or None, default=None
+        Source of time; the system clock by default.
+    """
+
+    def __init__(
+        self,
+        host: HostSettings,
+        settings: FrontSettings,
+        *,
+        clock: Clock | None = None,
+    ) -> None:
+        self.host = host
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.drain = Drain()
+        self.registry = Registry()
+        self.metrics = RouterMetrics(self.registry)
+        self.view = FleetView(self.clock)
+        self.counts = VersionCounts()
+        self._stack = contextlib.AsyncExitStack()
+        self._caller_server: HTTPServer | None = None
+        self._build()
+
+    def _build(self) -> None:
+        settings = self.settings
+        self.store = StoreClient(
+            self.host.store_address, timeout_s=settings.store.call_timeout_s
+        )
+        self._stack.callback(self.store.close)
+        self.endpoint_client = EndpointClient(clock=self.clock)
+        self._stack.callback(self.endpoint_client.close)
+        self.peers = PeerClient(self.host.host_id, clock=self.clock)
+        self._stack.callback(self.peers.close)
+        self.directory = HostDirectory(
+            store=self.store,
+            view=self.view,
+            own=HostEntry(
+                host_id=self.host.host_id,
+                peer_address=f"{self.host.ip}:{self.host.peer_port}",
+                domain=self.host.domain,
+            ),
+            settings=settings.store,
+        )
+        self.ingress = self._build_ingress()
+
+    def _build_ingress(self) -> Ingress:
+        settings = self.settings
+        cache = PromptCacheMemory(
+            clock=self.clock, life_s=settings.placement.cache_life_s
+        )
+        picker = self._build_picker(cache)
+        runner = AttemptRunner(
+            client=self.endpoint_client,
+            picker=picker,
+            cache=cache,
+            counts=self.counts,
+            settings=settings.attempts,
+            metrics=self.metrics,
+            clock=self.clock,
+        )
+        loop = AttemptLoop(
+            picker=picker,
+            runner=runner,
+            budgets=self._build_budgets(),
+            settings=settings.attempts,
+            clock=self.clock,
+        )
+        stream = StreamForwarder(
+            loop,
+            cascade=CASCADES.get(settings.cascade.strategy),
+            cascade_settings=settings.cascade,
+            metrics=self.metrics,
+        )
+        return Ingress(
+            view=self.view,
+            plain=PlainForwarder(loop),
+            stream=stream,
+            drain=self.drain,
+            metrics=self.metrics,
+            clock=self.clock,
+        )
+
+    def _build_picker(self, cache: PromptCacheMemory) -> TargetPicker:
+        placement = self.settings.placement
+        costs = PlacementCosts(
+            prefill_ms_per_token=placement.prefill_ms_per_token,
+            request_load_ms=placement.request_load_ms,
+            other_domain_ms=placement.other_domain_ms,
+            failure_penalty_ms=placement.failure_penalty_ms,
+        )
+        seed = self.settings.random_state or None
+        return TargetPicker(
+            view=self.view,
+            placement=PLACEMENTS.get(placement.strategy)(
+                costs=costs, cache=cache, random_generator=np.random.default_rng(seed)
+            ),
+            cold=ColdAdmission(clock=self.clock, host_id=self.host.host_id),
+            domain=self.host.domain,
+            clock=self.clock,
+        )
+
+    def _build_budgets(self) -> RetryWindows:
+        bounds = self.host.bounds
+        return RetryWindows(
+            clock=self.clock,
+            ratio=bounds.retry_ratio * RETRY_RATIO_PART,
+            window_s=bounds.retry_window_s,
+            slack_count=bounds.retry_slack_count / FIRST_HOST_COUNT,
+        )
+
+    async def start(self) -> None:
+        """Listen, and start the tasks that follow the store."""
+        await self._listen()
+        for kind in SINKS:
+            follower = StoreFollower(
+                kind,
+                store=self.store,
+                sink=SINKS.get(kind)(self.view),
+                view=self.view,
+                settings=self.settings.store,
+                clock=self.clock,
+            )
+            self._spawn(f"follow {kind}", follower.run())
+        self._spawn("hosts", self.directory.run())
+        self._spawn("rollouts", self._build_rollout_duty().run())
+        self._spawn("forget", self._forget_loop())
+        log.info(
+            "front_started",
+            host=self.host.host_id,
+            domain=self.host.domain,
+            callers=self.host.caller_address,
+            store=self.host.store_address,
+        )
+
+    def _build_rollout_duty(self) -> RolloutDuty:
+        plan = self.settings.rollouts
+        course = RolloutCourse(
+            CoursePlan(
+                first_share=min(plan.first_share, self.host.bounds.rollout_share),
+                first_share_at=plan.first_share_at,
+                full_share_at=plan.full_share_at,
+                decide_at=plan.decide_at,
+            )
+        )
+        return RolloutDuty(
+            view=self.view,
+            store=self.store,
+            peers=self.peers,
+            counts=self.counts,
+            course=course,
+            host_id=self.host.host_id,
+            interval_s=plan.step_interval_s,
+            clock=self.clock,
+        )
+
+    async def _listen(self) -> None:
+        peer_server = PeerServer(self.host.host_id)
+        peer_server.handle(StatsRequest)(self._answer_stats)
+        peer_server.add_sockets(bind_sockets(self.host.peer_port, self.host.ip))
+        self._stack.push_async_callback(peer_server.close)
+        limits = self.view.configuration.limits if self.view.configuration else None
+        self._caller_server = HTTPServer(
+            self._accept,
+            idle_connection_timeout=limits.idle_timeout_s if limits else 60.0,
+        )
+        self._serve(self._caller_server, self.host.caller_address)
+        self._serve(HTTPServer(self._answer_ready), self.host.ready_address)
+        metrics_address = f"{self.host.ip}:{self.settings.metrics_port}"
+        self._serve(HTTPServer(self._answer_metrics), metrics_address)
+
+    def _serve(self, server: HTTPServer, address: str) -> None:
+        ip, _, port = address.rpartition(":")
+        server.add_sockets(bind_sockets(int(port), ip))
+        self._stack.push_async_callback(server.close_all_connections)
+        self._stack.callback(server.stop)
+
+    def _accept(self, received: HTTPServerRequest) -> None:
+        self._apply_caller_limits()
+        self.ingress.accept(received)
+
+    def _apply_caller_limits(self) -> None:
+        configuration = self.view.configuration
+        if configuration is None or self._caller_server is None:
+            return
+        parameters = self._caller_server.conn_params
+        parameters.header_timeout = configuration.limits.idle_timeout_s
+        parameters.max_body_size = configuration.limits.body_bytes
+
+    async def _answer_stats(self, request: StatsRequest) -> StatsReply:
+        return StatsReply(host_id=self.host.host_id, versions=self.counts.records())
+
+    def _answer_ready(self, received: HTTPServerRequest) -> None:
+        ready = self.view.ready and not self.drain.leaving
+        known = received.path == READY_PATH
+        _respond(received, (200 if ready else 503) if known else 404)
+
+    def _answer_metrics(self, received: HTTPServerRequest) -> None:
+        if received.path != METRICS_PATH:
+            _respond(received, 404)
+            return
+        self.metrics.in_flight.set({}, self.drain.in_flight_count)
+        self.metrics.platform_calls.set({}, self.store.call_count)
+        configuration_age_s = self.clock.monotonic_s() - self.view.configuration_s
+        self.metrics.config_age_s.set({}, configuration_age_s)
+        content, headers = render(self.registry, received.headers.get_list("Accept"))
+        _respond(received, 200, content, headers)
+
+    async def _forget_loop(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_INTERVAL_S)
+            self.view.forget_gone()
+
+    def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work, name=name)
+        task.add_done_callback(_log_end)
+        # The stack keeps the task alive; the loop refers to tasks weakly.
+        self._stack.callback(task.cancel)
+
+    async def shut_down(self) -> None:
+        """Finish the requests in flight, then stop."""
+        began_s = self.clock.monotonic_s()
+        limit_s = self.host.bounds.grace_s - EXIT_MARGIN_S
+        self.drain.leaving = True
+        log.info("shutdown_started", in_flight=self.drain.in_flight_count)
+        await self.directory.withdraw()
+        await asyncio.sleep(LISTEN_AFTER_SIGTERM_S)
+        if self._caller_server is not None:
+            self._caller_server.stop()
+        left_s = limit_s - (self.clock.monotonic_s() - began_s)
+        idle = await self.drain.wait_idle(max(0.0, left_s))
+        log.info(
+            "shutdown_finished", idle=idle, in_flight=self.drain.in_flight_count
+        )
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        await self._stack.aclose()
+
+
+def _respond(
+    received: HTTPServerRequest,
+    status: int,
+    content: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> None:
+    connection = received.connection
+    all_headers = HTTPHeaders(headers or {})
+    all_headers["Content-Length"] = str(len(content))
+    start = ResponseStartLine("HTTP/1.1", status, "")
+    connection.write_headers(start, all_headers, content or None)
+    connection.finish()
+
+
+def _log_end(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.error("task_failed", task=task.get_name(), reason=repr(task.exception()))
--- /dev/null
+++ b/src/sesameknot/platform/__init__.py
@@ -0,0 +1,63 @@
+"""Adapter to the users' platform: its settings file, store, objects and headers.
+
+Wire names are decoded here, once, into the project's types; no other package knows
+them.
+"""
+
+from sesameknot.platform._headers import (
+    AnswerFacts,
+    AttemptTerms,
+    PromptPart,
+    RequestFacts,
+    answer_facts,
+    caller_headers,
+    endpoint_headers,
+    request_facts,
+)
+from sesameknot.platform._node_file import NODE_FILE_VARIABLE, load_host_settings
+from sesameknot.platform._objects import (
+    CONFIGURATION_KIND,
+    ENDPOINT_KIND,
+    EVACUATION_KIND,
+    HOST_KIND,
+    ROLLOUT_KIND,
+    EntryError,
+    decode_configuration,
+    decode_endpoint,
+    decode_host,
+    decode_rollout,
+    encode_host,
+    encode_rollout_progress,
+)
+from sesameknot.platform._store import Changes, StoreClient, StoredEntry
+
+READY_PATH = "/sesameknot/readyz"
+
+__all__ = [
+    "CONFIGURATION_KIND",
+    "ENDPOINT_KIND",
+    "EVACUATION_KIND",
+    "HOST_KIND",
+    "NODE_FILE_VARIABLE",
+    "READY_PATH",
+    "ROLLOUT_KIND",
+    "AnswerFacts",
+    "AttemptTerms",
+    "Changes",
+    "EntryError",
+    "PromptPart",
+    "RequestFacts",
+    "StoreClient",
+    "StoredEntry",
+    "answer_facts",
+    "caller_headers",
+    "decode_configuration",
+    "decode_endpoint",
+    "decode_host",
+    "decode_rollout",
+    "encode_host",
+    "encode_rollout_progress",
+    "endpoint_headers",
+    "load_host_settings",
+    "request_facts",
+]
--- a/src/sesameknot/policy/rollout_test.py
+++ b/src/sesameknot/policy/rollout_test.py
@@ -156,6 +156,10 @@
         accepted = max(evidence.rating_llr, error_llr) <= self._accept
         return Verdict.ADVANCE if rated and accepted else Verdict.CONTINUE
 
+    def stops_on_errors(self, new: VersionSample, stable: VersionSample) -> bool:
+        """Return whether errors alone stop the new version."""
+        return self._error_llr(new, stable) >= self._reject
+
     def leaning(self, new: VersionSample, stable: VersionSample) -> float:
         """Return the stronger log-likelihood ratio, however few ratings there are."""
         rating_llr = self._rating_llr(new, stable, min_ratings=2)
--- /dev/null
+++ b/src/sesameknot/settings/front.py
@@ -0,0 +1,80 @@
+"""Settings of the front process that are the project's own."""
+
+from typing import Annotated
+
+from msgspec import Meta, field
+
+from sesameknot.settings._struct import SettingsStruct
+from sesameknot.settings.tree import DurationS, PositiveCount
+
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Confidence = Annotated[float, Meta(ge=0.0, le=100.0)]
+
+
+class StoreSettings(SettingsStruct):
+    """Calls to the platform's store."""
+
+    call_timeout_s: DurationS = 1.0
+    watch_wait_s: DurationS = 3.0
+    watch_margin_s: DurationS = 0.8
+    retry_min_s: DurationS = 0.2
+    retry_max_s: DurationS = 1.0
+    host_list_interval_s: DurationS = 5.0
+
+
+class CascadeSettings(SettingsStruct):
+    """Choice between the models of a route."""
+
+    strategy: str = "smallest_then_largest"
+    confidence_threshold: Confidence = 45.0
+
+
+class PlacementSettings(SettingsStruct):
+    """Choice of an endpoint."""
+
+    strategy: str = "prompt_cache"
+    prefill_ms_per_token: Annotated[float, Meta(gt=0.0)] = 0.015
+    request_load_ms: Annotated[float, Meta(ge=0.0)] = 25.0
+    other_domain_ms: Annotated[float, Meta(ge=0.0)] = 20.0
+    failure_penalty_ms: Annotated[float, Meta(ge=0.0)] = 1000.0
+    cache_life_s: DurationS = 10.0
+
+
+class AttemptSettings(SettingsStruct):
+    """Deadlines of single attempts, as multiples of the route's latency target."""
+
+    connect_timeout_s: DurationS = 0.5
+    first_event_factor: Annotated[float, Meta(gt=0.0)] = 1.5
+    plain_answer_factor: Annotated[float, Meta(gt=0.0)] = 2.0
+    event_gap_factor: Annotated[float, Meta(gt=0.0)] = 2.0
+    not_run_resend_count: PositiveCount = 3
+
+
+class RolloutPlanSettings(SettingsStruct):
+    """Course of a roll-out, as shares of its duration."""
+
+    first_share: Share = 0.12
+    first_share_at: Share = 0.51
+    full_share_at: Share = 0.72
+    decide_at: Share = 0.88
+    step_interval_s: DurationS = 0.5
+
+
+class LogSettings(SettingsStruct):
+    """Bounds of the log."""
+
+    lines_per_s: PositiveCount = 400
+    queue_count: PositiveCount = 2000
+
+
+class FrontSettings(SettingsStruct):
+    """Settings of the front process; all have defaults."""
+
+    store: StoreSettings = field(default_factory=StoreSettings)
+    cascade: CascadeSettings = field(default_factory=CascadeSettings)
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
+    attempts: AttemptSettings = field(default_factory=AttemptSettings)
+    rollouts: RolloutPlanSettings = field(default_factory=RolloutPlanSettings)
+    log: LogSettings = field(default_factory=LogSettings)
+    metrics_port: PositiveCount = 9464
+    random_state: Annotated[int, Meta(ge=0)] = 0
--- /dev/null
+++ b/src/sesameknot/state/version_counts.py
@@ -0,0 +1,34 @@
+"""Answers of this host's attempts by service and version."""
+
+from sesameknot.protocol.messages import VersionStats
+
+# An answer that takes longer than this share of the latency target counts against its
+# version; usual answers take far less.
+SLOW_SHARE_OF_TARGET = 0.5
+
+
+class VersionCounts:
+    """Counters since the start of the process."""
+
+    __slots__ = ("_counts",)
+
+    def __init__(self) -> None:
+        self._counts: dict[tuple[str, str], list[int]] = {}
+
+    def note(self, service: str, version: str, *, bad: bool) -> None:
+        """Count one attempt."""
+        counts = self._counts.setdefault((service, version), [0, 0])
+        counts[0] += 1
+        counts[1] += int(bad)
+
+    def records(self) -> list[VersionStats]:
+        """Return all counters as messages carry them."""
+        return [
+            VersionStats(
+                model=service,
+                version=version,
+                request_count=counts[0],
+                error_count=counts[1],
+            )
+            for (service, version), counts in self._counts.items()
+        ]
--- a/src/sesameknot/transport/_endpoint_call.py
+++ b/src/sesameknot/transport/_endpoint_call.py
@@ -43,7 +43,7 @@
         Path with query.
     method : str, default="POST"
         HTTP method.
-    headers : dict of str to str
+    headers : dict of str to str or HTTPHeaders
         Request headers.
     body : bytes or None, default=None
         Request body.
@@ -57,7 +57,7 @@
     url: str
     path: str
     method: str = "POST"
-    headers: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] | HTTPHeaders = field(default_factory=dict)
     body: bytes | None = None
     limits: CallLimits = field(default_factory=CallLimits)
     before_send: Callable[[], None] | None = None
--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -68,6 +68,15 @@
         """Bytes of the body that were received and not read yet."""
         return self._buffered_bytes
 
+    @property
+    def ended_by_reset(self) -> bool:
+        """Whether the connection ended with an error instead of a close.
+
+        Tornado takes a reset as the end of a body that has no length.
+        """
+        stream = self.connection.stream
+        return stream is not None and isinstance(stream.error, OSError)
+
     def _start(self, http: AttemptHTTPClient) -> None:
         limits = self._limits
         request = HTTPRequest(
--- a/src/sesameknot/transport/endpoint_client.py
+++ b/src/sesameknot/transport/endpoint_client.py
@@ -183,6 +183,10 @@
             max_body_size=ANSWER_LIMIT_BYTES,
         )
 
+    def exchange(self, call: EndpointCall) -> Exchange:
+        """Start a request; the caller reads the answer and must close the exchange."""
+        return Exchange(call, http=self._http, clock=self._clock)
+
     async def call(self, call: EndpointCall) -> EndpointAnswer:
         """Send a request and return the whole answer, whatever its status.
 
--- /dev/null
+++ b/src/sesameknot/transport/json_http.py
@@ -0,0 +1,75 @@
+"""HTTP calls with JSON bodies to one address, with errors that name step and peer."""
+
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from sesameknot.errors import PlatformError
+
+# Waiting watches hold a connection each, beside the calls of other tasks.
+CONCURRENT_LIMIT_COUNT = 100
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class JsonHttp:
+    """Call one HTTP service.
+
+    Parameters
+    ----------
+    url : str
+        Base URL.
+    timeout_s : float, default=2.0
+        Time for one call.
+    token : str, default=""
+        Bearer token sent with each call.
+    """
+
+    def __init__(self, url: str, *, timeout_s: float = 2.0, token: str = "") -> None:
+        self.url = url.rstrip("/")
+        self.timeout_s = timeout_s
+        self.token = token
+        self.call_count = 0
+        self._http = SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=CONCURRENT_LIMIT_COUNT,
+            max_buffer_size=BODY_LIMIT_BYTES,
+        )
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        body: str | bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> HTTPResponse:
+        """Return the response of one call, whatever its status.
+
+        Raises
+        ------
+        PlatformError
+            If no response arrived; the call may have taken effect.
+        """
+        self.call_count += 1
+        limit_s = timeout_s if timeout_s is not None else self.timeout_s
+        all_headers = dict(headers or {})
+        if self.token:
+            all_headers["Authorization"] = f"Bearer {self.token}"
+        request = HTTPRequest(
+            self.url + path,
+            method=method,
+            body=body,
+            headers=all_headers,
+            connect_timeout=min(limit_s, self.timeout_s),
+            request_timeout=limit_s,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            return await self._http.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError) as error:
+            raise PlatformError(str(error), step=step, peer=self.url) from error
+
+    def close(self) -> None:
+        """Close the HTTP client; waiting calls fail."""
+        self._http.close()
--- a/src/sesameknot/transport/platform_client.py
+++ b/src/sesameknot/transport/platform_client.py
@@ -20,11 +20,11 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.httpclient import HTTPResponse
 
 from sesameknot.errors import ConflictError, PlatformError
 from sesameknot.protocol.objects import PlatformHost, StoredObject, WatchBatch
+from sesameknot.transport.json_http import JsonHttp
 
 CONFLICT_STATUS = 409
 NOT_FOUND_STATUS = 404
@@ -46,13 +46,15 @@
     """
 
     def __init__(self, url: str, *, timeout_s: float = 2.0, token: str = "") -> None:
-        self.url = url.rstrip("/")
+        self._http = JsonHttp(url, timeout_s=timeout_s, token=token)
+        self._fetch = self._http.fetch
+        self.url = self._http.url
         self.timeout_s = timeout_s
-        self.token = token
-        self.call_count = 0
-        self._http = SimpleAsyncHTTPClient(
-            force_instance=True, max_buffer_size=64 * 1024 * 1024
-        )
+
+    @property
+    def call_count(self) -> int:
+        """Calls made so far."""
+        return self._http.call_count
 
     async def get(self, key: str) -> StoredObject | None:
         """Return the object at ``key`` or None if there is none.
@@ -210,34 +212,6 @@
             return WatchBatch(objects=[], version=since, reset=True)
         return _batch(self._body(response, "watch"))
 
-    async def _fetch(
-        self,
-        method: str,
-        path: str,
-        *,
-        step: str,
-        body: str | None = None,
-        headers: dict[str, str] | None = None,
-        timeout_s: float | None = None,
-    ) -> HTTPResponse:
-        self.call_count += 1
-        limit_s = timeout_s if timeout_s is not None else self.timeout_s
-        all_headers = dict(headers or {})
-        if self.token:
-            all_headers["Authorization"] = f"Bearer {self.token}"
-        request = HTTPRequest(
-            self.url + path,
-            method=method,
-            body=body,
-            headers=all_headers,
-            connect_timeout=min(limit_s, self.timeout_s),
-            request_timeout=limit_s,
-        )
-        try:
-            return await self._http.fetch(request, raise_error=False)
-        except (HTTPClientError, OSError) as error:
-            raise PlatformError(str(error), step=step, peer=self.url) from error
-
     def _body(self, response: HTTPResponse, step: str) -> Any:
         if response.error is not None:
             raise PlatformError(str(response.error), step=step, peer=self.url)
