--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -24,6 +24,8 @@
 FAULT_STATUS = 500
 # Wait that callers are told while this host knows no configuration yet.
 START_WAIT_S = 0.5
+# Another host takes the caller's next connection at once.
+LEAVING_WAIT_S = 0.05
 
 log = structlog.get_logger(__name__)
 
@@ -151,6 +153,14 @@
     def _admit(
         self, received: HTTPServerRequest, facts: RequestFacts, started_s: float
     ) -> ForwardedRequest:
+        if self._drain.refusing:
+            raise RequestEndedError(
+                not_run(
+                    "host is leaving",
+                    wait_s=LEAVING_WAIT_S,
+                    time_left_s=(facts.time_left_ms or 0) / 1000.0,
+                )
+            )
         configuration = self._configuration(facts)
         route = configuration.route(_host(received), received.path)
         if route is None:
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -1,6 +1,5 @@
 """Forward streamed requests: cascade between models, pass events on, resume."""
 
-
 import structlog
 
 from sesameknot.errors import TransportError
@@ -226,5 +225,3 @@
         if last or not request.route.repeatable:
             return left_s
         return min(left_s, limit_ms / 1000.0)
-
-
--- a/src/sesameknot/forwarding/target_picker.py
+++ b/src/sesameknot/forwarding/target_picker.py
@@ -70,7 +70,9 @@
         """Return the endpoint for the next attempt of ``request``."""
         versions = self.versions(request)
         usable = versions.narrow(self._view.usable(request.service, versions))
-        fresh = [known for known in usable if known.endpoint_id not in request.tried_ids]
+        fresh = [
+            known for known in usable if known.endpoint_id not in request.tried_ids
+        ]
         if not fresh:
             reason = "all endpoints were tried" if usable else "no endpoint is usable"
             return NoTarget(reason, UNKNOWN_WAIT_S)
@@ -113,9 +115,9 @@
         admissible = []
         for known in candidates:
             rate_per_s = self._cold_rate_per_s(known)
-            if not rate_per_s or not self._is_cold(known):
-                admissible.append(known)
-            elif self._cold.may_use(known.endpoint_id, rate_per_s, self._view.hosts):
+            limited = bool(rate_per_s) and self._is_cold(known)
+            hosts = self._view.hosts
+            if not limited or self._cold.may_use(known.endpoint_id, rate_per_s, hosts):
                 admissible.append(known)
         return admissible
 
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -40,6 +40,7 @@
 from sesameknot.settings.host import HostSettings
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.version_counts import VersionCounts
+from sesameknot.transport.caller_server import CallerConnections
 from sesameknot.transport.endpoint_client import EndpointClient
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
@@ -49,10 +50,11 @@
 RETRY_RATIO_PART = 0.85
 # Hosts for which the retry slack is divided before others are known.
 FIRST_HOST_COUNT = 32
-# The balancer asks once a second and takes a host out after two misses.
-LISTEN_AFTER_SIGTERM_S = 3.0
-# Left of the grace time for closing connections and the last log lines.
-EXIT_MARGIN_S = 1.0
+# The balancer asks once a second and takes a host out after two misses. A request that
+# is taken later than this might not be finished within the grace time.
+SERVE_AFTER_SIGTERM_S = 2.3
+# Part of the grace time after which requests that still run are broken off.
+FINISH_PART_OF_GRACE = 0.9
 FORGET_INTERVAL_S = 1.0
 
 log = structlog.get_logger(__name__)
@@ -88,6 +90,7 @@
         self.counts = VersionCounts()
         self._stack = contextlib.AsyncExitStack()
         self._caller_server: HTTPServer | None = None
+        self._callers = CallerConnections(self._accept)
         self._build()
 
     def _build(self) -> None:
@@ -229,7 +232,7 @@
         self._stack.push_async_callback(peer_server.close)
         limits = self.view.configuration.limits if self.view.configuration else None
         self._caller_server = HTTPServer(
-            self._accept,
+            self._callers,
             idle_connection_timeout=limits.idle_timeout_s if limits else 60.0,
         )
         self._serve(self._caller_server, self.host.caller_address)
@@ -288,17 +291,23 @@
     async def shut_down(self) -> None:
         """Finish the requests in flight, then stop."""
         began_s = self.clock.monotonic_s()
-        limit_s = self.host.bounds.grace_s - EXIT_MARGIN_S
+        limit_s = FINISH_PART_OF_GRACE * self.host.bounds.grace_s
         self.drain.leaving = True
         log.info("shutdown_started", in_flight=self.drain.in_flight_count)
         await self.directory.withdraw()
-        await asyncio.sleep(LISTEN_AFTER_SIGTERM_S)
-        if self._caller_server is not None:
-            self._caller_server.stop()
+        withdrawn_s = self.clock.monotonic_s() - began_s
+        await asyncio.sleep(max(0.0, SERVE_AFTER_SIGTERM_S - withdrawn_s))
+        self.drain.refusing = True
+        closed = self._callers.close_idle()
         left_s = limit_s - (self.clock.monotonic_s() - began_s)
         idle = await self.drain.wait_idle(max(0.0, left_s))
+        if self._caller_server is not None:
+            self._caller_server.stop()
         log.info(
-            "shutdown_finished", idle=idle, in_flight=self.drain.in_flight_count
+            "shutdown_finished",
+            idle=idle,
+            in_flight=self.drain.in_flight_count,
+            idle_connections=closed,
         )
         await self.close()
 
--- a/src/sesameknot/platform/_objects.py
+++ b/src/sesameknot/platform/_objects.py
@@ -292,9 +292,7 @@
         If a value is missing or wrong.
     """
     found = _convert(entry, _Host)
-    return HostEntry(
-        host_id=entry.name, peer_address=found.address, domain=found.zone
-    )
+    return HostEntry(host_id=entry.name, peer_address=found.address, domain=found.zone)
 
 
 def encode_host(host: HostEntry) -> dict[str, object]:
--- a/src/sesameknot/platform/_store.py
+++ b/src/sesameknot/platform/_store.py
@@ -121,8 +121,9 @@
             unreadable_count=unreadable_count,
         )
 
-    async def watch(self, kind: str, *, since_revision: int, wait_s: float,
-                    margin_s: float) -> Changes:
+    async def watch(
+        self, kind: str, *, since_revision: int, wait_s: float, margin_s: float
+    ) -> Changes:
         """Wait up to ``wait_s`` for changes of ``kind`` after ``since_revision``.
 
         Raises
--- /dev/null
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -0,0 +1,161 @@
+"""Stand-in for a server of the users' platform."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from sesameknot.platform import _headers as names
+
+OK_STATUS = 200
+MISDIRECTED_STATUS = 421
+
+
+@dataclass(slots=True, kw_only=True)
+class RecordedRun:
+    """A request that the endpoint ran."""
+
+    request_id: str
+    method: str
+    uri: str
+    body: bytes
+    headers: HTTPHeaders
+    at_s: float
+    caller_left: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class FleetEndpoint:
+    """Answers like a server; the fields say how.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Identity that requests must expect.
+    status : int, default=200
+        Status of its answers.
+    not_run : bool, default=False
+        Whether it refuses every request without running it.
+    event_count : int, default=3
+        Events of a stream; 0 gives answers with one body.
+    cut_after_count : int or None, default=None
+        Events after which it breaks off a stream that was not resumed, in the middle
+        of the next one.
+    confidences : dict of str to float
+        Confidence by model.
+    delay_s, event_gap_s : float
+        Time before the first byte, and between events.
+    silent : bool, default=False
+        Whether requests are run and never answered.
+    echoed_id : str or None, default=None
+        Identity that answers carry in place of the request's.
+    receipt : bool, default=True
+        Whether answers carry a receipt.
+    """
+
+    endpoint_id: str
+    status: int = OK_STATUS
+    not_run: bool = False
+    event_count: int = 3
+    cut_after_count: int | None = None
+    confidences: dict[str, float] = field(default_factory=dict)
+    delay_s: float = 0.0
+    event_gap_s: float = 0.0
+    silent: bool = False
+    echoed_id: str | None = None
+    receipt: bool = True
+    body: bytes = b"answer"
+    runs: list[RecordedRun] = field(default_factory=list)
+    refused_count: int = 0
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def server(self) -> HTTPServer:
+        """Return an HTTP server that serves this endpoint."""
+        return HTTPServer(self._accept)
+
+    def _accept(self, request: HTTPServerRequest) -> None:
+        task = asyncio.create_task(self._serve(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        expected = request.headers.get(names.EXPECTED_ENDPOINT, self.endpoint_id)
+        try:
+            if expected != self.endpoint_id:
+                self._refuse(request, MISDIRECTED_STATUS)
+            elif self.not_run:
+                self._refuse(request, 503, {names.NOT_RUN: "1"})
+            else:
+                await self._run(request)
+        except StreamClosedError:
+            pass
+
+    def _refuse(
+        self,
+        request: HTTPServerRequest,
+        status: int,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        self.refused_count += 1
+        all_headers = HTTPHeaders({"Content-Length": "0", **(headers or {})})
+        request.connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, ""), all_headers
+        )
+        request.connection.finish()
+
+    async def _run(self, request: HTTPServerRequest) -> None:
+        run = RecordedRun(
+            request_id=request.headers.get(names.REQUEST_ID, ""),
+            method=request.method,
+            uri=request.uri,
+            body=request.body,
+            headers=request.headers,
+            at_s=time.monotonic(),
+        )
+        self.runs.append(run)
+        request.connection.set_close_callback(lambda: setattr(run, "caller_left", True))
+        await asyncio.sleep(self.delay_s)
+        if self.silent:
+            return
+        headers = self._answer_headers(request, run)
+        if not self.event_count or self.status != OK_STATUS:
+            headers["Content-Length"] = str(len(self.body))
+            await self._head(request, headers, self.body)
+            request.connection.finish()
+            return
+        headers["Content-Type"] = "text/event-stream"
+        await self._events(request, headers)
+
+    def _answer_headers(
+        self, request: HTTPServerRequest, run: RecordedRun
+    ) -> HTTPHeaders:
+        headers = HTTPHeaders({names.REQUEST_ID: self.echoed_id or run.request_id})
+        if self.receipt:
+            headers[names.RECEIPT] = f"{self.endpoint_id}.{len(self.runs)}"
+        model = request.headers.get(names.MODEL, "")
+        if model in self.confidences:
+            headers[names.CONFIDENCE] = str(self.confidences[model])
+        return headers
+
+    async def _head(
+        self, request: HTTPServerRequest, headers: HTTPHeaders, data: bytes = b""
+    ) -> None:
+        start = ResponseStartLine("HTTP/1.1", self.status, "")
+        await request.connection.write_headers(start, headers, data or None)
+
+    async def _events(self, request: HTTPServerRequest, headers: HTTPHeaders) -> None:
+        await self._head(request, headers)
+        first = int(request.headers.get(names.LAST_EVENT, "0")) + 1
+        for number in range(first, self.event_count + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            cut_at = self.cut_after_count
+            if cut_at is not None and first == 1 and number > cut_at:
+                await request.connection.write(event[: len(event) // 2])
+                request.connection.close()
+                return
+            await request.connection.write(event)
+            await asyncio.sleep(self.event_gap_s)
+        request.connection.finish()
--- a/src/sesameknot/protocol/configuration.py
+++ b/src/sesameknot/protocol/configuration.py
@@ -136,8 +136,14 @@
         Limits on callers.
     """
 
-    __slots__ = ("_customer_by_key", "_routes_by_host", "customers", "limits",
-                 "services", "version")
+    __slots__ = (
+        "_customer_by_key",
+        "_routes_by_host",
+        "customers",
+        "limits",
+        "services",
+        "version",
+    )
 
     def __init__(
         self,
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -110,8 +110,10 @@
             return
         restarted = known is None or known.entry.started_ms != entry.started_ms
         cold_s = entry.cold_remaining_s
-        if restarted and not listed_first and not (
-            known is not None and known.gone_at_s is not None
+        if (
+            restarted
+            and not listed_first
+            and not (known is not None and known.gone_at_s is not None)
         ):
             cold_s = max(cold_s, self._cold_s(entry.service))
         if known is None or restarted:
@@ -161,9 +163,7 @@
     def mark_cold(self, known: KnownEndpoint) -> None:
         """Treat an endpoint that came back after it was down as cold."""
         cold_s = self._cold_s(known.entry.service)
-        known.cold_until_s = max(
-            known.cold_until_s, self.clock.monotonic_s() + cold_s
-        )
+        known.cold_until_s = max(known.cold_until_s, self.clock.monotonic_s() + cold_s)
 
     def _cold_s(self, service: str) -> float:
         if self.configuration is None:
--- /dev/null
+++ b/src/sesameknot/transport/caller_server.py
@@ -0,0 +1,83 @@
+"""Callers' connections: requests read whole, and which connections are idle."""
+
+from collections.abc import Callable
+from weakref import WeakSet
+
+from tornado.http1connection import HTTP1ServerConnection
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    HTTPServerRequest,
+    RequestStartLine,
+)
+
+RequestCallback = Callable[[HTTPServerRequest], None]
+
+
+class CallerConnections(HTTPServerConnectionDelegate):
+    """Delegate of an HTTP server that tracks idle connections.
+
+    Parameters
+    ----------
+    on_request : callable
+        Called with each request that was read whole.
+    """
+
+    def __init__(self, on_request: RequestCallback) -> None:
+        self.on_request = on_request
+        self.idle: WeakSet[HTTP1ServerConnection] = WeakSet()
+
+    def start_request(
+        self, server_conn: HTTP1ServerConnection, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Wait for the next request of a connection."""
+        self.idle.add(server_conn)
+        return _RequestReader(self, server_conn, request_conn)
+
+    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
+        """Forget a closed connection."""
+        self.idle.discard(server_conn)
+
+    def close_idle(self) -> int:
+        """Close the connections on which no request has begun; return their number."""
+        connections = list(self.idle)
+        for connection in connections:
+            connection.stream.close()
+        return len(connections)
+
+
+class _RequestReader(HTTPMessageDelegate):
+    """Reads one request."""
+
+    def __init__(
+        self,
+        connections: CallerConnections,
+        server_conn: HTTP1ServerConnection,
+        request_conn: HTTPConnection,
+    ) -> None:
+        self._connections = connections
+        self._server_conn = server_conn
+        self._request_conn = request_conn
+        self._parts: list[bytes] = []
+        self._request: HTTPServerRequest | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine, headers: HTTPHeaders
+    ) -> None:
+        self._connections.idle.discard(self._server_conn)
+        self._request = HTTPServerRequest(
+            connection=self._request_conn, start_line=start_line, headers=headers
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        self._parts.append(chunk)
+
+    def finish(self) -> None:
+        if self._request is not None:
+            self._request.body = b"".join(self._parts)
+            self._connections.on_request(self._request)
+
+    def on_connection_close(self) -> None:
+        self._connections.idle.discard(self._server_conn)
--- /dev/null
+++ b/tests/forwarding/test_stream.py
@@ -0,0 +1,142 @@
+"""Tests of streamed requests: cascade, events, resumption."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, HasLength
+from tornado.testing import gen_test
+
+from sesameknot.forwarding.events import EventSplitter
+from tests.front_world import (
+    MODEL_SERVICE,
+    STREAM_PATH,
+    FrontWorld,
+    configuration,
+)
+from tests.support import eventually
+
+PROMPT = {
+    "X-Model": "*",
+    "X-Token-Usage": "1000,80",
+    "X-Prompt-Prefix": "5c1e:400,91bd:400,e440:200",
+}
+
+
+def events(count):
+    """Return the first ``count`` events of a stand-in."""
+    return b"".join(
+        f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, count + 1)
+    )
+
+
+class StreamTest(FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+
+    def models(self):
+        return [
+            run.headers["X-Model"] for e in self.endpoints.values() for run in e.runs
+        ]
+
+    @gen_test
+    async def test_sure_answer_of_the_small_model_is_kept(self):
+        """Guards against costly runs that nobody needs."""
+        self.add_endpoint("e1", MODEL_SERVICE, confidences={"small": 80})
+        front = await self.start_front()
+        response = await self.ask(front, STREAM_PATH, headers=PROMPT)
+        self.assertThat(response.body, Equals(events(3)))
+        self.assertThat(self.models(), Equals(["small"]))
+
+    @gen_test
+    async def test_unsure_answer_is_replaced_by_that_of_the_large_model(self):
+        """Guards against bad answers, and against events of two runs in one answer."""
+        for name in ("e1", "e2"):
+            self.add_endpoint(
+                name, MODEL_SERVICE, confidences={"small": 10, "large": 90}
+            )
+        front = await self.start_front()
+        response = await self.ask(front, STREAM_PATH, headers=PROMPT)
+        self.assertThat(response.body, Equals(events(3)))
+        self.assertThat(sorted(self.models()), Equals(["large", "small"]))
+
+    @gen_test
+    async def test_broken_stream_is_continued_elsewhere_without_gap_or_repeat(self):
+        """Guards against missing and repeated events after a crash in an event."""
+        for name in ("e1", "e2"):
+            self.add_endpoint(
+                name,
+                MODEL_SERVICE,
+                confidences={"small": 90},
+                event_count=6,
+                cut_after_count=3,
+            )
+        front = await self.start_front()
+        response = await self.ask(front, STREAM_PATH, headers=PROMPT)
+        self.assertThat(response.body, Equals(events(6)))
+        resumed = [
+            run.headers.get("Last-Event-Id")
+            for e in self.endpoints.values()
+            for run in e.runs
+        ]
+        self.assertThat(resumed, Contains("3"))
+
+    @gen_test
+    async def test_caller_that_leaves_ends_the_run(self):
+        """Guards against endpoints that work for callers who are gone."""
+        endpoint = self.add_endpoint(
+            "e1",
+            MODEL_SERVICE,
+            confidences={"small": 90},
+            event_count=200,
+            event_gap_s=0.02,
+        )
+        front = await self.start_front()
+        reader, writer = await asyncio.open_connection(
+            *front.host.caller_address.split(":")
+        )
+        writer.write(
+            b"POST /advice/x HTTP/1.1\r\nHost: callers.example\r\n"
+            b"X-Request-Id: q\r\nX-Deadline-Ms: 3000\r\nX-Model: *\r\n"
+            b"Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n"
+        )
+        await reader.readuntil(b"piece 1")
+        writer.close()
+        await eventually(lambda: endpoint.runs[0].caller_left, limit_s=2.0)
+
+    @gen_test
+    async def test_silent_endpoint_is_left_for_another(self):
+        """Guards against callers who wait for an endpoint that is gone."""
+        self.add_endpoint("e1", MODEL_SERVICE, silent=True)
+        self.add_endpoint("e2", MODEL_SERVICE, silent=True)
+        front = await self.start_front()
+        task = asyncio.create_task(self.ask(front, STREAM_PATH, headers=PROMPT))
+        await eventually(lambda: any(e.runs for e in self.endpoints.values()))
+        for endpoint in self.endpoints.values():
+            if not endpoint.runs:
+                endpoint.silent = False
+                endpoint.confidences = {"small": 90}
+        response = await task
+        self.assertThat(response.body, Equals(events(3)))
+        self.assertThat(self.models(), HasLength(2))
+
+    @gen_test
+    async def test_caller_may_continue_its_own_stream(self):
+        """Guards against a second start of a stream that the caller has in part."""
+        self.add_endpoint("e1", MODEL_SERVICE, confidences={"small": 90})
+        front = await self.start_front()
+        headers = {**PROMPT, "Last-Event-Id": "2"}
+        response = await self.ask(front, STREAM_PATH, headers=headers)
+        self.assertThat(response.body, Equals(b"id: 3\ndata: piece 3\n\n"))
+
+
+class EventSplitterTest(TestCase):
+    def test_only_whole_events_pass(self):
+        """Guards against half of an event before the stream is continued."""
+        splitter = EventSplitter()
+        self.assertThat(splitter.feed(b"id: 1\nda"), Equals(b""))
+        whole = splitter.feed(b"ta: x\n\nid: 2\nda")
+        self.assertThat(whole, Equals(b"id: 1\ndata: x\n\n"))
+        self.assertThat(splitter.last_event_id, Equals("1"))
+        splitter.drop_rest()
+        self.assertThat(splitter.feed(b"id: 2\ndata: y\n\n")[:5], Equals(b"id: 2"))
--- /dev/null
+++ b/tests/front_world.py
@@ -0,0 +1,182 @@
+"""A front process, a store and endpoints of the platform's dialect on loopback."""
+
+import asyncio
+
+from tornado.httpclient import HTTPResponse
+from tornado.httputil import HTTPHeaders
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.testing import bind_unused_port
+
+from sesameknot.front import Front
+from sesameknot.platform.standin import FleetEndpoint, FleetStore
+from sesameknot.settings.front import FrontSettings
+from sesameknot.settings.host import HostBounds, HostSettings
+from tests.support import LoopTestCase, eventually
+
+HOST = "callers.example"
+KEY = "key-1"
+CUSTOMER = "barge-1"
+MODEL_SERVICE = "advisor"
+PLAIN_SERVICE = "dispatch"
+STREAM_PATH = "/advice/x"
+UNSAFE_PATH = "/booking/x"
+SAFE_PATH = "/lookup/x"
+
+
+def route(name, prefix, kind, service, **fields):
+    """Return a route as the operator writes it."""
+    return {
+        "Name": name,
+        "Host": HOST,
+        "PathPrefix": prefix,
+        "Kind": kind,
+        "TimeoutMs": 4000,
+        "TargetLatencyMs": 400,
+        "Service": service,
+        **fields,
+    }
+
+
+def configuration(version=1, *, routes=(), **fields):
+    """Return a configuration with a streamed, an unsafe and a safe route."""
+    return {
+        "Version": version,
+        "Routes": [
+            route(
+                "stream",
+                "/advice/",
+                "streaming",
+                MODEL_SERVICE,
+                Resumable=True,
+                Sticky=True,
+                MaxAttempts=3,
+                Sizes=["small", "large"],
+            ),
+            route("unsafe", "/booking/", "unsafe", PLAIN_SERVICE, MaxAttempts=1),
+            route("safe", "/lookup/", "safe", PLAIN_SERVICE, MaxAttempts=2),
+            *routes,
+        ],
+        "Services": [
+            {"Name": MODEL_SERVICE, "ColdS": 1.0, "ColdPerS": 4.0},
+            {"Name": PLAIN_SERVICE},
+        ],
+        "Tenants": [{"Name": CUSTOMER, "ApiKeys": [KEY], "Priority": 2}],
+        **fields,
+    }
+
+
+def server_entry(service, address, *, domain="a", version="v1", **fields):
+    """Return an entry as a server registers it."""
+    return {
+        "Service": service,
+        "Address": address,
+        "Zone": domain,
+        "Version": version,
+        "Slots": 4,
+        "State": "ready",
+        "ColdRemainingMs": 0,
+        **fields,
+    }
+
+
+class FrontWorld(LoopTestCase):
+    """Test case with a store, endpoints and one front process."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = FleetStore()
+        self.store_address = self.listen(self.store.server())
+        self.http = SimpleAsyncHTTPClient(force_instance=True, max_clients=200)
+        self.closing(self.http.close)
+        self.endpoints = {}
+        self._request_count = 0
+
+    def add_endpoint(
+        self, endpoint_id, service, *, domain="a", version="v1", **options
+    ):
+        """Start an endpoint and register it."""
+        endpoint = FleetEndpoint(endpoint_id=endpoint_id, **options)
+        address = self.listen(endpoint.server())
+        entry = server_entry(service, address, domain=domain, version=version)
+        self.store.put("servers", endpoint_id, entry)
+        self.endpoints[endpoint_id] = endpoint
+        return endpoint
+
+    def host_settings(self, host_id="host-1", **bounds):
+        """Return settings with unused ports."""
+        ports = []
+        for _ in range(3):
+            sock, port = bind_unused_port()
+            sock.close()
+            ports.append(port)
+        return HostSettings(
+            host_id=host_id,
+            ip="127.0.0.1",
+            region="r",
+            domain="a",
+            domains={"a": "r", "b": "r"},
+            caller_address=f"127.0.0.1:{ports[0]}",
+            ready_address=f"127.0.0.1:{ports[1]}",
+            peer_port=ports[2],
+            store_address=self.store_address,
+            bounds=HostBounds(
+                **{"retry_ratio": 5.0, "retry_slack_count": 999, **bounds}
+            ),
+        )
+
+    async def start_front(self, host_id="host-1", *, settings=None, **bounds):
+        """Start a front process on the present store and wait until it is ready."""
+        sock, metrics_port = bind_unused_port()
+        sock.close()
+        front = Front(
+            self.host_settings(host_id, **bounds),
+            settings or FrontSettings(metrics_port=metrics_port),
+        )
+        self.closing(lambda: self.io_loop.run_sync(front.close))
+        await front.start()
+        if self.store.get("config", "main") is not None:
+            await eventually(lambda: front.view.ready and front.view.hosts)
+        return front
+
+    async def ask(
+        self,
+        front,
+        path,
+        *,
+        method="POST",
+        body=b"question",
+        headers=None,
+        key=KEY,
+        deadline_ms=3000,
+        request_id=None,
+    ) -> HTTPResponse:
+        """Send a request as a caller does and return the answer."""
+        self._request_count += 1
+        all_headers = HTTPHeaders(
+            {
+                "Host": HOST,
+                "X-Request-Id": request_id or f"r{self._request_count}",
+                "X-Deadline-Ms": str(deadline_ms),
+                "Authorization": f"Bearer {key}",
+            }
+        )
+        all_headers.update(headers or {})
+        return await self.http.fetch(
+            f"http://{front.host.caller_address}{path}",
+            method=method,
+            headers=all_headers,
+            body=body if method != "GET" else None,
+            request_timeout=15.0,
+            raise_error=False,
+        )
+
+    async def ready_status(self, front) -> int:
+        """Return the status of the readiness check."""
+        response = await self.http.fetch(
+            f"http://{front.host.ready_address}/sesameknot/readyz", raise_error=False
+        )
+        return response.code
+
+    async def pause(self, duration_s):
+        """Wait for ``duration_s``."""
+        await asyncio.sleep(duration_s)
--- /dev/null
+++ b/tests/platform/test_objects.py
@@ -0,0 +1,177 @@
+"""Tests of the decoders of stored objects and headers."""
+
+import contextlib
+import json
+import pathlib
+import tempfile
+
+import msgspec
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+from tornado.httputil import HTTPHeaders
+
+from sesameknot.errors import SettingsError
+from sesameknot.platform import (
+    AttemptTerms,
+    EntryError,
+    StoredEntry,
+    answer_facts,
+    decode_configuration,
+    decode_endpoint,
+    decode_host,
+    decode_rollout,
+    encode_rollout_progress,
+    endpoint_headers,
+    load_host_settings,
+    request_facts,
+)
+from sesameknot.platform._store import _entry, _lenient_json
+from sesameknot.protocol.fleet_records import EndpointState, RolloutOutcome
+from tests.front_world import configuration, server_entry
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+FIELDS = [*server_entry("s", "1.2.3.4:5"), "Metadata", "Spec", "Status", "born"]
+
+
+def entry(content, *, status=None, name="x"):
+    """Return a stored entry with ``content``."""
+    return StoredEntry(kind="k", name=name, revision=3, content=content, status=status)
+
+
+class DecodeTest(TestCase):
+    @given(content=JSON)
+    def test_any_content_is_decoded_or_rejected(self, content):
+        """Guards against an entry of another writer that ends a task."""
+        for decode in (
+            decode_endpoint,
+            decode_configuration,
+            decode_rollout,
+            decode_host,
+        ):
+            try:
+                decode(entry(content))
+            except EntryError as error:
+                self.assertThat(error.peer, Equals("k/x"))
+
+    @given(changes=st.dictionaries(st.sampled_from(FIELDS), JSON, max_size=3))
+    def test_any_field_of_an_endpoint_may_be_wrong(self, changes):
+        """Guards against a field of another type."""
+        content = {**server_entry("s", "1.2.3.4:5"), **changes}
+        with contextlib.suppress(EntryError):
+            decode_endpoint(entry(content))
+
+    @given(item=JSON)
+    def test_any_item_of_a_list_is_read_or_left_out(self, item):
+        """Guards against a list that one item makes unreadable."""
+        _entry("k", item)
+        _entry("k", {"Metadata": item, "Spec": item})
+
+    @given(data=st.binary(max_size=60))
+    def test_any_bytes_are_read_or_given_up(self, data):
+        """Guards against bytes that are not text."""
+        _lenient_json(data)
+
+    def test_endpoint(self):
+        """Guards against wire names that are decoded into the wrong field."""
+        content = server_entry(
+            "s", "1.2.3.4:5", State="draining", ColdRemainingMs=1500, born=77
+        )
+        found = decode_endpoint(entry(content, name="i-1"))
+        self.assertThat(found.endpoint_id, Equals("i-1"))
+        self.assertThat(found.state, Is(EndpointState.LEAVING))
+        self.assertThat(found.cold_remaining_s, Equals(1.5))
+        self.assertThat(found.started_ms, Equals(77))
+
+    def test_longest_prefix_of_the_host_wins(self):
+        """Guards against a request on another host's or a shorter route."""
+        content = configuration()
+        longer = dict(content["Routes"][1], Name="longer", PathPrefix="/booking/x/")
+        content["Routes"].append(longer)
+        found = decode_configuration(entry(content))
+        self.assertThat(
+            found.route("CALLERS.example", "/booking/x/1").name, Equals("longer")
+        )
+        self.assertThat(
+            found.route("callers.example", "/booking/x").name, Equals("unsafe")
+        )
+        self.assertThat(found.route("other.example", "/booking/x"), Is(None))
+        self.assertThat(found.route("callers.example", "/book"), Is(None))
+
+    def test_progress_of_a_rollout_survives_the_store(self):
+        """Guards against a host that starts a roll-out again."""
+        content = {"Service": "s", "Target": "v2", "DurationS": 12}
+        order = decode_rollout(entry(content))
+        self.assertThat(order.outcome, Is(RolloutOutcome.REQUESTED))
+        status = {"State": "running", "Target": "v2", "Share": 0.5, "StartedMs": 9}
+        order = decode_rollout(entry(content, status=status))
+        self.assertThat(order.outcome, Is(RolloutOutcome.RUNNING))
+        self.assertThat(encode_rollout_progress(order), Equals(status))
+        other = decode_rollout(entry({**content, "Target": "v3"}, status=status))
+        self.assertThat(other.outcome, Is(RolloutOutcome.REQUESTED))
+
+
+class HeaderTest(TestCase):
+    @given(value=st.text(alphabet="aZ09.,:;*=-+e ", max_size=30))
+    def test_any_header_value_is_read_or_counts_as_absent(self, value):
+        """Guards against a header that ends the request with a fault."""
+        headers = HTTPHeaders()
+        for name in ("X-Deadline-Ms", "X-Prompt-Prefix", "X-Token-Usage"):
+            headers[name] = value.replace("\n", " ").replace("\r", " ")
+        request_facts(headers)
+        answer_facts(200, HTTPHeaders({"X-Confidence": headers["X-Deadline-Ms"]}))
+
+    def test_session_is_the_last_shared_part(self):
+        """Guards against sessions that change with each request."""
+        headers = HTTPHeaders({"X-Prompt-Prefix": "a:1,b:2,c:3"})
+        self.assertThat(request_facts(headers).session_key, Equals("b"))
+
+    def test_headers_of_the_connection_are_dropped(self):
+        """Guards against headers that concern one connection only."""
+        received = HTTPHeaders(
+            {"Connection": "close, X-Private", "X-Private": "1", "X-Kept": "2"}
+        )
+        terms = AttemptTerms(endpoint_id="i-1", time_left_ms=5)
+        sent = endpoint_headers(received, terms)
+        self.assertThat(
+            sorted(sent), Equals(["X-Deadline-Ms", "X-Expect-Instance", "X-Kept"])
+        )
+
+
+class NodeFileTest(TestCase):
+    def test_wrong_value_is_named(self):
+        """Guards against a start with half of the settings."""
+        path = self._file({"Node": 3})
+        error = self.assertRaises(SettingsError, load_host_settings, path)
+        self.assertIn("Node", str(error))
+
+    def test_unknown_fields_are_ignored(self):
+        """Guards against a host that a new field of the platform stops."""
+        content = {
+            "Node": "n",
+            "Ip": "10.0.0.1",
+            "Zone": "a",
+            "Region": "r",
+            "Listen": {"Front": "10.0.0.1:1", "Ready": "10.0.0.1:2", "New": {}},
+            "Platform": {"Address": "10.0.0.9:3"},
+            "Bounds": {"GraceS": 4, "Other": True},
+            "Later": [],
+        }
+        found = load_host_settings(self._file(content))
+        self.assertThat(found.bounds.grace_s, Equals(4.0))
+        self.assertThat(found.store_address, Equals("10.0.0.9:3"))
+
+    def _file(self, content):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = pathlib.Path(directory.name) / "local.json"
+        path.write_bytes(msgspec.json.encode(json.loads(json.dumps(content))))
+        return path
--- /dev/null
+++ b/tests/policy/test_front_policies.py
@@ -0,0 +1,222 @@
+"""Tests of the decisions of the front process, each named after a load pattern."""
+
+import numpy as np
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
+
+from sesameknot.clock import ManualClock
+from sesameknot.policy.cold_admission import ColdAdmission
+from sesameknot.policy.confidence_cascade import CASCADES
+from sesameknot.policy.prompt_placement import (
+    PLACEMENTS,
+    PlacementCandidate,
+    PlacementCosts,
+    PlacementRequest,
+    PromptCacheMemory,
+)
+from sesameknot.policy.rendezvous import ranked, unit_hash
+from sesameknot.policy.retry_window import RetryWindow
+from sesameknot.policy.rollout_course import (
+    CoursePlan,
+    RolloutCourse,
+    RolloutProgress,
+    RolloutStep,
+)
+from sesameknot.policy.rollout_test import VersionSample
+
+MODELS = ("small", "middle", "large")
+
+
+class RetryWindowTest(TestCase):
+    def test_storm_of_failures_stays_within_the_ratio_in_every_window(self):
+        """Guards against repeats that add up to more load than the requests."""
+        clock = ManualClock()
+        window = RetryWindow(clock=clock, ratio=0.5, window_s=10.0, slack_count=2.0)
+        firsts, repeats = [], []
+        for _ in range(600):
+            clock.advance(0.05)
+            window.note_first()
+            firsts.append(clock.monotonic_s())
+            while window.try_spend():
+                repeats.append(clock.monotonic_s())
+            end_s = clock.monotonic_s()
+            counted = sum(end_s - 10.0 < t for t in repeats)
+            # The oldest bucket leaves as a whole, so one bucket is the tolerance.
+            allowed = 0.5 * sum(end_s - 11.0 < t for t in firsts) + 2.0
+            self.assertThat(counted, LessThan(allowed + 1.0))
+
+    def test_quiet_service_may_repeat_its_first_requests(self):
+        """Guards against a budget that only busy services have."""
+        window = RetryWindow(
+            clock=ManualClock(), ratio=0.1, window_s=10.0, slack_count=2.0
+        )
+        window.note_first()
+        self.assertTrue(window.try_spend())
+        self.assertTrue(window.try_spend())
+        self.assertFalse(window.try_spend())
+
+
+class ColdAdmissionTest(TestCase):
+    RATE_PER_S = 12.0
+
+    def sent_in_worst_second(self, host_count):
+        clock = ManualClock()
+        hosts = [f"host-{n}" for n in range(host_count)]
+        parts = [ColdAdmission(clock=clock, host_id=host) for host in hosts]
+        sent = []
+        for _ in range(300):
+            clock.advance(0.01)
+            for part in parts:
+                while part.take("e1", self.RATE_PER_S, hosts):
+                    sent.append(clock.monotonic_s())
+        return max(sum(s <= t < s + 1.0 for t in sent) for s in sent)
+
+    def test_all_hosts_press_on_one_cold_endpoint(self):
+        """Guards against hosts that each send what the endpoint bears in all."""
+        for host_count in (1, 8, 65, 380):
+            worst = self.sent_in_worst_second(host_count)
+            self.assertThat(worst, LessThan(self.RATE_PER_S * 1.5 + 5))
+            self.assertThat(worst, GreaterThan(5))
+
+    def test_host_that_knows_no_other_sends_nothing(self):
+        """Guards against a host that takes the whole rate for itself."""
+        part = ColdAdmission(clock=ManualClock(), host_id="host-0")
+        self.assertFalse(part.may_use("e1", self.RATE_PER_S, []))
+
+
+class CascadeTest(TestCase):
+    def test_smallest_then_largest(self):
+        """Guards against costly models for sure answers, and cheap unsure ones."""
+        step = CASCADES.get("smallest_then_largest")
+        self.assertThat(step(MODELS, [], None, 45.0), Equals("small"))
+        self.assertThat(step(MODELS, ["small"], 44.0, 45.0), Equals("large"))
+        self.assertThat(step(MODELS, ["small"], 45.0, 45.0), Is(None))
+        self.assertThat(step(MODELS, ["small", "large"], 5.0, 45.0), Is(None))
+
+    def test_stepwise(self):
+        """Guards against a step that leaves a model out."""
+        step = CASCADES.get("stepwise")
+        self.assertThat(step(MODELS, ["small"], 10.0, 45.0), Equals("middle"))
+        self.assertThat(step(MODELS, ["small", "middle"], 10.0, 45.0), Equals("large"))
+
+    def test_answer_without_an_opinion_is_kept(self):
+        """Guards against a second run that nothing speaks for."""
+        step = CASCADES.get("stepwise")
+        self.assertThat(step(MODELS, ["small"], None, 45.0), Is(None))
+
+
+class PlacementTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.cache = PromptCacheMemory(clock=ManualClock(), life_s=10.0)
+        self.request = PlacementRequest(
+            model="m", prompt=(("a", 500), ("b", 4000), ("c", 2000))
+        )
+
+    def placement(self, name="prompt_cache"):
+        costs = PlacementCosts(
+            prefill_ms_per_token=0.015,
+            request_load_ms=25.0,
+            other_domain_ms=20.0,
+            failure_penalty_ms=1000.0,
+        )
+        return PLACEMENTS.get(name)(
+            costs=costs, cache=self.cache, random_generator=np.random.default_rng(1)
+        )
+
+    def candidates(self, count=6, **changed):
+        return [
+            PlacementCandidate(endpoint_id=f"e{n}", **changed.get(f"e{n}", {}))
+            for n in range(count)
+        ]
+
+    def test_hot_key_stays_where_its_prompt_is_cached(self):
+        """Guards against a shared prompt that every endpoint reads once."""
+        chosen = {
+            self.placement().choose(self.candidates(), self.request).endpoint_id
+            for _ in range(20)
+        }
+        self.assertThat(len(chosen), Equals(1))
+
+    def test_hot_key_overflows_when_its_endpoint_is_busy(self):
+        """Guards against one endpoint that carries all of a hot key."""
+        placement = self.placement()
+        first = placement.choose(self.candidates(), self.request).endpoint_id
+        busy = {first: {"in_flight_count": 10, "pending_tokens": 60_000}}
+        chosen = placement.choose(self.candidates(**busy), self.request)
+        self.assertThat(chosen.endpoint_id == first, Equals(False))
+
+    def test_failing_endpoint_gets_little(self):
+        """Guards against an endpoint that fails fast and so looks idle."""
+        placement = self.placement("least_busy")
+        failing = {"e0": {"failure_share": 0.5}}
+        others = {f"e{n}": {"in_flight_count": 8} for n in range(1, 6)}
+        for _ in range(20):
+            chosen = placement.choose(
+                self.candidates(**failing, **others), PlacementRequest()
+            )
+            self.assertThat(chosen.endpoint_id == "e0", Equals(False))
+
+
+class RendezvousTest(TestCase):
+    def test_lost_host_moves_only_its_own_keys(self):
+        """Guards against caches and duties that move when one host leaves."""
+        names = [f"h{n}" for n in range(10)]
+        keys = [f"k{n}" for n in range(200)]
+        before = {key: ranked(key, names)[0] for key in keys}
+        after = {key: ranked(key, names[1:])[0] for key in keys}
+        moved = [key for key in keys if before[key] != after[key]]
+        self.assertThat({before[key] for key in moved}, Equals({"h0"}))
+        self.assertThat(unit_hash("a"), LessThan(1.0))
+
+
+class RolloutCourseTest(TestCase):
+    PLAN = CoursePlan(
+        first_share=0.1, first_share_at=0.5, full_share_at=0.7, decide_at=0.9
+    )
+
+    def step(self, elapsed, share, *, age=1.0, started=True, targets=2, new=(0, 0)):
+        progress = RolloutProgress(
+            started=started,
+            share=share,
+            elapsed_share=elapsed,
+            share_age_share=age,
+            target_endpoint_count=targets,
+        )
+        course = RolloutCourse(self.PLAN)
+        return course.step(progress, VersionSample(*new), VersionSample(200, 2))
+
+    def test_sessions_keep_their_version_in_the_first_half(self):
+        """Guards against sessions that move while the version is unknown."""
+        self.assertThat(
+            self.step(0.0, 0.0, started=False), Equals((RolloutStep.START, 0.0))
+        )
+        self.assertThat(self.step(0.49, 0.0)[0], Is(RolloutStep.WAIT))
+        self.assertThat(self.step(0.51, 0.0), Equals((RolloutStep.RAISE, 0.1)))
+
+    def test_good_version_gets_all_and_is_finished(self):
+        """Guards against a roll-out that stays half done."""
+        self.assertThat(
+            self.step(0.71, 0.1, new=(20, 0)), Equals((RolloutStep.RAISE, 1.0))
+        )
+        self.assertThat(self.step(0.91, 1.0, new=(90, 1))[0], Is(RolloutStep.FINISH))
+
+    def test_late_stage_still_watches_the_version(self):
+        """Guards against a jump to the end after an outage of the store."""
+        self.assertThat(self.step(0.95, 0.1, age=0.01)[0], Is(RolloutStep.WAIT))
+        self.assertThat(self.step(0.95, 0.1, age=0.11)[0], Is(RolloutStep.RAISE))
+
+    def test_bad_version_is_rolled_back_on_few_answers(self):
+        """Guards against a version that fails a third of its requests."""
+        self.assertThat(
+            self.step(0.6, 0.1, new=(10, 4)), Equals((RolloutStep.ROLL_BACK, 0.0))
+        )
+        self.assertThat(self.step(0.8, 1.0, new=(40, 13))[0], Is(RolloutStep.ROLL_BACK))
+
+    def test_usual_failures_do_not_roll_back(self):
+        """Guards against a good version that is blamed for a few failures."""
+        self.assertThat(self.step(0.8, 1.0, new=(100, 4))[0], Is(RolloutStep.WAIT))
+
+    def test_version_without_endpoints_waits(self):
+        """Guards against sessions that are sent where nobody serves."""
+        self.assertThat(self.step(0.6, 0.0, targets=0)[0], Is(RolloutStep.WAIT))
--- /dev/null
+++ b/tests/state/test_fleet_view.py
@@ -0,0 +1,144 @@
+"""Tests of what a host believes of the fleet."""
+
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
+
+from sesameknot.clock import ManualClock
+from sesameknot.protocol.configuration import Configuration, ServiceSettings
+from sesameknot.protocol.fleet_records import (
+    EndpointEntry,
+    EndpointState,
+    RolloutOrder,
+    RolloutOutcome,
+)
+from sesameknot.state.endpoint_health import EndpointHealth
+from sesameknot.state.fleet_view import FleetView
+
+
+def endpoint(endpoint_id="e1", **fields):
+    """Return an endpoint's entry."""
+    values = {
+        "service": "s",
+        "address": "1.2.3.4:5",
+        "domain": "a",
+        "version": "v1",
+        "started_ms": 10,
+        **fields,
+    }
+    return EndpointEntry(endpoint_id=endpoint_id, **values)
+
+
+class FleetViewTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.view = FleetView(self.clock)
+        service = ServiceSettings(name="s", cold_s=3.0, cold_rate_per_s=12.0)
+        self.view.set_configuration(
+            Configuration(version=1, routes=[], services=[service])
+        )
+        self.view.replace_endpoints([endpoint("e1"), endpoint("e2")])
+
+    def usable(self):
+        versions = self.view.allowed_versions("s", 0.5)
+        return [k.endpoint_id for k in self.view.usable("s", versions)]
+
+    def cold(self, endpoint_id):
+        known = self.view.endpoints[endpoint_id]
+        return self.clock.monotonic_s() < known.cold_until_s
+
+    def test_entry_that_lapsed_in_an_outage_stays_usable_for_two_seconds(self):
+        """Guards against refusals after an outage in which all entries lapsed."""
+        self.view.note_store_failure()
+        self.view.replace_endpoints([])
+        self.assertThat(self.usable(), Equals(["e1", "e2"]))
+        self.view.put_endpoint(endpoint("e1"))
+        self.clock.advance(2.01)
+        self.assertThat(self.usable(), Equals(["e1"]))
+        self.assertFalse(self.cold("e1"))
+
+    def test_entry_removed_in_calm_times_is_gone_at_once(self):
+        """Guards against work for endpoints that left without notice."""
+        self.clock.advance(10.0)
+        self.view.remove_endpoint("e1")
+        self.assertThat(self.usable(), Equals(["e2"]))
+
+    def test_leaving_binds_while_the_store_is_away(self):
+        """Guards against an outage that makes a leaving endpoint usable again."""
+        self.view.put_endpoint(endpoint("e1", state=EndpointState.LEAVING))
+        self.view.note_store_failure()
+        self.view.remove_endpoint("e1")
+        self.assertThat(self.usable(), Equals(["e2"]))
+
+    def test_endpoint_that_starts_during_traffic_is_cold(self):
+        """Guards against full load on an endpoint that has just started."""
+        self.assertFalse(self.cold("e1"))
+        self.view.put_endpoint(endpoint("e3"))
+        self.assertTrue(self.cold("e3"))
+        self.view.put_endpoint(endpoint("e1", started_ms=20))
+        self.assertTrue(self.cold("e1"))
+
+    def test_delayed_report_of_the_incarnation_before_is_ignored(self):
+        """Guards against the state of a process that no longer exists."""
+        self.view.put_endpoint(endpoint("e1", started_ms=20, address="9.9.9.9:9"))
+        self.view.put_endpoint(endpoint("e1", state=EndpointState.LEAVING))
+        self.assertThat(self.usable(), Equals(["e1", "e2"]))
+
+    def test_domain_that_returns_is_cold(self):
+        """Guards against full load on a domain that comes back."""
+        self.view.set_evacuated({"a"})
+        self.assertThat(self.usable(), HasLength(0))
+        self.view.set_evacuated(set())
+        self.assertTrue(self.cold("e1"))
+
+    def order(self, outcome, share=0.0):
+        self.view.put_endpoint(endpoint("new", version="v2"))
+        self.view.rollouts["s"] = RolloutOrder(
+            service="s",
+            target_version="v2",
+            duration_s=10.0,
+            outcome=outcome,
+            share=share,
+        )
+
+    def test_versions_by_the_state_of_the_roll_out(self):
+        """Guards against sessions on a version that is not theirs."""
+        self.order(RolloutOutcome.REQUESTED)
+        self.assertThat(self.usable(), Equals(["e1", "e2"]))
+        self.order(RolloutOutcome.RUNNING, share=0.4)
+        self.assertThat(self.usable(), Equals(["e1", "e2"]))
+        self.order(RolloutOutcome.SUCCEEDED)
+        self.assertThat(self.usable(), Equals(["new"]))
+        self.order(RolloutOutcome.ROLLED_BACK)
+        self.assertThat(self.usable(), Equals(["e1", "e2"]))
+
+    def test_session_inside_the_share_prefers_the_new_version(self):
+        """Guards against a session that changes its version with each request."""
+        self.order(RolloutOutcome.RUNNING, share=0.6)
+        versions = self.view.allowed_versions("s", 0.5)
+        found = versions.narrow(self.view.usable("s", versions))
+        self.assertThat([k.endpoint_id for k in found], Equals(["new"]))
+
+    def test_new_version_is_used_where_no_other_is_left(self):
+        """Guards against a host that missed the end of a roll-out and serves nobody."""
+        self.order(RolloutOutcome.RUNNING)
+        self.view.replace_endpoints([endpoint("new", version="v2")])
+        self.assertThat(self.usable(), Equals(["new"]))
+
+
+class EndpointHealthTest(TestCase):
+    def test_unreachable_endpoint_is_ejected_for_longer_each_time(self):
+        """Guards against requests that wait for an endpoint that is down."""
+        clock = ManualClock()
+        health = EndpointHealth(clock)
+        health.unreachable()
+        self.assertFalse(health.ejected)
+        health.unreachable()
+        self.assertTrue(health.ejected)
+        clock.advance(0.6)
+        self.assertFalse(health.ejected)
+        health.unreachable()
+        clock.advance(0.6)
+        self.assertTrue(health.ejected)
+        health.succeeded()
+        self.assertFalse(health.ejected)
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,234 @@
+"""Tests of one front process: what it follows in the store, and how it stops."""
+
+import asyncio
+
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
+from tornado.httpclient import HTTPClientError
+from tornado.testing import gen_test
+
+from tests.front_world import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    STREAM_PATH,
+    UNSAFE_PATH,
+    FrontWorld,
+    configuration,
+    route,
+)
+from tests.support import eventually
+
+
+class FollowTest(FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+
+    @gen_test
+    async def test_new_configuration_is_in_force_and_never_reverts(self):
+        """Guards against routes that are not served, and against an older version."""
+        self.add_endpoint("e1", PLAIN_SERVICE, event_count=0)
+        front = await self.start_front()
+        added = route("added", "/added/", "unsafe", PLAIN_SERVICE)
+        self.store.put("config", "main", configuration(5, routes=[added]))
+        await eventually(lambda: front.view.configuration.version == 5, limit_s=2.0)
+        response = await self.ask(front, "/added/x")
+        self.assertThat(response.code, Equals(200))
+        self.store.put("config", "main", configuration(3))
+        await self.pause(0.2)
+        self.assertThat(front.view.configuration.version, Equals(5))
+
+    @gen_test
+    async def test_unreadable_entries_name_no_endpoint_and_harm_no_other(self):
+        """Guards against another writer's entries."""
+        self.add_endpoint("good", PLAIN_SERVICE, event_count=0)
+        for number, content in enumerate(
+            [None, "text", 7, [], {"Service": 3}, {"State": "odd"}, {"Address": {}}]
+        ):
+            self.store.put("servers", f"bad{number}", content)
+        front = await self.start_front()
+        self.assertThat(front.view.endpoints, HasLength(1))
+        self.store.put("servers", "late", {"Service": PLAIN_SERVICE, "Address": 1})
+        self.store.put("evacuations", "b", {})
+        await eventually(lambda: front.view.evacuated_domains == {"b"}, limit_s=2.0)
+        response = await self.ask(front, UNSAFE_PATH)
+        self.assertThat(response.code, Equals(200))
+
+    @gen_test
+    async def test_leaving_endpoint_gets_no_more_work(self):
+        """Guards against work for endpoints that announced their leaving."""
+        leaving = self.add_endpoint("leaving", PLAIN_SERVICE, event_count=0)
+        staying = self.add_endpoint("staying", PLAIN_SERVICE, event_count=0)
+        front = await self.start_front()
+        entry = dict(self.store.get("servers", "leaving")["Spec"], State="draining")
+        self.store.put("servers", "leaving", entry)
+        known = front.view.endpoints["leaving"]
+        await eventually(lambda: not front.view.may_send(known), limit_s=2.0)
+        for _ in range(8):
+            await self.ask(front, UNSAFE_PATH)
+        self.assertThat(leaving.runs, HasLength(0))
+        self.assertThat(staying.runs, HasLength(8))
+
+    @gen_test
+    async def test_evacuated_domain_gets_no_work(self):
+        """Guards against work in a domain that operators took out."""
+        away = self.add_endpoint("away", PLAIN_SERVICE, event_count=0, domain="a")
+        self.add_endpoint("here", PLAIN_SERVICE, event_count=0, domain="b")
+        front = await self.start_front()
+        self.store.put("evacuations", "a", {})
+        await eventually(lambda: front.view.evacuated_domains, limit_s=2.0)
+        for _ in range(8):
+            response = await self.ask(front, UNSAFE_PATH)
+            self.assertThat(response.code, Equals(200))
+        self.assertThat(away.runs, HasLength(0))
+
+    @gen_test
+    async def test_store_outage_is_no_reason_to_refuse(self):
+        """Guards against refusals in an outage, and a host that stays deaf."""
+        self.add_endpoint("e1", PLAIN_SERVICE, event_count=0)
+        front = await self.start_front()
+        self.store.refuse_status = 503
+        self.store.put("config", "main", configuration(7))
+        await self.pause(0.5)
+        response = await self.ask(front, UNSAFE_PATH)
+        self.assertThat(response.code, Equals(200))
+        self.store.refuse_status = 0
+        await eventually(lambda: front.view.configuration.version == 7, limit_s=5.0)
+
+    @gen_test
+    async def test_lost_history_leads_to_a_new_list(self):
+        """Guards against a host that misses changes which the store forgot."""
+        front = await self.start_front()
+        self.store.refuse_status = 503
+        await self.pause(0.3)
+        self.store.put("evacuations", "b", {})
+        self.store.drop_history()
+        self.store.refuse_status = 0
+        await eventually(lambda: front.view.evacuated_domains == {"b"}, limit_s=6.0)
+
+    @gen_test
+    async def test_cold_endpoint_gets_no_more_than_it_bears(self):
+        """Guards against a burst at an endpoint that has just started."""
+        front = await self.start_front()
+        endpoint = self.add_endpoint("cold", MODEL_SERVICE, confidences={"small": 90})
+        await eventually(lambda: front.view.endpoints, limit_s=2.0)
+        answers = await asyncio.gather(
+            *(self.ask(front, STREAM_PATH) for _ in range(30))
+        )
+        self.assertThat(len(endpoint.runs), LessThan(4 * 1.5 + 5))
+        self.assertThat(len(endpoint.runs), GreaterThan(0))
+        refused = [a for a in answers if a.code == 503]
+        self.assertThat(len(refused), GreaterThan(15))
+
+
+class RolloutTest(FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+        for number in range(2):
+            self.add_endpoint(f"old{number}", PLAIN_SERVICE, event_count=0)
+
+    def order(self, duration_s=3.0):
+        for number in range(2):
+            self.add_endpoint(
+                f"new{number}", PLAIN_SERVICE, event_count=0, version="v2"
+            )
+        self.store.put(
+            "rollouts",
+            PLAIN_SERVICE,
+            {"Service": PLAIN_SERVICE, "Target": "v2", "DurationS": duration_s},
+        )
+
+    def state(self):
+        status = self.store.get("rollouts", PLAIN_SERVICE)["Status"] or {}
+        return status.get("State")
+
+    async def traffic(self, fronts, until):
+        while not until():
+            await asyncio.gather(*(self.ask(front, UNSAFE_PATH) for front in fronts))
+            await asyncio.sleep(0.01)
+
+    @gen_test(timeout=20)
+    async def test_good_version_succeeds_in_time(self):
+        """Guards against a roll-out that nobody finishes."""
+        fronts = [await self.start_front(f"host-{n}") for n in range(2)]
+        self.order()
+        await asyncio.wait_for(
+            self.traffic(fronts, lambda: self.state() == "succeeded"), 6.0
+        )
+        before = len(self.endpoints["old0"].runs)
+        await eventually(
+            lambda: all(f.view.rollouts[PLAIN_SERVICE].share >= 1.0 for f in fronts)
+        )
+        for front in fronts:
+            self.assertThat((await self.ask(front, UNSAFE_PATH)).code, Equals(200))
+        self.assertThat(len(self.endpoints["old0"].runs), Equals(before))
+
+    @gen_test(timeout=20)
+    async def test_bad_version_is_rolled_back_after_few_requests(self):
+        """Guards against callers that meet a bad version."""
+        fronts = [await self.start_front(f"host-{n}") for n in range(2)]
+        self.order()
+        for number in range(2):
+            self.endpoints[f"new{number}"].status = 500
+        await asyncio.wait_for(
+            self.traffic(fronts, lambda: self.state() == "rolled_back"), 6.0
+        )
+        new = sum(len(self.endpoints[f"new{n}"].runs) for n in range(2))
+        every = sum(len(e.runs) for e in self.endpoints.values())
+        self.assertThat(new, LessThan(0.15 * every + 30))
+
+    @gen_test(timeout=20)
+    async def test_store_that_loses_answers_does_not_stop_the_roll_out(self):
+        """Guards against a step that is taken twice or never after a lost answer."""
+        fronts = [await self.start_front()]
+        self.store.lose_answers = True
+        self.order()
+        await asyncio.wait_for(
+            self.traffic(fronts, lambda: self.state() == "succeeded"), 8.0
+        )
+
+
+class StopTest(FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+
+    @gen_test(timeout=20)
+    async def test_shutdown_finishes_requests_and_takes_no_late_ones(self):
+        """Guards against requests that are cut, or taken and then given up."""
+        self.add_endpoint(
+            "e1",
+            MODEL_SERVICE,
+            confidences={"small": 90},
+            event_count=40,
+            event_gap_s=0.05,
+        )
+        front = await self.start_front()
+        running = asyncio.create_task(self.ask(front, STREAM_PATH))
+        await eventually(lambda: self.endpoints["e1"].runs)
+        stop = asyncio.create_task(front.shut_down())
+        await self.pause(0.1)
+        self.assertThat(await self.ready_status(front), Equals(503))
+        response = await running
+        self.assertThat(response.body.count(b"piece"), Equals(40))
+        await eventually(lambda: front.drain.refusing, limit_s=4.0)
+        try:
+            late = await self.ask(front, STREAM_PATH)
+            self.assertThat(late.code, Equals(503))
+        except (HTTPClientError, OSError):
+            pass
+        await stop
+        self.assertThat(self.endpoints["e1"].runs, HasLength(1))
+
+    @gen_test(timeout=20)
+    async def test_idle_connections_are_closed_at_shutdown(self):
+        """Guards against requests on kept connections long after SIGTERM."""
+        front = await self.start_front()
+        ip, port = front.host.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b"GET /none/ HTTP/1.1\r\nHost: callers.example\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        await front.shut_down()
+        async with asyncio.timeout(1.0):
+            await reader.read()
+        writer.close()
