Learn the fleet from another host in an outage; watch in long steps

Ruled out: slow start of the process (0.4 s to listening). Change: the control address carries the messages between hosts; a host whose lists fail asks the seeds for objects and revisions. One kind is watched in steps of 3 s and ends the others' waits of 20 s when it fails; connections to the store use keep-alive probes. The first share of a roll-out uses half of the allowed exposure. Refused callers are told when lapsed entries are expected back.

--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from typing import Any
 
 import structlog
 
@@ -10,7 +12,6 @@
 from sesameknot.errors import PlatformError, RouterError
 from sesameknot.platform import Changes, StoreClient, StoredEntry
 from sesameknot.settings.front import StoreSettings
-from sesameknot.state.fleet_view import FleetView
 
 log = structlog.get_logger(__name__)
 
@@ -38,6 +39,49 @@
         self.change = change
 
 
+class StoreLink:
+    """What the followers of one host tell each other of the store.
+
+    A watch that waits for long does not notice an outage. When one follower's call
+    fails, the others end their waiting watches and call again.
+
+    Parameters
+    ----------
+    on_failure : callable
+        Called at each failure.
+    """
+
+    __slots__ = ("_failed", "on_failure")
+
+    def __init__(self, *, on_failure: Callable[[], None]) -> None:
+        self.on_failure = on_failure
+        self._failed = asyncio.Event()
+
+    def interrupt(self) -> None:
+        """End the waiting watches of all followers."""
+        self._failed.set()
+        self._failed = asyncio.Event()
+
+    async def until_failure(self, call: Coroutine[Any, Any, Changes]) -> Changes | None:
+        """Return the result of ``call``, None if another follower's call fails."""
+        task = asyncio.ensure_future(call)
+        failed = asyncio.ensure_future(self._failed.wait())
+        try:
+            await asyncio.wait({task, failed}, return_when=asyncio.FIRST_COMPLETED)
+            return task.result() if task.done() else None
+        finally:
+            failed.cancel()
+            task.cancel()
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class WatchPace:
+    """How long a watch waits, and how long changes are gathered after one."""
+
+    wait_s: float
+    gather_s: float = 0.0
+
+
 class StoreFollower:
     """Task that lists a kind once and watches it from there on.
 
@@ -49,10 +93,12 @@
         The store.
     sink : ObjectSink
         Receiver of the objects.
-    view : FleetView
-        Told of failures of the store.
+    link : StoreLink
+        Shared by the followers of this host.
+    pace : WatchPace
+        Waits of the watch.
     settings : StoreSettings
-        Waits and pauses.
+        Pauses after failures.
     clock : Clock
         Source of monotonic time.
     """
@@ -63,18 +109,21 @@
         *,
         store: StoreClient,
         sink: ObjectSink,
-        view: FleetView,
+        link: StoreLink,
+        pace: WatchPace,
         settings: StoreSettings,
         clock: Clock,
     ) -> None:
         self.kind = kind
         self.revision = 0
         self.answered_s = float("-inf")
-        self._listed = False
-        self._lost = False
+        self.listed = False
+        self.lost = False
+        self.entries: dict[str, StoredEntry] = {}
         self._store = store
         self._sink = sink
-        self._view = view
+        self._link = link
+        self._pace = pace
         self._settings = settings
         self._clock = clock
 
@@ -91,36 +140,63 @@
             except Exception:
                 # A fault in one entry must not end the task that follows the others.
                 log.exception("store_follower_failed", kind=self.kind)
-                self._listed = False
+                self.listed = False
             await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
             pause_s = min(self._settings.retry_max_s, pause_s * 2.0)
 
     async def _step(self) -> None:
-        if not self._listed:
-            changes = await self._store.list(self.kind)
-            self._answered(changes)
-            self._sink.replace(changes.entries)
-            self._listed = True
+        if self.listed:
+            await self._watch()
             return
-        changes = await self._store.watch(
-            self.kind,
-            since_revision=self.revision,
-            wait_s=self._settings.watch_wait_s,
-            margin_s=self._settings.watch_margin_s,
+        changes = await self._store.list(self.kind)
+        self._answered(changes)
+        self._replace(changes.entries)
+
+    def _replace(self, entries: Sequence[StoredEntry]) -> None:
+        self.entries = {entry.name: entry for entry in entries}
+        self._sink.replace(entries)
+        self.listed = True
+
+    def adopt(self, entries: Sequence[StoredEntry], revision: int) -> None:
+        """Take another host's objects as of ``revision`` and watch on from there."""
+        self.revision = revision
+        self._replace(entries)
+
+    async def _watch(self) -> None:
+        # While calls fail, short waits show sooner that the store is back.
+        wait_s = self._settings.probe_wait_s if self.lost else self._pace.wait_s
+        changes = await self._link.until_failure(
+            self._store.watch(
+                self.kind,
+                since_revision=self.revision,
+                wait_s=wait_s,
+                margin_s=self._settings.watch_margin_s,
+            )
         )
+        if changes is None:
+            return
         if changes.history_lost:
             log.info("store_history_lost", kind=self.kind, revision=self.revision)
-            self._listed = False
+            self.listed = False
             return
         self._answered(changes)
         if changes.entries:
+            self._keep(changes.entries)
             self._sink.change(changes.entries)
+            await asyncio.sleep(self._pace.gather_s)
+
+    def _keep(self, entries: Sequence[StoredEntry]) -> None:
+        for entry in entries:
+            if entry.deleted:
+                self.entries.pop(entry.name, None)
+            else:
+                self.entries[entry.name] = entry
 
     def _answered(self, changes: Changes) -> None:
         self.answered_s = self._clock.monotonic_s()
         self.revision = changes.revision
-        if self._lost:
-            self._lost = False
+        if self.lost:
+            self.lost = False
             log.info("store_regained", kind=self.kind, revision=self.revision)
         if changes.unreadable_count:
             log.warning(
@@ -130,14 +206,16 @@
             )
 
     def _failed(self, error: RouterError) -> None:
-        self._view.note_store_failure()
-        if not self._lost:
-            self._lost = True
-            log.warning(
-                "store_lost",
-                kind=self.kind,
-                step=error.step,
-                peer=error.peer,
-                reason=error.message,
-                revision=self.revision,
-            )
+        self._link.on_failure()
+        if self.lost:
+            return
+        self.lost = True
+        self._link.interrupt()
+        log.warning(
+            "store_lost",
+            kind=self.kind,
+            step=error.step,
+            peer=error.peer,
+            reason=error.message,
+            revision=self.revision,
+        )
--- a/src/sesameknot/forwarding/refusal.py
+++ b/src/sesameknot/forwarding/refusal.py
@@ -10,8 +10,8 @@
 TIMEOUT_STATUS = 504
 # Spreads the return of callers that were refused at the same moment.
 RETURN_SPREAD = 0.3
-# A caller should keep enough time to be served when it returns.
-RETURN_SHARE_OF_TIME_LEFT = 0.25
+# Callers wait for at most this part of the time that they have left.
+RETURN_SHARE_OF_TIME_LEFT = 0.33
 
 
 class RequestEndedError(RouterError):
--- a/src/sesameknot/forwarding/target_picker.py
+++ b/src/sesameknot/forwarding/target_picker.py
@@ -12,7 +12,12 @@
     PlacementCandidate,
     PlacementRequest,
 )
-from sesameknot.state.fleet_view import FleetView, KnownEndpoint, VersionFilter
+from sesameknot.state.fleet_view import (
+    LAPSE_GRACE_S,
+    FleetView,
+    KnownEndpoint,
+    VersionFilter,
+)
 
 # Wait that a refused caller is told where nothing tells when an endpoint is back.
 UNKNOWN_WAIT_S = 1.0
@@ -75,7 +80,7 @@
         ]
         if not fresh:
             reason = "all endpoints were tried" if usable else "no endpoint is usable"
-            return NoTarget(reason, UNKNOWN_WAIT_S)
+            return NoTarget(reason, self._return_wait_s())
         warm = self._admissible(fresh)
         if not warm:
             return NoTarget("all endpoints are cold", self._cold_wait_s(fresh))
@@ -102,6 +107,12 @@
         """Return whether the endpoint may get the request at the moment of sending."""
         return known in self._view.usable(request.service, self.versions(request))
 
+    def _return_wait_s(self) -> float:
+        """Return the time until endpoints may be registered again."""
+        now_s = self._clock.monotonic_s()
+        since_s = now_s - max(self._view.endpoints_listed_s, self._view.store_failed_s)
+        return max(UNKNOWN_WAIT_S, LAPSE_GRACE_S - since_s)
+
     def _is_cold(self, known: KnownEndpoint) -> bool:
         return self._clock.monotonic_s() < known.cold_until_s
 
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -16,14 +16,20 @@
 from sesameknot.clock import Clock, SystemClock
 from sesameknot.coordination.fleet_sinks import SINKS
 from sesameknot.coordination.host_directory import HostDirectory
+from sesameknot.coordination.peer_snapshot import PeerSnapshot
 from sesameknot.coordination.rollout_duty import RolloutDuty
-from sesameknot.coordination.store_follower import StoreFollower
+from sesameknot.coordination.store_follower import StoreFollower, StoreLink, WatchPace
 from sesameknot.forwarding.attempt import AttemptRunner
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.plain import AttemptLoop, PlainForwarder, RetryWindows
 from sesameknot.forwarding.stream import StreamForwarder
 from sesameknot.forwarding.target_picker import TargetPicker
-from sesameknot.platform import READY_PATH, StoreClient
+from sesameknot.platform import (
+    CONFIGURATION_KIND,
+    ENDPOINT_KIND,
+    READY_PATH,
+    StoreClient,
+)
 from sesameknot.policy.cold_admission import ColdAdmission
 from sesameknot.policy.confidence_cascade import CASCADES
 from sesameknot.policy.prompt_placement import (
@@ -33,7 +39,7 @@
 )
 from sesameknot.policy.rollout_course import CoursePlan, RolloutCourse
 from sesameknot.protocol.fleet_records import HostEntry
-from sesameknot.protocol.messages import StatsReply, StatsRequest
+from sesameknot.protocol.messages import ObjectSync, StatsReply, StatsRequest
 from sesameknot.router.drain import Drain
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import FrontSettings
@@ -88,6 +94,7 @@
         self.metrics = RouterMetrics(self.registry)
         self.view = FleetView(self.clock)
         self.counts = VersionCounts()
+        self.link = StoreLink(on_failure=self.view.note_store_failure)
         self._stack = contextlib.AsyncExitStack()
         self._caller_server: HTTPServer | None = None
         self._callers = CallerConnections(self._accept)
@@ -108,13 +115,25 @@
             view=self.view,
             own=HostEntry(
                 host_id=self.host.host_id,
-                peer_address=f"{self.host.ip}:{self.host.peer_port}",
+                peer_address=self.host.peer_address,
                 domain=self.host.domain,
             ),
             settings=settings.store,
         )
+        self.followers = [self._build_follower(kind) for kind in SINKS]
+        self.snapshot = PeerSnapshot(
+            followers=self.followers,
+            peers=self.peers,
+            addresses=self._other_addresses,
+        )
         self.ingress = self._build_ingress()
 
+    def _other_addresses(self) -> list[str]:
+        """Return peer addresses of other hosts, those from the settings first."""
+        listed = [host.peer_address for host in self.view.hosts.values()]
+        known = dict.fromkeys([*self.host.seeds, *listed])
+        return [address for address in known if address != self.host.peer_address]
+
     def _build_ingress(self) -> Ingress:
         settings = self.settings
         cache = PromptCacheMemory(
@@ -183,16 +202,9 @@
     async def start(self) -> None:
         """Listen, and start the tasks that follow the store."""
         await self._listen()
-        for kind in SINKS:
-            follower = StoreFollower(
-                kind,
-                store=self.store,
-                sink=SINKS.get(kind)(self.view),
-                view=self.view,
-                settings=self.settings.store,
-                clock=self.clock,
-            )
-            self._spawn(f"follow {kind}", follower.run())
+        for follower in self.followers:
+            self._spawn(f"follow {follower.kind}", follower.run())
+        self._spawn("snapshot", self.snapshot.run())
         self._spawn("hosts", self.directory.run())
         self._spawn("rollouts", self._build_rollout_duty().run())
         self._spawn("forget", self._forget_loop())
@@ -204,11 +216,27 @@
             store=self.host.store_address,
         )
 
+    def _build_follower(self, kind: str) -> StoreFollower:
+        settings = self.settings.store
+        probing = kind == CONFIGURATION_KIND
+        return StoreFollower(
+            kind,
+            store=self.store,
+            sink=SINKS.get(kind)(self.view),
+            link=self.link,
+            pace=WatchPace(
+                wait_s=settings.probe_wait_s if probing else settings.watch_wait_s,
+                gather_s=settings.gather_s if kind == ENDPOINT_KIND else 0.0,
+            ),
+            settings=settings,
+            clock=self.clock,
+        )
+
     def _build_rollout_duty(self) -> RolloutDuty:
         plan = self.settings.rollouts
         course = RolloutCourse(
             CoursePlan(
-                first_share=min(plan.first_share, self.host.bounds.rollout_share),
+                first_share=min(plan.first_share, self._first_share_limit()),
                 first_share_at=plan.first_share_at,
                 full_share_at=plan.full_share_at,
                 decide_at=plan.decide_at,
@@ -225,10 +253,18 @@
             clock=self.clock,
         )
 
+    def _first_share_limit(self) -> float:
+        """Return the share that uses half of what a bad version may get."""
+        plan = self.settings.rollouts
+        stage = max(0.01, plan.full_share_at - plan.first_share_at)
+        return min(1.0, 0.5 * self.host.bounds.rollout_share / stage)
+
     async def _listen(self) -> None:
         peer_server = PeerServer(self.host.host_id)
         peer_server.handle(StatsRequest)(self._answer_stats)
-        peer_server.add_sockets(bind_sockets(self.host.peer_port, self.host.ip))
+        peer_server.handle(ObjectSync)(self.snapshot.answer)
+        ip, _, port = self.host.peer_address.rpartition(":")
+        peer_server.add_sockets(bind_sockets(int(port), ip))
         self._stack.push_async_callback(peer_server.close)
         limits = self.view.configuration.limits if self.view.configuration else None
         self._caller_server = HTTPServer(
--- a/src/sesameknot/platform/_node_file.py
+++ b/src/sesameknot/platform/_node_file.py
@@ -13,6 +13,8 @@
 class _Listen(msgspec.Struct, rename="pascal"):
     front: str
     ready: str
+    # For messages between the system's own processes, not for operators.
+    control: str = ""
 
 
 class _Platform(msgspec.Struct, rename="pascal"):
@@ -45,6 +47,8 @@
     zones: dict[str, str] = {}
     # First and last of a range of free ports, not a list of ports.
     internal_ports: tuple[int, int] = (7340, 7355)
+    # Control addresses of some hosts, which may be stale or down.
+    seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -70,7 +74,8 @@
         domains=found.zones,
         caller_address=found.listen.front,
         ready_address=found.listen.ready,
-        peer_port=found.internal_ports[0],
+        peer_address=found.listen.control or f"{found.ip}:{found.internal_ports[0]}",
+        seeds=tuple(found.seeds),
         store_address=found.platform.address,
         bounds=_bounds(found.bounds),
     )
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -15,8 +15,12 @@
     """Calls to the platform's store."""
 
     call_timeout_s: DurationS = 1.0
-    watch_wait_s: DurationS = 3.0
+    # One kind is watched in short steps; a step that fails shows an outage to all.
+    probe_wait_s: DurationS = 3.0
+    watch_wait_s: DurationS = 20.0
     watch_margin_s: DurationS = 0.8
+    # Changes of endpoints within this time are fetched by one call.
+    gather_s: DurationS = 0.3
     retry_min_s: DurationS = 0.2
     retry_max_s: DurationS = 1.0
     host_list_interval_s: DurationS = 5.0
@@ -53,8 +57,8 @@
 class RolloutPlanSettings(SettingsStruct):
     """Course of a roll-out, as shares of its duration."""
 
-    first_share: Share = 0.12
-    first_share_at: Share = 0.51
+    first_share: Share = 0.25
+    first_share_at: Share = 0.505
     full_share_at: Share = 0.72
     decide_at: Share = 0.88
     step_interval_s: DurationS = 0.5
--- a/src/sesameknot/settings/host.py
+++ b/src/sesameknot/settings/host.py
@@ -61,8 +61,10 @@
         ``ip:port`` for callers.
     ready_address : str
         ``ip:port`` of the readiness check.
-    peer_port : int
-        Port for messages between the system's own processes.
+    peer_address : str
+        ``ip:port`` for messages between the system's own processes.
+    seeds : tuple of str
+        Peer addresses of some hosts, which may be stale or down.
     store_address : str
         ``ip:port`` of the platform's store.
     bounds : HostBounds
@@ -76,6 +78,7 @@
     domains: dict[str, str]
     caller_address: str
     ready_address: str
-    peer_port: int
+    peer_address: str
     store_address: str
+    seeds: tuple[str, ...] = ()
     bounds: HostBounds = field(default_factory=HostBounds)
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -67,6 +67,7 @@
     configuration: Configuration | None = None
     configuration_s: float = 0.0
     endpoints_known: bool = False
+    endpoints_listed_s: float = float("-inf")
     endpoints: dict[str, KnownEndpoint] = field(default_factory=dict)
     evacuated_domains: set[str] = field(default_factory=set)
     rollouts: dict[str, RolloutOrder] = field(default_factory=dict)
@@ -100,6 +101,7 @@
         for endpoint_id in set(self.endpoints) - set(listed):
             self.remove_endpoint(endpoint_id)
         self.endpoints_known = True
+        self.endpoints_listed_s = self.clock.monotonic_s()
 
     def put_endpoint(self, entry: EndpointEntry, *, listed_first: bool = False) -> None:
         """Take a new or changed entry."""
--- a/src/sesameknot/transport/json_http.py
+++ b/src/sesameknot/transport/json_http.py
@@ -1,15 +1,28 @@
 """HTTP calls with JSON bodies to one address, with errors that name step and peer."""
 
+from typing import Any
+
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from sesameknot.errors import PlatformError
+from sesameknot.transport._keepalive import KeepaliveTCPClient
 
 # Waiting watches hold a connection each, beside the calls of other tasks.
 CONCURRENT_LIMIT_COUNT = 100
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 
 
+class _WatchHTTPClient(SimpleAsyncHTTPClient):
+    """HTTP client for calls that wait long on an otherwise silent connection."""
+
+    def initialize(self, **options: Any) -> None:
+        """Set the client up and replace its TCP client."""
+        super().initialize(**options)
+        self.tcp_client.close()
+        self.tcp_client = KeepaliveTCPClient(resolver=self.resolver)
+
+
 class JsonHttp:
     """Call one HTTP service.
 
@@ -28,7 +41,7 @@
         self.timeout_s = timeout_s
         self.token = token
         self.call_count = 0
-        self._http = SimpleAsyncHTTPClient(
+        self._http = _WatchHTTPClient(
             force_instance=True,
             max_clients=CONCURRENT_LIMIT_COUNT,
             max_buffer_size=BODY_LIMIT_BYTES,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -94,6 +94,19 @@
         self.store.refuse_status = 0
         await eventually(lambda: front.view.configuration.version == 7, limit_s=5.0)
 
+    @gen_test
+    async def test_host_that_starts_in_an_outage_learns_from_another(self):
+        """Guards against a restarted host that refuses until the store is back."""
+        self.add_endpoint("e1", PLAIN_SERVICE, event_count=0)
+        first = await self.start_front()
+        self.store.refuse_status = 503
+        second = await self.start_front("host-2", seeds=[first.host.peer_address])
+        response = await self.ask(second, UNSAFE_PATH)
+        self.assertThat(response.code, Equals(200))
+        self.store.refuse_status = 0
+        self.store.put("config", "main", configuration(7))
+        await eventually(lambda: second.view.configuration.version == 7, limit_s=5.0)
+
     @gen_test
     async def test_lost_history_leads_to_a_new_list(self):
         """Guards against a host that misses changes which the store forgot."""
