--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -64,7 +64,7 @@
     ) -> None:
         self._loop = loop
         self._cascade = cascade
-        self._threshold = cascade_settings.confidence_threshold
+        self._thresholds = cascade_settings.confidence_thresholds
         self._metrics = metrics
 
     async def serve(self, request: ForwardedRequest, caller: CallerConnection) -> None:
@@ -159,7 +159,7 @@
             "answer_dropped_for_larger_model",
             request_id=request.request_id,
             confidence=attempt.facts.confidence,
-            threshold=self._threshold,
+            threshold=self._threshold(request),
             model=state.model,
             next_model=model,
         )
@@ -173,11 +173,16 @@
         models = state.request.route.models
         if not models or state.request.facts.model:
             return None
-        model = self._cascade(models, state.asked_models, confidence, self._threshold)
+        threshold = self._threshold(state.request)
+        model = self._cascade(models, state.asked_models, confidence, threshold)
         if model is not None:
             state.asked_models.append(model)
         return model
 
+    def _threshold(self, request: ForwardedRequest) -> float:
+        rank = min(max(0, request.route.priority), len(self._thresholds) - 1)
+        return self._thresholds[rank]
+
     async def _pass_on(
         self, state: _StreamState, attempt: Attempt, caller: CallerConnection
     ) -> None:
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -30,7 +30,10 @@
     """Choice between the models of a route."""
 
     strategy: str = "smallest_then_largest"
-    confidence_threshold: Confidence = 45.0
+    # By priority from the most urgent on; the last one holds for all beyond.
+    confidence_thresholds: Annotated[list[Confidence], Meta(min_length=1)] = field(
+        default_factory=lambda: [45.0]
+    )
 
 
 class PlacementSettings(SettingsStruct):
