End all waiting watches when one kind's history is lost

Change: a lost history of one kind ends the waits of all kinds. Changes of endpoints are gathered for 0.35 of the time in which a leaving must be known, before the next watch. Test: test_lost_history_of_one_kind_ends_the_waits_of_all, failed before the change.

--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -178,6 +178,8 @@
         if changes.history_lost:
             log.info("store_history_lost", kind=self.kind, revision=self.revision)
             self.listed = False
+            # The other kinds' watches may wait for changes that were dropped as well.
+            self._link.interrupt()
             return
         self._answered(changes)
         if changes.entries:
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -226,12 +226,17 @@
             link=self.link,
             pace=WatchPace(
                 wait_s=settings.probe_wait_s if probing else settings.watch_wait_s,
-                gather_s=settings.gather_s if kind == ENDPOINT_KIND else 0.0,
+                gather_s=self._gather_s() if kind == ENDPOINT_KIND else 0.0,
             ),
             settings=settings,
             clock=self.clock,
         )
 
+    def _gather_s(self) -> float:
+        """Return how long changes of endpoints may be gathered."""
+        leave_s = self.host.bounds.endpoint_leave_ms / 1000.0
+        return self.settings.store.gather_part * leave_s
+
     def _build_rollout_duty(self) -> RolloutDuty:
         plan = self.settings.rollouts
         course = RolloutCourse(
--- a/src/sesameknot/platform/standin/_store.py
+++ b/src/sesameknot/platform/standin/_store.py
@@ -28,6 +28,8 @@
         Whether calls are taken and never answered.
     lose_answers : bool
         Whether writes are done and their connections closed without an answer.
+    deaf : bool
+        Whether changes are kept from the watches that wait now, for good.
     call_count : int
         Calls received.
     """
@@ -37,6 +39,7 @@
         self.refuse_status = 0
         self.silent = False
         self.lose_answers = False
+        self.deaf = False
         self.call_count = 0
         self._items: dict[tuple[str, str], Item] = {}
         self._history: list[tuple[int, str, Item, bool]] = []
@@ -72,7 +75,10 @@
             self._record(kind, item, removed=True)
 
     def drop_history(self) -> None:
-        """Forget all changes up to now; watches from before get 410."""
+        """Forget all changes up to now; later watches from before get 410.
+
+        A watch that is waiting hears of later changes only.
+        """
         self._history.clear()
         self._history_start = self.revision
 
@@ -184,6 +190,8 @@
                 self.answer(OK_STATUS, {"events": events, "AsOf": store.revision})
                 return
             await store.wait_for_change(left_s)
+            if store.deaf:
+                await asyncio.sleep(left_s)
 
     async def post(self, kind: str) -> None:
         body = self.body()
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -19,8 +19,9 @@
     probe_wait_s: DurationS = 3.0
     watch_wait_s: DurationS = 20.0
     watch_margin_s: DurationS = 0.8
-    # Changes of endpoints within this time are fetched by one call.
-    gather_s: DurationS = 0.3
+    # Changes of endpoints are fetched by one call that waits for this part of the
+    # time in which an endpoint's leaving must be known.
+    gather_part: Share = 0.35
     retry_min_s: DurationS = 0.2
     retry_max_s: DurationS = 1.0
     host_list_interval_s: DurationS = 5.0
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -118,6 +118,17 @@
         self.store.refuse_status = 0
         await eventually(lambda: front.view.evacuated_domains == {"b"}, limit_s=6.0)
 
+    @gen_test(timeout=30)
+    async def test_lost_history_of_one_kind_ends_the_waits_of_all(self):
+        """Guards against a long wait for changes that the store dropped unheard."""
+        front = await self.start_front()
+        self.store.deaf = True
+        self.store.put("evacuations", "b", {})
+        await self.pause(0.1)
+        self.store.drop_history()
+        self.store.deaf = False
+        await eventually(lambda: front.view.evacuated_domains == {"b"}, limit_s=8.0)
+
     @gen_test
     async def test_cold_endpoint_gets_no_more_than_it_bears(self):
         """Guards against a burst at an endpoint that has just started."""
