Relay the store's changes and share loads inside a failure domain

Change: two hosts of each failure domain watch the store; the others ask both every 0.4 s and watch themselves when neither has heard from the store for 1.1 s. The same messages carry the hosts' load on endpoints and crash counts. Waiting beyond an endpoint's slots costs 200 ms in the placement. Tests: tests/coordination/test_domain_exchange.py.

--- a/src/sesameknot/coordination/crash_exchange.py
+++ b/src/sesameknot/coordination/crash_exchange.py
@@ -1,5 +1,7 @@
 """Spread crash counts between hosts with the heartbeats."""
 
+from collections.abc import Iterable
+
 from sesameknot.coordination._ping_content import PeerObservation
 from sesameknot.policy.crash_guard import CrashEntry, CrashGuard
 from sesameknot.protocol.messages import CrashCount
@@ -34,6 +36,10 @@
         ]
 
     def observe(self, observation: PeerObservation) -> None:
+        """Take the counts of a peer's heartbeat."""
+        self.merge(observation.crashes)
+
+    def merge(self, counts: Iterable[CrashCount]) -> None:
         """Take the counts of a peer."""
         self._guard.merge(
             CrashEntry(
@@ -41,5 +47,5 @@
                 endpoint_ids=frozenset(count.endpoint_ids),
                 age_s=count.age_ms / 1000.0,
             )
-            for count in observation.crashes
+            for count in counts
         )
--- /dev/null
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -0,0 +1,319 @@
+"""Relay the store's changes and share loads between the hosts of a failure domain.
+
+Two hosts of each failure domain, the relays, watch the store. The others ask both of
+them a few times a second for what changed. A host whose relays are silent, or have not
+heard from the store lately, watches the store itself until they are back. With the same
+messages the hosts tell each other their load on the endpoints and the requests that
+took endpoints down.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import structlog
+
+from sesameknot.clock import Clock
+from sesameknot.coordination._stored_records import object_record, stored_entry
+from sesameknot.coordination.crash_exchange import CrashExchange
+from sesameknot.coordination.store_follower import StoreFollower, StoreLink
+from sesameknot.errors import RouterError
+from sesameknot.policy.rendezvous import ranked
+from sesameknot.protocol.messages import (
+    DomainSync,
+    DomainSyncReply,
+    EndpointLoad,
+    ObjectVersion,
+)
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.transport.peer_client import PeerClient
+
+RELAY_COUNT = 2
+PERIOD_S = 0.4
+CALL_TIMEOUT_S = 0.3
+# A relay's watch of the configuration returns at least this often.
+RELAY_PROBE_WAIT_S = 0.7
+# With the period this stays below the time in which a configuration must be in force.
+STORE_AGE_LIMIT_MS = 1100.0
+# Periods between two calls to the relays of other failure domains.
+FAR_PERIOD_COUNT = 2
+LOAD_LIFE_S = 2.0
+
+log = structlog.get_logger(__name__)
+
+Loads = dict[str, tuple[int, int]]
+
+
+@dataclass(slots=True)
+class _HeardLoads:
+    loads: Loads
+    heard_s: float
+
+
+class DomainExchange:
+    """Task that talks to the relays, and serves other hosts as a relay.
+
+    Parameters
+    ----------
+    view : FleetView
+        Hosts, endpoints and loads.
+    followers : sequence of StoreFollower
+        Followers of this host.
+    link : StoreLink
+        Told whether the store's changes are relayed.
+    crashes : CrashExchange
+        Requests that took endpoints down.
+    peers : PeerClient
+        Calls other hosts.
+    host_id, domain : str
+        This host and its failure domain.
+    clock : Clock
+        Source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        followers: Sequence[StoreFollower],
+        link: StoreLink,
+        crashes: CrashExchange,
+        peers: PeerClient,
+        host_id: str,
+        domain: str,
+        clock: Clock,
+        probe: StoreFollower,
+    ) -> None:
+        self._view = view
+        self._followers = {follower.kind: follower for follower in followers}
+        self._probe = probe
+        self._direct_wait_s = probe.pace.wait_s
+        self._link = link
+        self._crashes = crashes
+        self._peers = peers
+        self._host_id = host_id
+        self._domain = domain
+        self._clock = clock
+        self._near: dict[str, _HeardLoads] = {}
+        self._far: dict[str, _HeardLoads] = {}
+
+    def relays(self, domain: str) -> list[str]:
+        """Return the hosts of a failure domain that watch the store for it."""
+        hosts = [h.host_id for h in self._view.hosts.values() if h.domain == domain]
+        return ranked(f"relay {domain}", hosts)[:RELAY_COUNT]
+
+    async def run(self) -> None:
+        """Exchange with the relays until cancelled."""
+        round_count = 0
+        while True:
+            await asyncio.sleep(PERIOD_S * random.uniform(0.9, 1.1))
+            relays = self.relays(self._domain)
+            if self._host_id in relays or not relays:
+                await self._be_relay(relays)
+                if round_count % FAR_PERIOD_COUNT == 0:
+                    await self._ask_far()
+            else:
+                await self._ask_relays(relays)
+            round_count += 1
+            self._apply_loads()
+
+    async def _be_relay(self, relays: list[str]) -> None:
+        serving = any(
+            self._fresh(heard) and host_id not in relays
+            for host_id, heard in self._near.items()
+        )
+        wait_s = RELAY_PROBE_WAIT_S if serving else self._direct_wait_s
+        if wait_s < self._probe.pace.wait_s:
+            # The watch that waits now would return too late.
+            self._link.interrupt()
+        self._probe.pace.wait_s = wait_s
+        self._set_relayed(False, reason="this host is a relay")
+        own = DomainSync(
+            host_id=self._host_id,
+            loads=_records(self._own_loads()),
+            crashes=self._crashes.counts(),
+        )
+        others = [relay for relay in relays if relay != self._host_id]
+        for reply in await asyncio.gather(*(self._ask(r, own) for r in others)):
+            if reply is not None:
+                self._crashes.merge(reply.crashes)
+
+    def _set_relayed(self, relayed: bool, *, reason: str) -> None:
+        if relayed != self._link.relayed:
+            log.info("store_relay_changed", relayed=relayed, reason=reason)
+        self._link.relay(relayed)
+
+    async def _ask_relays(self, relays: list[str]) -> None:
+        self._probe.pace.wait_s = self._direct_wait_s
+        listed = all(follower.listed for follower in self._followers.values())
+        request = DomainSync(
+            host_id=self._host_id,
+            versions=self._versions() if listed else [],
+            loads=_records(self._own_loads()),
+            crashes=self._crashes.counts(),
+        )
+        replies = await asyncio.gather(*(self._ask(relay, request) for relay in relays))
+        current = 0
+        for relay, reply in zip(relays, replies, strict=True):
+            if reply is None:
+                continue
+            self._far[relay] = self._heard(reply.loads)
+            self._crashes.merge(reply.crashes)
+            if listed and reply.store_age_ms <= STORE_AGE_LIMIT_MS:
+                current += 1
+                self._take_objects(reply)
+        self._set_relayed(current > 0, reason=f"{current} relays are current")
+
+    async def _ask_far(self) -> None:
+        domains = {host.domain for host in self._view.hosts.values()} - {self._domain}
+        targets = [self.relays(domain)[0] for domain in sorted(domains)]
+        request = DomainSync(
+            host_id=self._host_id,
+            loads=_records(self._domain_loads(without="")),
+            crashes=self._crashes.counts(),
+        )
+        replies = await asyncio.gather(*(self._ask(host, request) for host in targets))
+        for target, reply in zip(targets, replies, strict=True):
+            if reply is not None:
+                self._far[target] = self._heard(reply.loads)
+                self._crashes.merge(reply.crashes)
+
+    async def _ask(self, host_id: str, request: DomainSync) -> DomainSyncReply | None:
+        host = self._view.hosts.get(host_id)
+        if host is None:
+            return None
+        try:
+            return await self._peers.call(
+                host.peer_address,
+                request,
+                expect=DomainSyncReply,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except RouterError as error:
+            log.info("peer_silent", peer=host_id, step=error.step, reason=error.message)
+            return None
+
+    def _versions(self) -> list[ObjectVersion]:
+        return [
+            ObjectVersion(key=kind, version=follower.revision)
+            for kind, follower in self._followers.items()
+        ]
+
+    def _take_objects(self, reply: DomainSyncReply) -> None:
+        now_s = self._clock.monotonic_s()
+        failed_s = now_s - reply.store_failed_age_ms / 1000.0
+        self._view.store_failed_s = max(self._view.store_failed_s, failed_s)
+        entries = [stored_entry(record) for record in reply.objects]
+        for version in reply.versions:
+            follower = self._followers.get(version.key)
+            if follower is None or version.version <= follower.revision:
+                continue
+            own = [entry for entry in entries if entry.kind == version.key]
+            if version.key in reply.whole_kinds:
+                follower.adopt(own, version.version)
+            else:
+                follower.relay(own, version.version)
+
+    async def answer(self, request: DomainSync) -> DomainSyncReply:
+        """Answer another host; from another failure domain only loads are asked."""
+        sender = self._view.hosts.get(request.host_id)
+        near = sender is None or sender.domain == self._domain
+        heard = self._near if near else self._far
+        heard[request.host_id] = self._heard(request.loads)
+        self._crashes.merge(request.crashes)
+        loads = self._domain_loads(without=request.host_id)
+        if near:
+            loads = _add(loads, self._far_loads())
+        reply = DomainSyncReply(
+            store_age_ms=self._store_age_ms(),
+            store_failed_age_ms=self._age_ms(self._view.store_failed_s),
+            loads=_records(loads),
+            crashes=self._crashes.counts(),
+        )
+        for version in request.versions:
+            self._give_objects(version, reply)
+        return reply
+
+    def _give_objects(self, version: ObjectVersion, reply: DomainSyncReply) -> None:
+        follower = self._followers.get(version.key)
+        if follower is None or follower.revision <= version.version:
+            return
+        changes = follower.changes_since(version.version)
+        if changes is None:
+            reply.whole_kinds.append(version.key)
+            changes = list(follower.entries.values())
+        reply.versions.append(ObjectVersion(key=version.key, version=follower.revision))
+        reply.objects += [object_record(entry) for entry in changes]
+
+    def _store_age_ms(self) -> float:
+        followers = self._followers.values()
+        if self._link.relayed or any(f.lost or not f.listed for f in followers):
+            return float("inf")
+        return self._age_ms(self._probe.answered_s)
+
+    def _age_ms(self, at_s: float) -> float:
+        return (self._clock.monotonic_s() - at_s) * 1000.0
+
+    def _heard(self, records: Sequence[EndpointLoad]) -> _HeardLoads:
+        loads = {r.endpoint_id: (r.in_flight_count, r.pending_tokens) for r in records}
+        return _HeardLoads(loads, self._clock.monotonic_s())
+
+    def _own_loads(self) -> Loads:
+        return {
+            known.endpoint_id: (known.in_flight_count, known.pending_tokens)
+            for known in self._view.endpoints.values()
+            if known.in_flight_count
+        }
+
+    def _domain_loads(self, *, without: str) -> Loads:
+        total = self._own_loads()
+        for host_id, heard in self._near.items():
+            if host_id != without and self._fresh(heard):
+                total = _add(total, heard.loads)
+        return total
+
+    def _far_loads(self) -> Loads:
+        """Return the loads of other domains; of two reports for one the last counts."""
+        latest: dict[str, _HeardLoads] = {}
+        for host_id, heard in self._far.items():
+            host = self._view.hosts.get(host_id)
+            if host is None or not self._fresh(heard):
+                continue
+            present = latest.get(host.domain)
+            if present is None or present.heard_s < heard.heard_s:
+                latest[host.domain] = heard
+        total: Loads = {}
+        for heard in latest.values():
+            total = _add(total, heard.loads)
+        return total
+
+    def _fresh(self, heard: _HeardLoads) -> bool:
+        return self._clock.monotonic_s() - heard.heard_s < LOAD_LIFE_S
+
+    def _apply_loads(self) -> None:
+        total = self._far_loads()
+        for heard in self._near.values():
+            if self._fresh(heard):
+                total = _add(total, heard.loads)
+        for known in self._view.endpoints.values():
+            known.other_in_flight_count, known.other_pending_tokens = total.get(
+                known.endpoint_id, (0, 0)
+            )
+
+
+def _add(first: Loads, second: Loads) -> Loads:
+    total = dict(first)
+    for endpoint_id, (in_flight, tokens) in second.items():
+        known = total.get(endpoint_id, (0, 0))
+        total[endpoint_id] = (known[0] + in_flight, known[1] + tokens)
+    return total
+
+
+def _records(loads: Loads) -> list[EndpointLoad]:
+    return [
+        EndpointLoad(
+            endpoint_id=endpoint_id, in_flight_count=in_flight, pending_tokens=tokens
+        )
+        for endpoint_id, (in_flight, tokens) in loads.items()
+    ]
--- a/src/sesameknot/coordination/host_directory.py
+++ b/src/sesameknot/coordination/host_directory.py
@@ -60,7 +60,7 @@
             try:
                 if not self._announced:
                     await self._announce()
-                await self._refresh()
+                await self.refresh()
             except PlatformError as error:
                 log.info("host_list_failed", step=error.step, reason=error.message)
                 pause_s = self._settings.retry_max_s
@@ -75,7 +75,14 @@
             await self._store.replace(HOST_KIND, self._own.host_id, content)
         self._announced = True
 
-    async def _refresh(self) -> None:
+    async def refresh(self) -> None:
+        """Read the list once.
+
+        Raises
+        ------
+        PlatformError
+            If the store does not answer.
+        """
         known = len(self._view.hosts)
         changes = await self._store.list(HOST_KIND, stale=known > 1)
         hosts = {self._own.host_id: self._own}
--- a/src/sesameknot/coordination/peer_snapshot.py
+++ b/src/sesameknot/coordination/peer_snapshot.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-import json
 from collections.abc import Callable, Sequence
 
 import structlog
 
+from sesameknot.coordination._stored_records import object_record, stored_entry
 from sesameknot.coordination.store_follower import StoreFollower
 from sesameknot.errors import RouterError
 from sesameknot.platform import StoredEntry
@@ -54,7 +54,7 @@
                 # The record without a name carries the revision to watch from.
                 key = f"{follower.kind}/"
                 records.append(ObjectRecord(key=key, version=follower.revision))
-                records += [_record(entry) for entry in follower.entries.values()]
+                records += [object_record(e) for e in follower.entries.values()]
         return ObjectSyncReply(objects=records)
 
     async def run(self) -> None:
@@ -90,16 +90,7 @@
             if not name:
                 revisions[kind] = record.version
                 continue
-            content, status = json.loads(record.value)
-            entries.setdefault(kind, []).append(
-                StoredEntry(
-                    kind=kind,
-                    name=name,
-                    revision=record.version,
-                    content=content,
-                    status=status,
-                )
-            )
+            entries.setdefault(kind, []).append(stored_entry(record))
         for kind, revision in revisions.items():
             follower = self._followers.get(kind)
             if follower is not None and not follower.listed:
@@ -112,11 +103,3 @@
                     count=len(entries.get(kind, [])),
                 )
         return bool(revisions)
-
-
-def _record(entry: StoredEntry) -> ObjectRecord:
-    return ObjectRecord(
-        key=entry.place,
-        version=entry.revision,
-        value=json.dumps([entry.content, entry.status]).encode(),
-    )
--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -13,6 +14,9 @@
 from sesameknot.platform import Changes, StoreClient, StoredEntry
 from sesameknot.settings.front import StoreSettings
 
+# Changes that are kept for hosts that are told of them by this one.
+CHANGE_LIMIT_COUNT = 1000
+
 log = structlog.get_logger(__name__)
 
 
@@ -43,7 +47,8 @@
     """What the followers of one host tell each other of the store.
 
     A watch that waits for long does not notice an outage. When one follower's call
-    fails, the others end their waiting watches and call again.
+    fails, the others end their waiting watches and call again. While another host
+    relays the store's changes, they make no calls.
 
     Parameters
     ----------
@@ -51,30 +56,51 @@
         Called at each failure.
     """
 
-    __slots__ = ("_failed", "on_failure")
+    __slots__ = ("_direct", "_interrupted", "on_failure")
 
     def __init__(self, *, on_failure: Callable[[], None]) -> None:
         self.on_failure = on_failure
-        self._failed = asyncio.Event()
+        self._interrupted = asyncio.Event()
+        self._direct = asyncio.Event()
+        self._direct.set()
+
+    @property
+    def relayed(self) -> bool:
+        """Whether another host relays the store's changes."""
+        return not self._direct.is_set()
+
+    def relay(self, relayed: bool) -> None:
+        """Begin or end the relaying."""
+        if relayed and not self.relayed:
+            self._direct.clear()
+            self.interrupt()
+        elif not relayed:
+            self._direct.set()
+
+    async def until_direct(self) -> None:
+        """Wait until no other host relays the changes."""
+        await self._direct.wait()
 
     def interrupt(self) -> None:
         """End the waiting watches of all followers."""
-        self._failed.set()
-        self._failed = asyncio.Event()
+        self._interrupted.set()
+        self._interrupted = asyncio.Event()
 
-    async def until_failure(self, call: Coroutine[Any, Any, Changes]) -> Changes | None:
-        """Return the result of ``call``, None if another follower's call fails."""
+    async def until_interrupted(
+        self, call: Coroutine[Any, Any, Changes]
+    ) -> Changes | None:
+        """Return the result of ``call``, None if the wait is to end before."""
         task = asyncio.ensure_future(call)
-        failed = asyncio.ensure_future(self._failed.wait())
+        interrupted = asyncio.ensure_future(self._interrupted.wait())
         try:
-            await asyncio.wait({task, failed}, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait({task, interrupted}, return_when=asyncio.FIRST_COMPLETED)
             return task.result() if task.done() else None
         finally:
-            failed.cancel()
+            interrupted.cancel()
             task.cancel()
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
+@dataclass(slots=True, kw_only=True)
 class WatchPace:
     """How long a watch waits, and how long changes are gathered after one."""
 
@@ -120,10 +146,12 @@
         self.listed = False
         self.lost = False
         self.entries: dict[str, StoredEntry] = {}
+        self.pace = pace
+        self._changes: deque[StoredEntry] = deque(maxlen=CHANGE_LIMIT_COUNT)
+        self._changes_from = 0
         self._store = store
         self._sink = sink
         self._link = link
-        self._pace = pace
         self._settings = settings
         self._clock = clock
 
@@ -146,6 +174,8 @@
 
     async def _step(self) -> None:
         if self.listed:
+            if self._link.relayed:
+                await self._link.until_direct()
             await self._watch()
             return
         changes = await self._store.list(self.kind)
@@ -154,6 +184,8 @@
 
     def _replace(self, entries: Sequence[StoredEntry]) -> None:
         self.entries = {entry.name: entry for entry in entries}
+        self._changes.clear()
+        self._changes_from = self.revision
         self._sink.replace(entries)
         self.listed = True
 
@@ -164,8 +196,8 @@
 
     async def _watch(self) -> None:
         # While calls fail, short waits show sooner that the store is back.
-        wait_s = self._settings.probe_wait_s if self.lost else self._pace.wait_s
-        changes = await self._link.until_failure(
+        wait_s = self._settings.probe_wait_s if self.lost else self.pace.wait_s
+        changes = await self._link.until_interrupted(
             self._store.watch(
                 self.kind,
                 since_revision=self.revision,
@@ -185,10 +217,28 @@
         if changes.entries:
             self._keep(changes.entries)
             self._sink.change(changes.entries)
-            await asyncio.sleep(self._pace.gather_s)
+            await asyncio.sleep(self.pace.gather_s)
+
+    def relay(self, entries: Sequence[StoredEntry], revision: int) -> None:
+        """Take changes up to ``revision`` from another host; older ones are ignored."""
+        if not self.listed or revision <= self.revision:
+            return
+        self.revision = revision
+        if entries:
+            self._keep(entries)
+            self._sink.change(entries)
+
+    def changes_since(self, revision: int) -> list[StoredEntry] | None:
+        """Return the changes after ``revision``, None if they are not all kept."""
+        if revision < self._changes_from:
+            return None
+        return [entry for entry in self._changes if entry.revision > revision]
 
     def _keep(self, entries: Sequence[StoredEntry]) -> None:
         for entry in entries:
+            if len(self._changes) == CHANGE_LIMIT_COUNT:
+                self._changes_from = self._changes[0].revision
+            self._changes.append(entry)
             if entry.deleted:
                 self.entries.pop(entry.name, None)
             else:
--- a/src/sesameknot/forwarding/target_picker.py
+++ b/src/sesameknot/forwarding/target_picker.py
@@ -98,6 +98,7 @@
             candidates=len(healthy),
             ejected=len(warm) - len(healthy),
             in_flight=chosen.in_flight_count,
+            others_in_flight=chosen.other_in_flight_count,
             failure_share=round(chosen.health.failure_share, 3),
             attempt=len(request.tried_ids) + 1,
         )
@@ -152,8 +153,8 @@
         return PlacementCandidate(
             endpoint_id=known.endpoint_id,
             same_domain=known.entry.domain == self._domain,
-            in_flight_count=known.in_flight_count,
-            pending_tokens=known.pending_tokens,
+            in_flight_count=known.in_flight_count + known.other_in_flight_count,
+            pending_tokens=known.pending_tokens + known.other_pending_tokens,
             failure_share=known.health.failure_share,
             slot_count=known.entry.slot_count,
         )
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -14,6 +14,8 @@
 from tornado.netutil import bind_sockets
 
 from sesameknot.clock import Clock, SystemClock
+from sesameknot.coordination.crash_exchange import CrashExchange
+from sesameknot.coordination.domain_exchange import DomainExchange
 from sesameknot.coordination.fleet_sinks import SINKS
 from sesameknot.coordination.host_directory import HostDirectory
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
@@ -32,6 +34,7 @@
 )
 from sesameknot.policy.cold_admission import ColdAdmission
 from sesameknot.policy.confidence_cascade import CASCADES
+from sesameknot.policy.crash_guard import CrashGuard
 from sesameknot.policy.prompt_placement import (
     PLACEMENTS,
     PlacementCosts,
@@ -39,7 +42,12 @@
 )
 from sesameknot.policy.rollout_course import CoursePlan, RolloutCourse
 from sesameknot.protocol.fleet_records import HostEntry
-from sesameknot.protocol.messages import ObjectSync, StatsReply, StatsRequest
+from sesameknot.protocol.messages import (
+    DomainSync,
+    ObjectSync,
+    StatsReply,
+    StatsRequest,
+)
 from sesameknot.router.drain import Drain
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import FrontSettings
@@ -126,8 +134,24 @@
             peers=self.peers,
             addresses=self._other_addresses,
         )
+        self.crash_guard = CrashGuard(clock=self.clock)
+        self.exchange = self._build_exchange()
         self.ingress = self._build_ingress()
 
+    def _build_exchange(self) -> DomainExchange:
+        by_kind = {follower.kind: follower for follower in self.followers}
+        return DomainExchange(
+            view=self.view,
+            followers=self.followers,
+            link=self.link,
+            crashes=CrashExchange(self.crash_guard),
+            peers=self.peers,
+            host_id=self.host.host_id,
+            domain=self.host.domain,
+            clock=self.clock,
+            probe=by_kind[CONFIGURATION_KIND],
+        )
+
     def _other_addresses(self) -> list[str]:
         """Return peer addresses of other hosts, those from the settings first."""
         listed = [host.peer_address for host in self.view.hosts.values()]
@@ -178,6 +202,7 @@
             request_load_ms=placement.request_load_ms,
             other_domain_ms=placement.other_domain_ms,
             failure_penalty_ms=placement.failure_penalty_ms,
+            waiting_ms=placement.waiting_ms,
         )
         seed = self.settings.random_state or None
         return TargetPicker(
@@ -205,6 +230,7 @@
         for follower in self.followers:
             self._spawn(f"follow {follower.kind}", follower.run())
         self._spawn("snapshot", self.snapshot.run())
+        self._spawn("exchange", self.exchange.run())
         self._spawn("hosts", self.directory.run())
         self._spawn("rollouts", self._build_rollout_duty().run())
         self._spawn("forget", self._forget_loop())
@@ -268,6 +294,7 @@
         peer_server = PeerServer(self.host.host_id)
         peer_server.handle(StatsRequest)(self._answer_stats)
         peer_server.handle(ObjectSync)(self.snapshot.answer)
+        peer_server.handle(DomainSync)(self.exchange.answer)
         ip, _, port = self.host.peer_address.rpartition(":")
         peer_server.add_sockets(bind_sockets(int(port), ip))
         self._stack.push_async_callback(peer_server.close)
--- a/src/sesameknot/platform/_store.py
+++ b/src/sesameknot/platform/_store.py
@@ -88,6 +88,10 @@
         """Calls made so far."""
         return self._http.call_count
 
+    def redirect(self, url: str) -> None:
+        """Send later calls to another base URL."""
+        self._http.url = url
+
     async def list(self, kind: str, *, stale: bool = False) -> Changes:
         """Return all objects of ``kind``.
 
--- a/src/sesameknot/policy/prompt_placement.py
+++ b/src/sesameknot/policy/prompt_placement.py
@@ -25,7 +25,7 @@
     same_domain : bool
         Whether it stands in this host's failure domain.
     in_flight_count : int
-        This host's requests there.
+        Requests of all hosts there, as far as known.
     pending_tokens : int
         Prompt tokens of those that are still being read.
     failure_share : float
@@ -58,6 +58,7 @@
     request_load_ms: float
     other_domain_ms: float
     failure_penalty_ms: float
+    waiting_ms: float = 0.0
 
 
 class Placement(Protocol):
@@ -130,8 +131,12 @@
 
     def _load_ms(self, candidate: PlacementCandidate) -> float:
         costs = self.costs
+        waiting = 0
+        if candidate.slot_count:
+            waiting = max(0, candidate.in_flight_count + 1 - candidate.slot_count)
         return (
             candidate.in_flight_count * costs.request_load_ms
+            + waiting * costs.waiting_ms
             + candidate.pending_tokens * costs.prefill_ms_per_token
             + candidate.failure_share * costs.failure_penalty_ms
             + (0.0 if candidate.same_domain else costs.other_domain_ms)
--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -111,3 +111,12 @@
     fingerprint: int = 0
     endpoint_ids: list[str] = field(default_factory=list)
     age_ms: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class EndpointLoad:
+    """Requests and unread prompt tokens that hosts have at one endpoint."""
+
+    endpoint_id: str = ""
+    in_flight_count: int = 0
+    pending_tokens: int = 0
--- a/src/sesameknot/protocol/messages.py
+++ b/src/sesameknot/protocol/messages.py
@@ -12,6 +12,10 @@
     ClaimSyncReply,
     ClaimWrite,
 )
+from sesameknot.protocol._domain import (
+    DomainSync,
+    DomainSyncReply,
+)
 from sesameknot.protocol._grants import (
     EndpointNotice,
     GrantReply,
@@ -39,6 +43,7 @@
     BillRecord,
     ClaimEntry,
     CrashCount,
+    EndpointLoad,
     EndpointReport,
     MemberInfo,
     ObjectRecord,
@@ -63,7 +68,10 @@
     "ClaimSyncReply",
     "ClaimWrite",
     "CrashCount",
+    "DomainSync",
+    "DomainSyncReply",
     "Done",
+    "EndpointLoad",
     "EndpointNotice",
     "EndpointReport",
     "Failure",
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -259,6 +259,29 @@
   step @1 :Text;
 }
 
+struct EndpointLoad {
+  endpointId @0 :Text;
+  inFlightCount @1 :UInt32;
+  pendingTokens @2 :UInt32;
+}
+
+struct DomainSync {
+  hostId @0 :Text;
+  versions @1 :List(ObjectVersion);
+  loads @2 :List(EndpointLoad);
+  crashes @3 :List(CrashCount);
+}
+
+struct DomainSyncReply {
+  storeAgeMs @0 :Float64;
+  storeFailedAgeMs @1 :Float64;
+  versions @2 :List(ObjectVersion);
+  wholeKinds @3 :List(Text);
+  objects @4 :List(ObjectRecord);
+  loads @5 :List(EndpointLoad);
+  crashes @6 :List(CrashCount);
+}
+
 struct Envelope {
   callId @0 :UInt64;
   sender @1 :Text;
@@ -289,5 +312,7 @@
     membersReply @25 :MembersReply;
     done @26 :Done;
     failure @27 :Failure;
+    domainSync @28 :DomainSync;
+    domainSyncReply @29 :DomainSyncReply;
   }
 }
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -45,6 +45,8 @@
     request_load_ms: Annotated[float, Meta(ge=0.0)] = 25.0
     other_domain_ms: Annotated[float, Meta(ge=0.0)] = 20.0
     failure_penalty_ms: Annotated[float, Meta(ge=0.0)] = 1000.0
+    # Added for each request beyond the slots of an endpoint.
+    waiting_ms: Annotated[float, Meta(ge=0.0)] = 200.0
     cache_life_s: DurationS = 10.0
 
 
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -38,6 +38,8 @@
         Attempts of this host that run there now.
     pending_tokens : int
         Prompt tokens of those that have not produced their first event.
+    other_in_flight_count, other_pending_tokens : int
+        The same of other hosts, as far as they told.
     """
 
     entry: EndpointEntry
@@ -46,6 +48,8 @@
     gone_at_s: float | None = None
     in_flight_count: int = 0
     pending_tokens: int = 0
+    other_in_flight_count: int = 0
+    other_pending_tokens: int = 0
 
     @property
     def endpoint_id(self) -> str:
--- /dev/null
+++ b/tests/coordination/test_domain_exchange.py
@@ -0,0 +1,98 @@
+"""Tests of the exchange between the hosts of a failure domain."""
+
+import asyncio
+
+from testtools.matchers import Equals, GreaterThan, HasLength
+from tornado.testing import gen_test
+
+from tests.front_world import PLAIN_SERVICE, UNSAFE_PATH, FrontWorld, configuration
+from tests.support import eventually
+
+HOST_COUNT = 4
+
+
+class DomainExchangeTest(FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+
+    async def start_hosts(self):
+        """Start hosts that know each other and are served by relays."""
+        fronts = [await self.start_front(f"host-{n}") for n in range(HOST_COUNT)]
+        for front in fronts:
+            await front.directory.refresh()
+        relays = fronts[0].exchange.relays("a")
+        direct = [f for f in fronts if f.host.host_id in relays]
+        relayed = [f for f in fronts if f.host.host_id not in relays]
+        await eventually(lambda: all(f.link.relayed for f in relayed), limit_s=5.0)
+        return direct, relayed
+
+    @gen_test(timeout=30)
+    async def test_change_reaches_relayed_hosts_without_calls_of_theirs(self):
+        """Guards against store calls that grow with the number of hosts."""
+        direct, relayed = await self.start_hosts()
+        self.assertThat(direct, HasLength(2))
+        await self.pause(0.2)
+        before = [front.store.call_count for front in relayed]
+        self.store.put("config", "main", configuration(7))
+        self.store.put("evacuations", "b", {})
+        await eventually(
+            lambda: all(
+                f.view.configuration.version == 7 and f.view.evacuated_domains
+                for f in relayed
+            ),
+            limit_s=1.5,
+        )
+        self.store.remove("evacuations", "b")
+        await eventually(
+            lambda: not any(f.view.evacuated_domains for f in relayed), limit_s=1.5
+        )
+        await self.pause(1.0)
+        self.assertThat([front.store.call_count for front in relayed], Equals(before))
+
+    @gen_test(timeout=30)
+    async def test_hosts_watch_the_store_when_their_relays_stop(self):
+        """Guards against hosts that hear nothing because their relays are gone."""
+        direct, relayed = await self.start_hosts()
+        for front in direct:
+            await front.close()
+        self.store.put("config", "main", configuration(7))
+        await eventually(
+            lambda: all(f.view.configuration.version == 7 for f in relayed),
+            limit_s=2.0,
+        )
+        self.assertThat([f.link.relayed for f in relayed], Equals([False, False]))
+
+    @gen_test(timeout=30)
+    async def test_hosts_do_not_trust_a_relay_that_lost_the_store(self):
+        """Guards against a relay that is cut from the store and tells old news."""
+        direct, relayed = await self.start_hosts()
+        for front in direct:
+            # The relays' calls go where nobody answers.
+            sock = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+            port = sock.sockets[0].getsockname()[1]
+            front.store.redirect(f"http://127.0.0.1:{port}")
+            self.closing(sock.close)
+        self.store.put("config", "main", configuration(7))
+        await eventually(
+            lambda: all(f.view.configuration.version == 7 for f in relayed),
+            limit_s=3.0,
+        )
+
+    @gen_test(timeout=30)
+    async def test_hosts_know_each_others_load(self):
+        """Guards against hosts that all pick the endpoint that looks idle to each."""
+        self.add_endpoint("e1", PLAIN_SERVICE, event_count=0, delay_s=2.0)
+        direct, relayed = await self.start_hosts()
+        fronts = direct + relayed
+        await eventually(lambda: all(f.view.endpoints for f in fronts))
+        asked = [asyncio.create_task(self.ask(f, UNSAFE_PATH)) for f in fronts]
+        await eventually(
+            lambda: all(
+                f.view.endpoints["e1"].other_in_flight_count == HOST_COUNT - 1
+                for f in fronts
+            ),
+            limit_s=1.9,
+        )
+        answers = await asyncio.gather(*asked)
+        self.assertThat(sum(a.code == 200 for a in answers), GreaterThan(3))
