Stop requests that take endpoints down, on all hosts

Cause: a request that crashes its endpoint was resumed elsewhere and sent again by its caller, without a bound over the hosts. Change: a broken attempt whose endpoint refuses connections afterwards counts as a crash; after three endpoints the request is refused.

--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -11,6 +11,7 @@
     NotSentError,
 )
 from sesameknot.forwarding.caller import CallerConnection
+from sesameknot.forwarding.crash_detector import CrashDetector
 from sesameknot.forwarding.refusal import (
     RequestEndedError,
     not_run,
@@ -40,8 +41,10 @@
         Chooses endpoints.
     runner : AttemptRunner
         Starts attempts.
-    budgets : callable
-        Returns the retry window of a service.
+    crashes : CrashDetector
+        Recognises requests that take endpoints down.
+    budgets : RetryWindows
+        Bounds repeated requests.
     settings : AttemptSettings
         Limits.
     clock : Clock
@@ -53,12 +56,14 @@
         *,
         picker: TargetPicker,
         runner: AttemptRunner,
+        crashes: CrashDetector,
         budgets: "RetryWindows",
         settings: AttemptSettings,
         clock: Clock,
     ) -> None:
         self.picker = picker
         self.runner = runner
+        self.crashes = crashes
         self.budgets = budgets
         self.settings = settings
         self.clock = clock
@@ -71,6 +76,8 @@
         RequestEndedError
             If there is none; the answer is true to what may have run.
         """
+        if self.crashes.refuses(request):
+            raise self.ended(request, "request takes endpoints down")
         target = self.picker.pick(request, model=model)
         if isinstance(target, NoTarget):
             raise self.ended(request, target.reason, wait_s=target.wait_s)
@@ -87,8 +94,11 @@
             )
         return RequestEndedError(timed_out() if left_s <= 0.0 else unknown(reason))
 
-    def may_follow(self, request: ForwardedRequest, error: RouterError) -> bool:
-        """Return whether another attempt may follow a failed one."""
+    async def may_follow(
+        self, request: ForwardedRequest, known: KnownEndpoint, error: RouterError
+    ) -> bool:
+        """Return whether another attempt may follow one that failed at ``known``."""
+        await self.crashes.inspect(request, known, error)
         if request.time_left_s(self.clock.monotonic_s()) <= 0.0:
             return False
         if isinstance(error, NotSentError):
@@ -197,7 +207,7 @@
             except (TransportError, NotSentError) as error:
                 if caller.head_sent:
                     raise
-                if not self._loop.may_follow(request, error):
+                if not await self._loop.may_follow(request, known, error):
                     raise self._loop.ended(request, error.message) from error
 
     def _first_answer_s(self, request: ForwardedRequest) -> float:
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -108,7 +108,7 @@
             if error.step == "answer" and caller.head_sent and not error.peer:
                 raise
             state.splitter.drop_rest()
-            if not self._loop.may_follow(request, error):
+            if not await self._loop.may_follow(request, known, error):
                 raise self._loop.ended(request, error.message) from error
             log.info(
                 "stream_continues",
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -22,6 +22,7 @@
 from sesameknot.coordination.rollout_duty import RolloutDuty
 from sesameknot.coordination.store_follower import StoreFollower, StoreLink, WatchPace
 from sesameknot.forwarding.attempt import AttemptRunner
+from sesameknot.forwarding.crash_detector import CrashDetector
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.plain import AttemptLoop, PlainForwarder, RetryWindows
 from sesameknot.forwarding.stream import StreamForwarder
@@ -70,6 +71,8 @@
 # Part of the grace time after which requests that still run are broken off.
 FINISH_PART_OF_GRACE = 0.9
 FORGET_INTERVAL_S = 1.0
+# Endpoints that a request may take down; one of them may have failed by itself.
+CRASH_LIMIT_COUNT = 3
 
 log = structlog.get_logger(__name__)
 
@@ -134,7 +137,7 @@
             peers=self.peers,
             addresses=self._other_addresses,
         )
-        self.crash_guard = CrashGuard(clock=self.clock)
+        self.crash_guard = CrashGuard(clock=self.clock, limit_count=CRASH_LIMIT_COUNT)
         self.exchange = self._build_exchange()
         self.ingress = self._build_ingress()
 
@@ -173,9 +176,12 @@
             metrics=self.metrics,
             clock=self.clock,
         )
+        crashes = CrashDetector(self.crash_guard)
+        self._stack.callback(crashes.close)
         loop = AttemptLoop(
             picker=picker,
             runner=runner,
+            crashes=crashes,
             budgets=self._build_budgets(),
             settings=settings.attempts,
             clock=self.clock,
@@ -349,6 +355,7 @@
         while True:
             await asyncio.sleep(FORGET_INTERVAL_S)
             self.view.forget_gone()
+            self.crash_guard.expire()
 
     def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=name)
--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -54,6 +54,8 @@
         Identity that answers carry in place of the request's.
     receipt : bool, default=True
         Whether answers carry a receipt.
+    crash_body : bytes or None, default=None
+        Body of requests that end this endpoint.
     """
 
     endpoint_id: str
@@ -67,14 +69,17 @@
     silent: bool = False
     echoed_id: str | None = None
     receipt: bool = True
+    crash_body: bytes | None = None
     body: bytes = b"answer"
     runs: list[RecordedRun] = field(default_factory=list)
     refused_count: int = 0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _server: HTTPServer | None = None
 
     def server(self) -> HTTPServer:
         """Return an HTTP server that serves this endpoint."""
-        return HTTPServer(self._accept)
+        self._server = HTTPServer(self._accept)
+        return self._server
 
     def _accept(self, request: HTTPServerRequest) -> None:
         task = asyncio.create_task(self._serve(request))
@@ -117,6 +122,10 @@
         )
         self.runs.append(run)
         request.connection.set_close_callback(lambda: setattr(run, "caller_left", True))
+        if self.crash_body is not None and request.body == self.crash_body:
+            self._server.stop()
+            request.connection.close()
+            return
         await asyncio.sleep(self.delay_s)
         if self.silent:
             return
--- a/src/sesameknot/policy/crash_guard.py
+++ b/src/sesameknot/policy/crash_guard.py
@@ -87,6 +87,11 @@
             return 0
         return len(crashes.endpoint_ids)
 
+    @property
+    def has_entries(self) -> bool:
+        """Whether any request is counted."""
+        return bool(self._crashes)
+
     def refuses(self, fingerprint: int) -> bool:
         """Return whether a request took down as many endpoints as the limit."""
         return self.count(fingerprint) >= self.limit_count
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -120,6 +120,18 @@
         self.assertThat(response.body, Equals(events(3)))
         self.assertThat(self.models(), HasLength(2))
 
+    @gen_test
+    async def test_request_that_crashes_endpoints_is_stopped(self):
+        """Guards against one request that takes down the whole fleet."""
+        for number in range(8):
+            self.add_endpoint(f"e{number}", MODEL_SERVICE, crash_body=b"poison")
+        front = await self.start_front()
+        for _ in range(4):
+            response = await self.ask(front, STREAM_PATH, body=b"poison")
+            self.assertThat(response.code in (502, 503), Equals(True))
+        crashed = [e for e in self.endpoints.values() if e.runs]
+        self.assertThat(crashed, HasLength(3))
+
     @gen_test
     async def test_caller_may_continue_its_own_stream(self):
         """Guards against a second start of a stream that the caller has in part."""
