Explain a request from logs; show the platform's state on the command line

The client of the project's own platform counts its calls itself again: its test double sets the count.

--- a/src/sesameknot/operator/commands.py
+++ b/src/sesameknot/operator/commands.py
@@ -3,10 +3,12 @@
 from collections.abc import Iterator
 
 import sesameknot.operator._bill_commands
+import sesameknot.operator._explain_command
 import sesameknot.operator._fleet_commands
 import sesameknot.operator._object_commands
 import sesameknot.operator._rollout_commands
-import sesameknot.operator._settings_commands  # noqa: F401 - fill the registry
+import sesameknot.operator._settings_commands
+import sesameknot.operator._store_command  # noqa: F401 - fill the registry
 from sesameknot.errors import (
     ConflictError,
     PlatformError,
--- a/src/sesameknot/transport/platform_client.py
+++ b/src/sesameknot/transport/platform_client.py
@@ -47,14 +47,9 @@
 
     def __init__(self, url: str, *, timeout_s: float = 2.0, token: str = "") -> None:
         self._http = JsonHttp(url, timeout_s=timeout_s, token=token)
-        self._fetch = self._http.fetch
         self.url = self._http.url
         self.timeout_s = timeout_s
-
-    @property
-    def call_count(self) -> int:
-        """Calls made so far."""
-        return self._http.call_count
+        self.call_count = 0
 
     async def get(self, key: str) -> StoredObject | None:
         """Return the object at ``key`` or None if there is none.
@@ -212,6 +207,21 @@
             return WatchBatch(objects=[], version=since, reset=True)
         return _batch(self._body(response, "watch"))
 
+    async def _fetch(
+        self,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        body: str | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> HTTPResponse:
+        self.call_count += 1
+        return await self._http.fetch(
+            method, path, step=step, body=body, headers=headers, timeout_s=timeout_s
+        )
+
     def _body(self, response: HTTPResponse, step: str) -> Any:
         if response.error is not None:
             raise PlatformError(str(response.error), step=step, peer=self.url)
