Log endpoints' refusals; weigh requests below the slots less; soak of real processes

Ruled out: hosts that fall back to the store all the time (83 changes in 50 s, most of them when the store lost its history). Change: a request below an endpoint's slots costs 5 ms in the placement; a relay's waits follow the time in which a configuration must be in force.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real front processes, faults from outside, promises checked."""
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -32,10 +32,10 @@
 RELAY_COUNT = 2
 PERIOD_S = 0.4
 CALL_TIMEOUT_S = 0.3
-# A relay's watch of the configuration returns at least this often.
-RELAY_PROBE_WAIT_S = 0.7
-# With the period this stays below the time in which a configuration must be in force.
-STORE_AGE_LIMIT_MS = 1100.0
+# Left of the time in which a configuration must be in force, for calls and timers.
+APPLY_MARGIN_S = 0.5
+# The store's last answer to a relay may be this much older than its longest wait.
+PROBE_MARGIN_S = 0.4
 # Periods between two calls to the relays of other failure domains.
 FAR_PERIOD_COUNT = 2
 LOAD_LIFE_S = 2.0
@@ -70,6 +70,10 @@
         This host and its failure domain.
     clock : Clock
         Source of monotonic time.
+    probe : StoreFollower
+        Follower whose watch shows whether the store answers.
+    apply_limit_s : float
+        Time in which a configuration must be in force.
     """
 
     def __init__(
@@ -84,11 +88,14 @@
         domain: str,
         clock: Clock,
         probe: StoreFollower,
+        apply_limit_s: float,
     ) -> None:
         self._view = view
         self._followers = {follower.kind: follower for follower in followers}
         self._probe = probe
         self._direct_wait_s = probe.pace.wait_s
+        self._store_age_limit_s = apply_limit_s - PERIOD_S - APPLY_MARGIN_S
+        self._relay_wait_s = max(0.2, self._store_age_limit_s - PROBE_MARGIN_S)
         self._link = link
         self._crashes = crashes
         self._peers = peers
@@ -123,7 +130,7 @@
             self._fresh(heard) and host_id not in relays
             for host_id, heard in self._near.items()
         )
-        wait_s = RELAY_PROBE_WAIT_S if serving else self._direct_wait_s
+        wait_s = self._relay_wait_s if serving else self._direct_wait_s
         if wait_s < self._probe.pace.wait_s:
             # The watch that waits now would return too late.
             self._link.interrupt()
@@ -160,7 +167,7 @@
                 continue
             self._far[relay] = self._heard(reply.loads)
             self._crashes.merge(reply.crashes)
-            if listed and reply.store_age_ms <= STORE_AGE_LIMIT_MS:
+            if listed and reply.store_age_ms <= self._store_age_limit_s * 1000.0:
                 current += 1
                 self._take_objects(reply)
         self._set_relayed(current > 0, reason=f"{current} relays are current")
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -170,6 +170,16 @@
             # The endpoint states that it did not run the request.
             self.request.run_count -= 1
             self.request.not_run_count += 1
+            log.info(
+                "attempt_refused",
+                request_id=self.request.request_id,
+                endpoint=self.known.endpoint_id,
+                status=self.status,
+                model=self.model,
+                in_flight=self.known.in_flight_count,
+                others_in_flight=self.known.other_in_flight_count,
+                slots=self.known.entry.slot_count,
+            )
 
     def _check_answer(self) -> None:
         facts = self.facts
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -153,6 +153,7 @@
             domain=self.host.domain,
             clock=self.clock,
             probe=by_kind[CONFIGURATION_KIND],
+            apply_limit_s=self.host.bounds.configuration_apply_ms / 1000.0,
         )
 
     def _other_addresses(self) -> list[str]:
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -24,7 +24,7 @@
     gather_part: Share = 0.35
     retry_min_s: DurationS = 0.2
     retry_max_s: DurationS = 1.0
-    host_list_interval_s: DurationS = 5.0
+    host_list_interval_s: DurationS = 8.0
 
 
 class CascadeSettings(SettingsStruct):
@@ -42,7 +42,7 @@
 
     strategy: str = "prompt_cache"
     prefill_ms_per_token: Annotated[float, Meta(gt=0.0)] = 0.015
-    request_load_ms: Annotated[float, Meta(ge=0.0)] = 25.0
+    request_load_ms: Annotated[float, Meta(ge=0.0)] = 5.0
     other_domain_ms: Annotated[float, Meta(ge=0.0)] = 20.0
     failure_penalty_ms: Annotated[float, Meta(ge=0.0)] = 1000.0
     # Added for each request beyond the slots of an endpoint.
