Follow load in the cascade; ignore SIGHUP while starting

(3) Relays reported the store as lost at the first failed call, and 57 hosts called it at once. Change: a gauge of the time to the first part lowers the cascade's thresholds and raises the patience of an attempt; a misdirected endpoint counts as gone; a relay reports its last answer; SIGHUP is ignored until it is handled. Tests: PressureTest, test_reused_address_gets_no_request_of_the_earlier_endpoint, test_sighup_while_starting_does_not_end_the_process (failed before).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,8 @@
 
 from soak._world import World
 
+SHOWN_PROBLEM_COUNT = 8
+
 _SEEDS = flags.DEFINE_list("seeds", [], "Seeds to run.")
 _COUNT = flags.DEFINE_integer("count", 0, "Fresh seeds to run.", lower_bound=0)
 _DURATION = flags.DEFINE_float("duration_s", 12.0, "Time of faults for each seed.")
@@ -40,8 +42,10 @@
             directory = Path(_KEEP.value or temporary) / f"seed-{seed}"
             directory.mkdir(parents=True, exist_ok=True)
             problems = asyncio.run(_run_seed(seed, directory))
-        for problem in problems:
+        for problem in problems[:SHOWN_PROBLEM_COUNT]:
             print(f"seed {seed}: BROKEN: {problem}", flush=True)
+        if len(problems) > SHOWN_PROBLEM_COUNT:
+            print(f"seed {seed}: {len(problems)} broken in all", flush=True)
         failed_count += bool(problems)
     print(f"{len(seeds) - failed_count} passed, {failed_count} failed")
     return 1 if failed_count else 0
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,7 +7,7 @@
 
 from sesameknot.registry import Registry
 from soak._checks import EVACUATION_LIMIT_S, LEAVE_LIMIT_S, Bar
-from soak._fronts import GRACE_S
+from soak._fronts import GRACE_S, FrontProcess
 from soak._proxy import Mode
 
 if TYPE_CHECKING:
@@ -24,12 +24,16 @@
 async def kill(world: "World") -> None:
     """Kill a front and start it again."""
     front = world.pick_front()
-    with world.disturbing(front):
-        front.stopping = True
-        front.signal(signal.SIGKILL)
-        await front.wait(5.0)
-        await asyncio.sleep(world.random.uniform(0.0, RESTART_LIMIT_S))
-        await front.start(world.seeds())
+    async with front.restarting:
+        with world.disturbing(front):
+            await _kill(world, front)
+
+
+async def _kill(world: "World", front: FrontProcess) -> None:
+    front.signal(signal.SIGKILL)
+    await front.wait(5.0)
+    await asyncio.sleep(world.random.uniform(0.0, RESTART_LIMIT_S))
+    await front.start(world.seeds())
 
 
 @FAULTS.register("freeze")
@@ -37,6 +41,7 @@
     """Stop a front for a while."""
     front = world.pick_front()
     with world.disturbing(front):
+        front.freeze_count += 1
         front.signal(signal.SIGSTOP)
         await asyncio.sleep(world.random.uniform(0.3, 3.0))
         front.signal(signal.SIGCONT)
@@ -46,17 +51,26 @@
 async def terminate(world: "World") -> None:
     """Stop a front gracefully and start it again."""
     front = world.pick_front()
-    with world.disturbing(front):
-        front.stopping = True
-        front.signal(signal.SIGTERM)
-        code = await front.wait(GRACE_S + EXIT_MARGIN_S)
-        if code is None:
-            world.report(f"{front.host_id} still runs after its grace time")
-            front.signal(signal.SIGKILL)
-            await front.wait(5.0)
-        elif code not in (0, -signal.SIGKILL):
-            world.report(f"{front.host_id} ended with code {code} after SIGTERM")
-        await front.start(world.seeds())
+    async with front.restarting:
+        with world.disturbing(front):
+            await _terminate(world, front)
+
+
+async def _terminate(world: "World", front: FrontProcess) -> None:
+    freeze_count = front.freeze_count
+    # Before its handlers are set, the signal ends a process that serves nothing yet.
+    expected_codes = (0, -signal.SIGTERM) if front.starting else (0,)
+    front.signal(signal.SIGTERM)
+    code = await front.wait(GRACE_S + EXIT_MARGIN_S)
+    # A frozen process does not see the signal; the grace time begins later.
+    if code is None and front.freeze_count == freeze_count:
+        world.report(f"{front.host_id} still runs after its grace time")
+    if code is None:
+        front.signal(signal.SIGKILL)
+        await front.wait(5.0)
+    elif code not in expected_codes:
+        world.report(f"{front.host_id} ended with code {code} after SIGTERM")
+    await front.start(world.seeds())
 
 
 @FAULTS.register("reload")
--- a/soak/_fronts.py
+++ b/soak/_fronts.py
@@ -4,25 +4,18 @@
 import json
 import os
 import signal
-import socket
 import sys
+import time
 from pathlib import Path
 
+from examples.local_deployment import unused_port
+
 from soak._proxy import Proxy
 
 ROOT = Path(__file__).resolve().parents[1]
 GRACE_S = 4.0
-
-
-def unused_ports(count: int) -> list[int]:
-    """Return ports of loopback that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+# Interpreter and imports, on a busy machine.
+START_TIME_S = 3.0
 
 
 class FrontProcess:
@@ -43,25 +36,31 @@
         self.domain = "ab"[number % 2]
         self.store_link = Proxy(store_address)
         self.calm_since_s = 0.0
-        self.stopping = False
+        self.freeze_count = 0
+        self.restarting = asyncio.Lock()
         self._directory = directory
-        ports = unused_ports(4)
+        ports = [unused_port() for _ in range(4)]
         self.caller_address, self.ready_address, self.peer_address = (
             f"127.0.0.1:{port}" for port in ports[:3]
         )
         self._metrics_port = ports[3]
         self._process: asyncio.subprocess.Process | None = None
+        self._started_s = 0.0
 
     @property
     def running(self) -> bool:
         """Whether the process lives."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def starting(self) -> bool:
+        """Whether the process may not handle signals yet."""
+        return time.monotonic() - self._started_s < START_TIME_S
+
     async def start(self, seeds: list[str]) -> None:
         """Write the settings and start the process."""
         if not self.store_link.address:
             await self.store_link.start()
-        self.stopping = False
         node = self._directory / f"{self.host_id}.json"
         node.write_text(json.dumps(self._node(seeds)))
         own = self._directory / f"{self.host_id}.yaml"
@@ -72,6 +71,7 @@
             "PYTHONPATH": str(ROOT / "src"),
         }
         command = ["-m", "sesameknot.apps.front", f"--settings={own}"]
+        self._started_s = time.monotonic()
         with (self._directory / f"{self.host_id}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable, *command, stdout=log, stderr=log, env=environment
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -79,7 +79,8 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump(reader, far_writer, Mode.SILENT))
                 group.create_task(self._pump(far_reader, writer, Mode.SILENT_BACK))
-        except* (OSError, asyncio.IncompleteReadError):
+        except* (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # One side is gone, or the seed ends.
             pass
         finally:
             for each in (writer, far_writer):
--- a/src/sesameknot/apps/front.py
+++ b/src/sesameknot/apps/front.py
@@ -1,8 +1,12 @@
 """Binary ``sesameknot-front``: the router on a host of the users' platform."""
 
+import signal
+
+# Until the loop handles it, a SIGHUP would end the process without a word.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import asyncio
 import os
-import signal
 import sys
 from pathlib import Path
 
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -254,10 +254,15 @@
         reply.objects += [object_record(entry) for entry in changes]
 
     def _store_age_ms(self) -> float:
+        """Return the time since the store last answered for every kind.
+
+        A call that failed a moment ago is no reason for all hosts to call the store.
+        """
         followers = self._followers.values()
-        if self._link.relayed or any(f.lost or not f.listed for f in followers):
+        if self._link.relayed or not all(f.listed for f in followers):
             return float("inf")
-        return self._age_ms(self._probe.answered_s)
+        lost_s = min(follower.lost_s for follower in followers)
+        return self._age_ms(min(self._probe.answered_s, lost_s))
 
     def _age_ms(self, at_s: float) -> float:
         return (self._clock.monotonic_s() - at_s) * 1000.0
--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -144,7 +144,7 @@
         self.revision = 0
         self.answered_s = float("-inf")
         self.listed = False
-        self.lost = False
+        self.lost_s = float("inf")
         self.entries: dict[str, StoredEntry] = {}
         self.pace = pace
         self._changes: deque[StoredEntry] = deque(maxlen=CHANGE_LIMIT_COUNT)
@@ -155,6 +155,11 @@
         self._settings = settings
         self._clock = clock
 
+    @property
+    def lost(self) -> bool:
+        """Whether the last call failed."""
+        return self.lost_s != float("inf")
+
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         pause_s = self._settings.retry_min_s
@@ -248,7 +253,7 @@
         self.answered_s = self._clock.monotonic_s()
         self.revision = changes.revision
         if self.lost:
-            self.lost = False
+            self.lost_s = float("inf")
             log.info("store_regained", kind=self.kind, revision=self.revision)
         if changes.unreadable_count:
             log.warning(
@@ -261,7 +266,7 @@
         self._link.on_failure()
         if self.lost:
             return
-        self.lost = True
+        self.lost_s = self._clock.monotonic_s()
         self._link.interrupt()
         log.warning(
             "store_lost",
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -7,6 +7,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.errors import ConnectError, RouterError, TransportError
+from sesameknot.forwarding.gauges import PressureGauges
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.forwarding.target_picker import TargetPicker, placement_request
 from sesameknot.platform import (
@@ -18,7 +19,7 @@
 from sesameknot.policy.prompt_placement import PromptCacheMemory
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import AttemptSettings
-from sesameknot.state.fleet_view import KnownEndpoint
+from sesameknot.state.fleet_view import FleetView, KnownEndpoint
 from sesameknot.state.version_counts import SLOW_SHARE_OF_TARGET, VersionCounts
 from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
 from sesameknot.transport.endpoint_client import EndpointClient
@@ -170,6 +171,9 @@
             # The endpoint states that it did not run the request.
             self.request.run_count -= 1
             self.request.not_run_count += 1
+            if self.facts.misdirected:
+                # Another endpoint has the address, so this one is gone.
+                self._runner.view.remove_misdirected(self.known)
             log.info(
                 "attempt_refused",
                 request_id=self.request.request_id,
@@ -228,6 +232,11 @@
         """Note that the endpoint has read the prompt."""
         if self._first_s is None:
             self._first_s = self._runner.clock.monotonic_s()
+            if self._exchange.status:
+                self._runner.pressures.of(self.known.entry.service).observe(
+                    self._first_s - self._started_s,
+                    self.request.route.latency_target_ms / 1000.0,
+                )
         self.known.pending_tokens -= self._reading_tokens
         self._reading_tokens = 0
 
@@ -273,12 +282,16 @@
     ----------
     client : EndpointClient
         Opens exchanges.
+    view : FleetView
+        Told of endpoints that turn out to be gone.
     picker : TargetPicker
         Tells whether an endpoint may still get a request.
     cache : PromptCacheMemory
         Remembers which endpoints read which prompts.
     counts : VersionCounts
         Answers by version.
+    pressures : PressureGauges
+        Time to the first part of answers by service.
     settings : AttemptSettings
         Deadlines.
     metrics : RouterMetrics
@@ -291,17 +304,21 @@
         self,
         *,
         client: EndpointClient,
+        view: FleetView,
         picker: TargetPicker,
         cache: PromptCacheMemory,
         counts: VersionCounts,
+        pressures: PressureGauges,
         settings: AttemptSettings,
         metrics: RouterMetrics,
         clock: Clock,
     ) -> None:
         self.client = client
+        self.view = view
         self.picker = picker
         self.cache = cache
         self.counts = counts
+        self.pressures = pressures
         self.settings = settings
         self.metrics = metrics
         self.clock = clock
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -15,6 +15,7 @@
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.platform import caller_headers
 from sesameknot.policy.confidence_cascade import CascadeStep
+from sesameknot.policy.pressure import PressureGauge
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import CascadeSettings
 
@@ -49,7 +50,10 @@
     cascade : callable
         Which model is asked next.
     cascade_settings : CascadeSettings
-        Threshold of the cascade.
+        Thresholds of the cascade.
+    patience_factor : float
+        Multiple of the usual time to the first event after which an attempt is given
+        up for another one.
     metrics : RouterMetrics
         Latency histograms.
     """
@@ -60,11 +64,13 @@
         *,
         cascade: CascadeStep,
         cascade_settings: CascadeSettings,
+        patience_factor: float,
         metrics: RouterMetrics,
     ) -> None:
         self._loop = loop
         self._cascade = cascade
         self._thresholds = cascade_settings.confidence_thresholds
+        self._patience_factor = patience_factor
         self._metrics = metrics
 
     async def serve(self, request: ForwardedRequest, caller: CallerConnection) -> None:
@@ -159,7 +165,8 @@
             "answer_dropped_for_larger_model",
             request_id=request.request_id,
             confidence=attempt.facts.confidence,
-            threshold=self._threshold(request),
+            threshold=round(self._threshold(request), 1),
+            pressure=round(self._pressure(request).level, 3),
             model=state.model,
             next_model=model,
         )
@@ -181,7 +188,11 @@
 
     def _threshold(self, request: ForwardedRequest) -> float:
         rank = min(max(0, request.route.priority), len(self._thresholds) - 1)
-        return self._thresholds[rank]
+        # Under load, a large model's run would delay the answers of others.
+        return self._thresholds[rank] * self._pressure(request).headroom
+
+    def _pressure(self, request: ForwardedRequest) -> PressureGauge:
+        return self._loop.runner.pressures.of(request.service)
 
     async def _pass_on(
         self, state: _StreamState, attempt: Attempt, caller: CallerConnection
@@ -215,10 +226,10 @@
         caller.finish()
 
     def _first_event_s(self, request: ForwardedRequest) -> float:
-        return self._wait_s(
-            request,
-            self._loop.settings.first_event_factor * request.route.latency_target_ms,
-        )
+        # Where all endpoints are busy, another attempt only begins to wait again.
+        usual = self._patience_factor * self._pressure(request).level
+        factor = max(self._loop.settings.first_event_factor, usual)
+        return self._wait_s(request, factor * request.route.latency_target_ms)
 
     def _progress_s(self, request: ForwardedRequest) -> float:
         gap_ms = request.route.event_gap_ms or request.route.latency_target_ms
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -23,6 +23,7 @@
 from sesameknot.coordination.store_follower import StoreFollower, StoreLink, WatchPace
 from sesameknot.forwarding.attempt import AttemptRunner
 from sesameknot.forwarding.crash_detector import CrashDetector
+from sesameknot.forwarding.gauges import PressureGauges
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.plain import AttemptLoop, PlainForwarder, RetryWindows
 from sesameknot.forwarding.stream import StreamForwarder
@@ -170,9 +171,15 @@
         picker = self._build_picker(cache)
         runner = AttemptRunner(
             client=self.endpoint_client,
+            view=self.view,
             picker=picker,
             cache=cache,
             counts=self.counts,
+            pressures=PressureGauges(
+                clock=self.clock,
+                calm_level=settings.pressure.calm_level,
+                full_level=settings.pressure.full_level,
+            ),
             settings=settings.attempts,
             metrics=self.metrics,
             clock=self.clock,
@@ -191,6 +198,7 @@
             loop,
             cascade=CASCADES.get(settings.cascade.strategy),
             cascade_settings=settings.cascade,
+            patience_factor=settings.pressure.patience_factor,
             metrics=self.metrics,
         )
         return Ingress(
--- a/src/sesameknot/platform/_headers.py
+++ b/src/sesameknot/platform/_headers.py
@@ -128,6 +128,8 @@
         Proof that the endpoint made this answer.
     not_run : bool
         Whether the endpoint states that it did not run the request.
+    misdirected : bool
+        Whether another endpoint than the expected one answered.
     confidence : float or None
         The model's opinion of its answer, from 0 to 100.
     """
@@ -135,6 +137,7 @@
     request_id: str = ""
     receipt: str = ""
     not_run: bool = False
+    misdirected: bool = False
     confidence: float | None = None
 
 
@@ -223,5 +226,6 @@
         request_id=headers.get(REQUEST_ID, ""),
         receipt=headers.get(RECEIPT, ""),
         not_run=NOT_RUN in headers or status == MISDIRECTED_STATUS,
+        misdirected=status == MISDIRECTED_STATUS,
         confidence=confidence,
     )
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -37,6 +37,19 @@
     )
 
 
+class PressureSettings(SettingsStruct):
+    """Time to the first part of an answer, as shares of the latency target.
+
+    Up to the calm level unsure answers are replaced as the thresholds say; from the
+    full level on none is.
+    """
+
+    calm_level: Annotated[float, Meta(ge=0.0)] = 0.25
+    full_level: Annotated[float, Meta(gt=0.0)] = 0.7
+    # An attempt is given up for another one after this multiple of the usual time.
+    patience_factor: Annotated[float, Meta(gt=0.0)] = 6.0
+
+
 class PlacementSettings(SettingsStruct):
     """Choice of an endpoint."""
 
@@ -82,6 +95,7 @@
 
     store: StoreSettings = field(default_factory=StoreSettings)
     cascade: CascadeSettings = field(default_factory=CascadeSettings)
+    pressure: PressureSettings = field(default_factory=PressureSettings)
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     attempts: AttemptSettings = field(default_factory=AttemptSettings)
     rollouts: RolloutPlanSettings = field(default_factory=RolloutPlanSettings)
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -167,12 +167,17 @@
         )
         known.gone_at_s = now_s + LAPSE_GRACE_S if lapsed else now_s
 
+    def remove_misdirected(self, known: KnownEndpoint) -> None:
+        """Take note that another endpoint answers at an endpoint's address."""
+        known.gone_at_s = self.clock.monotonic_s()
+
     def forget_gone(self) -> None:
         """Drop endpoints that are gone and have no attempt running."""
         now_s = self.clock.monotonic_s()
         for endpoint_id, known in list(self.endpoints.items()):
             gone = known.gone_at_s is not None and now_s >= known.gone_at_s
-            if gone and not known.in_flight_count:
+            # The entry of a misdirected endpoint may still be listed for a while.
+            if gone and not known.in_flight_count and now_s - known.gone_at_s > 10.0:
                 del self.endpoints[endpoint_id]
 
     def set_evacuated(self, domains: set[str]) -> None:
--- /dev/null
+++ b/tests/apps/test_front_binary.py
@@ -0,0 +1,51 @@
+"""Tests of the front binary as a process."""
+
+import asyncio
+import os
+import signal
+import sys
+
+from soak._fronts import FrontProcess
+from testtools.matchers import Equals
+from tornado.testing import gen_test
+
+from sesameknot.platform.standin import FleetStore
+from tests.front_world import configuration
+from tests.support import LoopTestCase
+
+
+class FrontBinaryTest(LoopTestCase):
+    @gen_test(timeout=40)
+    async def test_sighup_while_starting_does_not_end_the_process(self):
+        """Guards against a process that the signal's default action ends."""
+        store = FleetStore()
+        store.put("config", "main", configuration())
+        front = FrontProcess(1, self.listen(store.server()), self.make_directory())
+        self.closing(lambda: self.io_loop.run_sync(front.close))
+        await front.start([])
+        # The interpreter itself needs some time before any module is loaded.
+        await asyncio.sleep(0.3)
+        for _ in range(100):
+            front.signal(signal.SIGHUP)
+            await asyncio.sleep(0.02)
+        self.assertTrue(front.running)
+        front.signal(signal.SIGTERM)
+        self.assertThat(await front.wait(10.0), Equals(0))
+
+    @gen_test(timeout=40)
+    async def test_wrong_settings_end_the_start_with_one_clear_line(self):
+        """Guards against a start with half of the settings, or a trace of ours."""
+        directory = self.make_directory()
+        node = directory / "node.json"
+        node.write_text('{"Node": 7}')
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "sesameknot.apps.front",
+            env={**os.environ, "SESAMEKNOT_NODE_FILE": str(node), "PYTHONPATH": "src"},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, text = await process.communicate()
+        self.assertThat(process.returncode, Equals(2))
+        self.assertThat(text.count(b"\n"), Equals(1))
+        self.assertIn(b"Node", text)
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -129,6 +129,9 @@
         response = await self.ask(front, UNSAFE_PATH)
         self.assertThat(response.code, Equals(503))
         self.assertThat(endpoint.runs, HasLength(0))
+        await self.ask(front, UNSAFE_PATH)
+        # The first answer showed that the old endpoint is gone.
+        self.assertThat(endpoint.refused_count, Equals(1))
 
     @gen_test
     async def test_unknown_routes_and_keys(self):
--- a/tests/policy/test_front_policies.py
+++ b/tests/policy/test_front_policies.py
@@ -7,6 +7,7 @@
 from sesameknot.clock import ManualClock
 from sesameknot.policy.cold_admission import ColdAdmission
 from sesameknot.policy.confidence_cascade import CASCADES
+from sesameknot.policy.pressure import PressureGauge
 from sesameknot.policy.prompt_placement import (
     PLACEMENTS,
     PlacementCandidate,
@@ -84,6 +85,37 @@
         self.assertFalse(part.may_use("e1", self.RATE_PER_S, []))
 
 
+class PressureTest(TestCase):
+    def gauge(self):
+        clock = ManualClock()
+        return clock, PressureGauge(clock=clock, calm_level=0.25, full_level=0.7)
+
+    def test_overload_takes_away_the_optional_work(self):
+        """Guards against large models that delay every answer of a busy fleet."""
+        clock, gauge = self.gauge()
+        self.assertThat(gauge.headroom, Equals(1.0))
+        for _ in range(50):
+            clock.advance(0.05)
+            gauge.observe(1.2, 1.5)
+        self.assertThat(gauge.headroom, Equals(0.0))
+
+    def test_calm_returns_within_seconds(self):
+        """Guards against a fleet that stays cautious after a burst."""
+        clock, gauge = self.gauge()
+        for _ in range(50):
+            gauge.observe(1.5, 1.5)
+        for _ in range(100):
+            clock.advance(0.08)
+            gauge.observe(0.15, 1.5)
+        self.assertThat(gauge.headroom, Equals(1.0))
+
+    def test_single_slow_answer_says_little(self):
+        """Guards against a quiet fleet that one answer turns cautious."""
+        _, gauge = self.gauge()
+        gauge.observe(0.7, 1.5)
+        self.assertThat(gauge.headroom, Equals(1.0))
+
+
 class CascadeTest(TestCase):
     def test_smallest_then_largest(self):
         """Guards against costly models for sure answers, and cheap unsure ones."""
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 from testtools import TestCase
 from tornado.tcpserver import TCPServer
@@ -24,6 +26,12 @@
         """Call ``close`` at the end of the test, in reverse order."""
         self._closers.append(close)
 
+    def make_directory(self) -> Path:
+        """Return a directory that exists until the end of the test."""
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        return Path(directory.name)
+
     def tearDown(self):
         for close in reversed(self._closers):
             close()
