--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -155,14 +155,14 @@
     member.proxy.close()
     await asyncio.sleep(world.random.uniform(0.2, 1.5))
     world.store.remove("servers", member.endpoint.endpoint_id)
-    await world.add_endpoint(member.service, member.domain)
+    await world.add_endpoint(member.service, member.domain, version=member.version)
 
 
 @FAULTS.register("leave")
 async def leave(world: "World") -> None:
     """Let an endpoint leave in order; another one comes first."""
     member = world.pick_endpoint()
-    await world.add_endpoint(member.service, member.domain)
+    await world.add_endpoint(member.service, member.domain, version=member.version)
     endpoint_id = member.endpoint.endpoint_id
     world.members.remove(member)
     entry = dict(world.store.get("servers", endpoint_id)["Spec"], State="draining")
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -23,6 +23,7 @@
 TIMEOUT_MS = 3000
 START_LIMIT_S = 20.0
 RECOVER_LIMIT_S = 12.0
+RECOVERY_PAUSE_S = 0.05
 PATHS = {"stream": "/advice/x", "unsafe": "/booking/x", "safe": "/lookup/x"}
 EXTRA_PATH = "/extra/x"
 
@@ -35,6 +36,7 @@
     proxy: Proxy
     service: str
     domain: str
+    version: str
 
 
 class World:
@@ -131,7 +133,13 @@
         }
         self.store.put("servers", endpoint.endpoint_id, entry)
         self.members.append(
-            Member(endpoint=endpoint, proxy=proxy, service=service, domain=domain)
+            Member(
+                endpoint=endpoint,
+                proxy=proxy,
+                service=service,
+                domain=domain,
+                version=version,
+            )
         )
 
     def configure(self, *, extra: bool) -> None:
@@ -289,6 +297,7 @@
         while served < 5:
             request = await self._ask(front, link, "safe")
             served = served + 1 if request.answer.status == 200 else 0
+            await asyncio.sleep(RECOVERY_PAUSE_S)
         link.close()
 
     async def close(self) -> None:
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -56,7 +56,7 @@
     strategy: str = "prompt_cache"
     prefill_ms_per_token: Annotated[float, Meta(gt=0.0)] = 0.015
     request_load_ms: Annotated[float, Meta(ge=0.0)] = 5.0
-    other_domain_ms: Annotated[float, Meta(ge=0.0)] = 20.0
+    other_domain_ms: Annotated[float, Meta(ge=0.0)] = 100.0
     failure_penalty_ms: Annotated[float, Meta(ge=0.0)] = 1000.0
     # Added for each request beyond the slots of an endpoint.
     waiting_ms: Annotated[float, Meta(ge=0.0)] = 200.0
