Keep models apart on the endpoints of a service

Ruled out: full slots (no request was refused as full), preemption (0). Change: endpoints are divided between models by hash, by the cost of the tokens that each model is asked for; another model's endpoint costs 300 ms in the placement. Tests: ModelPartitionTest.

--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -19,6 +19,9 @@
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import CascadeSettings
 
+# While another attempt may follow, it must keep enough time to be answered.
+LONGEST_WAIT_PART = 0.5
+
 log = structlog.get_logger(__name__)
 
 
@@ -240,4 +243,4 @@
         last = request.run_count + 1 >= request.route.attempt_limit_count
         if last or not request.route.repeatable:
             return left_s
-        return min(left_s, limit_ms / 1000.0)
+        return min(LONGEST_WAIT_PART * left_s, limit_ms / 1000.0)
--- a/src/sesameknot/forwarding/target_picker.py
+++ b/src/sesameknot/forwarding/target_picker.py
@@ -7,6 +7,7 @@
 from sesameknot.clock import Clock
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.policy.cold_admission import ColdAdmission
+from sesameknot.policy.model_partition import ModelPartition
 from sesameknot.policy.prompt_placement import (
     Placement,
     PlacementCandidate,
@@ -42,6 +43,8 @@
         What is known of the fleet.
     placement : Placement
         Choice among the candidates.
+    partition : ModelPartition
+        Which endpoints should run which model.
     cold : ColdAdmission
         Limits on cold endpoints.
     domain : str
@@ -55,12 +58,14 @@
         *,
         view: FleetView,
         placement: Placement,
+        partition: ModelPartition,
         cold: ColdAdmission,
         domain: str,
         clock: Clock,
     ) -> None:
         self._view = view
         self._placement = placement
+        self._partition = partition
         self._cold = cold
         self._domain = domain
         self._clock = clock
@@ -145,11 +150,29 @@
     def _choose(
         self, candidates: list[KnownEndpoint], request: ForwardedRequest, model: str
     ) -> KnownEndpoint:
-        views = [self._candidate(known) for known in candidates]
+        preferred = self._for_model(candidates, request, model)
+        views = [self._candidate(known, preferred) for known in candidates]
         chosen = self._placement.choose(views, placement_request(request, model))
         return candidates[views.index(chosen)]
 
-    def _candidate(self, known: KnownEndpoint) -> PlacementCandidate:
+    def _for_model(
+        self, candidates: list[KnownEndpoint], request: ForwardedRequest, model: str
+    ) -> set[str]:
+        """Return the candidates that should run ``model``, and count the run."""
+        endpoint_ids = [known.endpoint_id for known in candidates]
+        models = request.route.models
+        if model not in models or self._view.configuration is None:
+            return set(endpoint_ids)
+        costs = self._view.configuration.service(request.service).model_costs
+        facts = request.facts
+        tokens = facts.prompt_token_count + facts.output_token_limit_count
+        # The configuration tells a model's weight by its cost per token only.
+        self._partition.note(model, costs.get(model, 1.0) * max(1, tokens))
+        return self._partition.preferred(model, models, endpoint_ids)
+
+    def _candidate(
+        self, known: KnownEndpoint, preferred: set[str]
+    ) -> PlacementCandidate:
         return PlacementCandidate(
             endpoint_id=known.endpoint_id,
             same_domain=known.entry.domain == self._domain,
@@ -157,6 +180,7 @@
             pending_tokens=known.pending_tokens + known.other_pending_tokens,
             failure_share=known.health.failure_share,
             slot_count=known.entry.slot_count,
+            for_model=known.endpoint_id in preferred,
         )
 
 
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -37,6 +37,7 @@
 from sesameknot.policy.cold_admission import ColdAdmission
 from sesameknot.policy.confidence_cascade import CASCADES
 from sesameknot.policy.crash_guard import CrashGuard
+from sesameknot.policy.model_partition import ModelPartition
 from sesameknot.policy.prompt_placement import (
     PLACEMENTS,
     PlacementCosts,
@@ -218,6 +219,7 @@
             other_domain_ms=placement.other_domain_ms,
             failure_penalty_ms=placement.failure_penalty_ms,
             waiting_ms=placement.waiting_ms,
+            other_model_ms=placement.other_model_ms,
         )
         seed = self.settings.random_state or None
         return TargetPicker(
@@ -225,6 +227,7 @@
             placement=PLACEMENTS.get(placement.strategy)(
                 costs=costs, cache=cache, random_generator=np.random.default_rng(seed)
             ),
+            partition=ModelPartition(clock=self.clock),
             cold=ColdAdmission(clock=self.clock, host_id=self.host.host_id),
             domain=self.host.domain,
             clock=self.clock,
--- a/src/sesameknot/policy/prompt_placement.py
+++ b/src/sesameknot/policy/prompt_placement.py
@@ -32,6 +32,8 @@
         Recent share of this host's attempts that it failed.
     slot_count : int
         Requests that it runs at once; 0 if unknown.
+    for_model : bool
+        Whether it should run the request's model.
     """
 
     endpoint_id: str
@@ -40,6 +42,7 @@
     pending_tokens: int = 0
     failure_share: float = 0.0
     slot_count: int = 0
+    for_model: bool = True
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -59,6 +62,7 @@
     other_domain_ms: float
     failure_penalty_ms: float
     waiting_ms: float = 0.0
+    other_model_ms: float = 0.0
 
 
 class Placement(Protocol):
@@ -140,6 +144,7 @@
             + candidate.pending_tokens * costs.prefill_ms_per_token
             + candidate.failure_share * costs.failure_penalty_ms
             + (0.0 if candidate.same_domain else costs.other_domain_ms)
+            + (0.0 if candidate.for_model else costs.other_model_ms)
         )
 
 
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -60,6 +60,8 @@
     failure_penalty_ms: Annotated[float, Meta(ge=0.0)] = 1000.0
     # Added for each request beyond the slots of an endpoint.
     waiting_ms: Annotated[float, Meta(ge=0.0)] = 200.0
+    # Added where an endpoint should run other models.
+    other_model_ms: Annotated[float, Meta(ge=0.0)] = 300.0
     cache_life_s: DurationS = 10.0
 
 
--- a/tests/policy/test_front_policies.py
+++ b/tests/policy/test_front_policies.py
@@ -7,6 +7,7 @@
 from sesameknot.clock import ManualClock
 from sesameknot.policy.cold_admission import ColdAdmission
 from sesameknot.policy.confidence_cascade import CASCADES
+from sesameknot.policy.model_partition import ModelPartition
 from sesameknot.policy.pressure import PressureGauge
 from sesameknot.policy.prompt_placement import (
     PLACEMENTS,
@@ -190,6 +191,37 @@
             self.assertThat(chosen.endpoint_id == "e0", Equals(False))
 
 
+class ModelPartitionTest(TestCase):
+    ENDPOINTS = [f"e{n}" for n in range(10)]
+
+    def partition(self, **work):
+        partition = ModelPartition(clock=ManualClock())
+        for model, amount in work.items():
+            partition.note(model, amount)
+        return partition
+
+    def test_large_model_is_kept_apart_with_its_part_of_the_endpoints(self):
+        """Guards against large runs that delay the small ones on every endpoint."""
+        partition = self.partition(small=2.0, large=8.0)
+        small = partition.preferred("small", MODELS, self.ENDPOINTS)
+        large = partition.preferred("large", MODELS, self.ENDPOINTS)
+        self.assertThat((len(small), len(large)), Equals((2, 8)))
+        self.assertThat(small & large, Equals(set()))
+
+    def test_model_without_runs_still_has_an_endpoint(self):
+        """Guards against a model that has no place when it is needed first."""
+        partition = self.partition(small=5.0)
+        self.assertThat(
+            len(partition.preferred("large", MODELS, self.ENDPOINTS)), Equals(1)
+        )
+
+    def test_few_endpoints_run_all_models(self):
+        """Guards against a small site that cannot be divided."""
+        partition = self.partition(small=1.0, large=1.0)
+        found = partition.preferred("small", MODELS, ["e1", "e2"])
+        self.assertThat(found, Equals({"e1", "e2"}))
+
+
 class RendezvousTest(TestCase):
     def test_lost_host_moves_only_its_own_keys(self):
         """Guards against caches and duties that move when one host leaves."""
