Split the request path's modules; take test ports below the outgoing range

Cause: plain.py held the shared rules and two registries by service, front.py the status pages; forwarding imported private modules of transport. One test failed once with 'Address already in use': its ports came from the range of outgoing connections, so that one of them was taken between choice and start. Change: attempt_loop, per_service and status_pages are modules of their own; behaviour is unchanged. The front's tests take ports as the process tests do.

--- a/src/sesameknot/coordination/fleet_sinks.py
+++ b/src/sesameknot/coordination/fleet_sinks.py
@@ -16,6 +16,7 @@
     decode_endpoint,
     decode_rollout,
 )
+from sesameknot.protocol.fleet_records import EndpointEntry
 from sesameknot.registry import Registry
 from sesameknot.state.fleet_view import FleetView
 
@@ -81,7 +82,7 @@
     return ObjectSink(replace=replace, change=change)
 
 
-def _endpoint(entry: StoredEntry):  # noqa: ANN202
+def _endpoint(entry: StoredEntry) -> EndpointEntry | None:
     try:
         return decode_endpoint(entry)
     except EntryError as error:
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -7,7 +7,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.errors import ConnectError, RouterError, TransportError
-from sesameknot.forwarding.gauges import PressureGauges
+from sesameknot.forwarding.per_service import PerService
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.forwarding.target_picker import TargetPicker, placement_request
 from sesameknot.platform import (
@@ -16,13 +16,18 @@
     answer_facts,
     endpoint_headers,
 )
+from sesameknot.policy.pressure import PressureGauge
 from sesameknot.policy.prompt_placement import PromptCacheMemory
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import AttemptSettings
 from sesameknot.state.fleet_view import FleetView, KnownEndpoint
 from sesameknot.state.version_counts import SLOW_SHARE_OF_TARGET, VersionCounts
-from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
-from sesameknot.transport.endpoint_client import EndpointClient
+from sesameknot.transport.endpoint_client import (
+    CallLimits,
+    EndpointCall,
+    EndpointClient,
+    Exchange,
+)
 
 # The smallest time that an endpoint is told.
 SHORTEST_TIME_LEFT_MS = 1
@@ -290,7 +295,7 @@
         Remembers which endpoints read which prompts.
     counts : VersionCounts
         Answers by version.
-    pressures : PressureGauges
+    pressures : PerService of PressureGauge
         Time to the first part of answers by service.
     settings : AttemptSettings
         Deadlines.
@@ -308,7 +313,7 @@
         picker: TargetPicker,
         cache: PromptCacheMemory,
         counts: VersionCounts,
-        pressures: PressureGauges,
+        pressures: PerService[PressureGauge],
         settings: AttemptSettings,
         metrics: RouterMetrics,
         clock: Clock,
@@ -350,7 +355,7 @@
             limits=limits,
         )
 
-    def exchange(self, attempt: Attempt):  # noqa: ANN201
+    def exchange(self, attempt: Attempt) -> Exchange:
         """Start the HTTP exchange of ``attempt``."""
         request = attempt.request
         if request.facts.prompt:
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -9,9 +9,9 @@
     Attempt,
     NotSentError,
 )
+from sesameknot.forwarding.attempt_loop import AttemptLoop
 from sesameknot.forwarding.caller import CallerConnection
 from sesameknot.forwarding.events import EventSplitter
-from sesameknot.forwarding.plain import AttemptLoop
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.platform import caller_headers
 from sesameknot.policy.confidence_cascade import CascadeStep
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -8,9 +8,8 @@
 import numpy as np
 import structlog
 from aioprometheus.collectors import Registry
-from aioprometheus.renderer import render
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPServerRequest
 from tornado.netutil import bind_sockets
 
 from sesameknot.clock import Clock, SystemClock
@@ -22,27 +21,30 @@
 from sesameknot.coordination.rollout_duty import RolloutDuty
 from sesameknot.coordination.store_follower import StoreFollower, StoreLink, WatchPace
 from sesameknot.forwarding.attempt import AttemptRunner
+from sesameknot.forwarding.attempt_loop import AttemptLoop
 from sesameknot.forwarding.crash_detector import CrashDetector
-from sesameknot.forwarding.gauges import PressureGauges
 from sesameknot.forwarding.ingress import Ingress
-from sesameknot.forwarding.plain import AttemptLoop, PlainForwarder, RetryWindows
+from sesameknot.forwarding.per_service import PerService
+from sesameknot.forwarding.plain import PlainForwarder
+from sesameknot.forwarding.status_pages import StatusPages
 from sesameknot.forwarding.stream import StreamForwarder
 from sesameknot.forwarding.target_picker import TargetPicker
 from sesameknot.platform import (
     CONFIGURATION_KIND,
     ENDPOINT_KIND,
-    READY_PATH,
     StoreClient,
 )
 from sesameknot.policy.cold_admission import ColdAdmission
 from sesameknot.policy.confidence_cascade import CASCADES
 from sesameknot.policy.crash_guard import CrashGuard
 from sesameknot.policy.model_partition import ModelPartition
+from sesameknot.policy.pressure import PressureGauge
 from sesameknot.policy.prompt_placement import (
     PLACEMENTS,
     PlacementCosts,
     PromptCacheMemory,
 )
+from sesameknot.policy.retry_window import RetryWindow
 from sesameknot.policy.rollout_course import CoursePlan, RolloutCourse
 from sesameknot.protocol.fleet_records import HostEntry
 from sesameknot.protocol.messages import (
@@ -62,7 +64,6 @@
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
 
-METRICS_PATH = "/metrics"
 # Hosts may count requests and repeats in slightly different windows.
 RETRY_RATIO_PART = 0.85
 # Hosts for which the retry slack is divided before others are known.
@@ -142,6 +143,13 @@
         self.crash_guard = CrashGuard(clock=self.clock, limit_count=CRASH_LIMIT_COUNT)
         self.exchange = self._build_exchange()
         self.ingress = self._build_ingress()
+        self._pages = StatusPages(
+            view=self.view,
+            drain=self.drain,
+            metrics=self.metrics,
+            store_call_count=lambda: self.store.call_count,
+            clock=self.clock,
+        )
 
     def _build_exchange(self) -> DomainExchange:
         by_kind = {follower.kind: follower for follower in self.followers}
@@ -176,11 +184,7 @@
             picker=picker,
             cache=cache,
             counts=self.counts,
-            pressures=PressureGauges(
-                clock=self.clock,
-                calm_level=settings.pressure.calm_level,
-                full_level=settings.pressure.full_level,
-            ),
+            pressures=PerService(self._build_gauge),
             settings=settings.attempts,
             metrics=self.metrics,
             clock=self.clock,
@@ -191,7 +195,7 @@
             picker=picker,
             runner=runner,
             crashes=crashes,
-            budgets=self._build_budgets(),
+            budgets=PerService(self._build_budget),
             settings=settings.attempts,
             clock=self.clock,
         )
@@ -233,9 +237,17 @@
             clock=self.clock,
         )
 
-    def _build_budgets(self) -> RetryWindows:
+    def _build_gauge(self) -> PressureGauge:
+        pressure = self.settings.pressure
+        return PressureGauge(
+            clock=self.clock,
+            calm_level=pressure.calm_level,
+            full_level=pressure.full_level,
+        )
+
+    def _build_budget(self) -> RetryWindow:
         bounds = self.host.bounds
-        return RetryWindows(
+        return RetryWindow(
             clock=self.clock,
             ratio=bounds.retry_ratio * RETRY_RATIO_PART,
             window_s=bounds.retry_window_s,
@@ -322,9 +334,9 @@
             idle_connection_timeout=limits.idle_timeout_s if limits else 60.0,
         )
         self._serve(self._caller_server, self.host.caller_address)
-        self._serve(HTTPServer(self._answer_ready), self.host.ready_address)
+        self._serve(HTTPServer(self._pages.answer_ready), self.host.ready_address)
         metrics_address = f"{self.host.ip}:{self.settings.metrics_port}"
-        self._serve(HTTPServer(self._answer_metrics), metrics_address)
+        self._serve(HTTPServer(self._pages.answer_metrics), metrics_address)
 
     def _serve(self, server: HTTPServer, address: str) -> None:
         ip, _, port = address.rpartition(":")
@@ -347,22 +359,6 @@
     async def _answer_stats(self, request: StatsRequest) -> StatsReply:
         return StatsReply(host_id=self.host.host_id, versions=self.counts.records())
 
-    def _answer_ready(self, received: HTTPServerRequest) -> None:
-        ready = self.view.ready and not self.drain.leaving
-        known = received.path == READY_PATH
-        _respond(received, (200 if ready else 503) if known else 404)
-
-    def _answer_metrics(self, received: HTTPServerRequest) -> None:
-        if received.path != METRICS_PATH:
-            _respond(received, 404)
-            return
-        self.metrics.in_flight.set({}, self.drain.in_flight_count)
-        self.metrics.platform_calls.set({}, self.store.call_count)
-        configuration_age_s = self.clock.monotonic_s() - self.view.configuration_s
-        self.metrics.config_age_s.set({}, configuration_age_s)
-        content, headers = render(self.registry, received.headers.get_list("Accept"))
-        _respond(received, 200, content, headers)
-
     async def _forget_loop(self) -> None:
         while True:
             await asyncio.sleep(FORGET_INTERVAL_S)
@@ -403,20 +399,6 @@
         await self._stack.aclose()
 
 
-def _respond(
-    received: HTTPServerRequest,
-    status: int,
-    content: bytes = b"",
-    headers: dict[str, str] | None = None,
-) -> None:
-    connection = received.connection
-    all_headers = HTTPHeaders(headers or {})
-    all_headers["Content-Length"] = str(len(content))
-    start = ResponseStartLine("HTTP/1.1", status, "")
-    connection.write_headers(start, all_headers, content or None)
-    connection.finish()
-
-
 def _log_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         log.error("task_failed", task=task.get_name(), reason=repr(task.exception()))
--- a/src/sesameknot/transport/endpoint_client.py
+++ b/src/sesameknot/transport/endpoint_client.py
@@ -43,6 +43,7 @@
     "EndpointClient",
     "EndpointStatusError",
     "EndpointStream",
+    "Exchange",
     "ObservedLoad",
 ]
 
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
+from examples.local_deployment import unused_port
 from tornado.httpclient import HTTPResponse
 from tornado.httputil import HTTPHeaders
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
-from tornado.testing import bind_unused_port
 
 from sesameknot.front import Front
 from sesameknot.platform.standin import FleetEndpoint, FleetStore
@@ -104,11 +104,7 @@
 
     def host_settings(self, host_id="host-1", *, seeds=(), **bounds):
         """Return settings with unused ports."""
-        ports = []
-        for _ in range(3):
-            sock, port = bind_unused_port()
-            sock.close()
-            ports.append(port)
+        ports = [unused_port() for _ in range(3)]
         return HostSettings(
             host_id=host_id,
             ip="127.0.0.1",
@@ -127,11 +123,9 @@
 
     async def start_front(self, host_id="host-1", *, settings=None, seeds=(), **bounds):
         """Start a front process on the present store and wait until it is ready."""
-        sock, metrics_port = bind_unused_port()
-        sock.close()
         front = Front(
             self.host_settings(host_id, seeds=seeds, **bounds),
-            settings or FrontSettings(metrics_port=metrics_port),
+            settings or FrontSettings(metrics_port=unused_port()),
         )
         self.closing(lambda: self.io_loop.run_sync(front.close))
         await front.start()
