--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,9 @@
 # Each of the process tests runs up to 20 processes.
 PROCESS_TEST_WORKERS ?= 4
 
-.PHONY: setup test demo bench lint format clean
+SOAK_COUNT ?= 10
+
+.PHONY: setup test demo soak bench lint format clean
 
 setup: $(STAMP)
 
@@ -22,6 +24,10 @@
 demo: $(STAMP)
 	$(BIN)/python examples/demo.py
 
+# Fresh seeds of the fault soak; the seeds that failed once stand in soak/seeds.txt.
+soak: $(STAMP)
+	$(BIN)/python -m soak --count $(SOAK_COUNT)
+
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks
 
