--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 
 demo: $(STAMP)
 	$(BIN)/python examples/demo.py
+	$(BIN)/python examples/front_demo.py
 
 # Fresh seeds of the fault soak; the seeds that failed once stand in soak/seeds.txt.
 soak: $(STAMP)
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -61,7 +61,7 @@
         self.extra_route = False
         self._extra_changed_s = 0.0
         self._directory = directory
-        self._runs: dict[str, list[RecordedRun]] = {}
+        self.runs: dict[str, list[RecordedRun]] = {}
         self._disturbed: dict[str, int] = {}
         self._version = 0
         self._endpoint_count = 0
@@ -119,7 +119,7 @@
             event_gap_s=0.02,
             delay_s=0.01,
         )
-        self._runs[endpoint.endpoint_id] = endpoint.runs
+        self.runs[endpoint.endpoint_id] = endpoint.runs
         proxy = Proxy(self._listen(endpoint.server()))
         await proxy.start()
         self._stack.callback(proxy.close)
@@ -225,7 +225,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.problems += broken_promises(
-            self.asked, self._runs, self.bars, event_count=EVENT_COUNT
+            self.asked, self.runs, self.bars, event_count=EVENT_COUNT
         )
 
     def _spawn(self, work) -> None:  # noqa: ANN001
@@ -239,9 +239,10 @@
             if kind == "extra":
                 await self._ask_extra(front, link)
                 continue
-            await self._ask(front, link, kind)
+            await self.ask(front, link, kind)
 
-    async def _ask(self, front: FrontProcess, link: CallerLink, kind: str) -> Asked:
+    async def ask(self, front: FrontProcess, link: CallerLink, kind: str) -> Asked:
+        """Send one request of ``kind`` and return it with its answer."""
         request = Asked(
             request_id=f"q{len(self.asked)}",
             kind=kind,
@@ -266,7 +267,7 @@
 
     async def _ask_extra(self, front: FrontProcess, link: CallerLink) -> None:
         route, changed_s = self.extra_route, self._extra_changed_s
-        request = await self._ask(front, link, "extra")
+        request = await self.ask(front, link, "extra")
         settled = request.sent_s - changed_s > CONFIGURATION_LIMIT_S
         if not (settled and request.calm and changed_s == self._extra_changed_s):
             return
@@ -295,7 +296,7 @@
         link = CallerLink(front.caller_address)
         served = 0
         while served < 5:
-            request = await self._ask(front, link, "safe")
+            request = await self.ask(front, link, "safe")
             served = served + 1 if request.answer.status == 200 else 0
             await asyncio.sleep(RECOVERY_PAUSE_S)
         link.close()
