--- a/examples/front_demo.py
+++ b/examples/front_demo.py
@@ -1,9 +1,9 @@
 """Run three front processes on loopback, use them and check every answer.
 
 The stand-ins of the users' platform play store and endpoints. While callers send
-requests, a configuration is changed, a failure domain is emptied, a version is rolled out
-and an endpoint leaves; then one front is stopped gracefully. Exits with 1 if an answer
-does not add up.
+requests, a configuration is changed, a failure domain is emptied, a version is rolled
+out and an endpoint leaves; then one front is stopped gracefully. Exits with 1 if an
+answer does not add up.
 """
 
 import asyncio
