Remove unused state of the front; send whole answers in one place

Cause: a last read of the change. Unused: EndpointHealth.was_unreachable, FleetView.mark_cold, CallerConnection.bytes_sent and a reason, EventSplitter.event_count, Attempt.sent, a limit at start that could never be known. Twice: sending a whole body, in plain.py and stream.py, and splitting an address, in front.py. Change: CallerConnection.send_whole and _bind serve both; behaviour is unchanged.

--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -110,11 +110,6 @@
         """Headers of the answer."""
         return self._exchange.headers
 
-    @property
-    def sent(self) -> bool:
-        """Whether the endpoint may have read the request."""
-        return self._sent
-
     @property
     def limits(self) -> CallLimits:
         """Deadlines of the attempt."""
--- a/src/sesameknot/forwarding/caller.py
+++ b/src/sesameknot/forwarding/caller.py
@@ -18,21 +18,20 @@
         The request as the HTTP server read it.
     """
 
-    __slots__ = ("_connection", "bytes_sent", "closing", "head_sent", "status")
+    __slots__ = ("_connection", "closing", "head_sent", "status")
 
     def __init__(self, request: HTTPServerRequest) -> None:
         self._connection = request.connection
         self.closing = False
         self.head_sent = False
         self.status = 0
-        self.bytes_sent = 0
 
     def cancel_on_close(self, task: "asyncio.Task[None]") -> None:
         """Cancel ``task`` when the caller closes the connection."""
         self._connection.set_close_callback(lambda: task.cancel())
 
     async def send_head(
-        self, status: int, headers: HTTPHeaders, *, reason: str = "", data: bytes = b""
+        self, status: int, headers: HTTPHeaders, *, data: bytes = b""
     ) -> None:
         """Send status and headers, and the first bytes of the body.
 
@@ -45,8 +44,7 @@
             headers["Connection"] = "close"
         self.head_sent = True
         self.status = status
-        self.bytes_sent += len(data)
-        start = ResponseStartLine("HTTP/1.1", status, reason or "Answer")
+        start = ResponseStartLine("HTTP/1.1", status, "Answer")
         try:
             await self._connection.write_headers(start, headers, data or None)
         except StreamClosedError as error:
@@ -60,12 +58,23 @@
         TransportError
             If the caller is gone.
         """
-        self.bytes_sent += len(data)
         try:
             await self._connection.write(data)
         except StreamClosedError as error:
             raise TransportError("caller is gone", step="answer") from error
 
+    async def send_whole(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Send a complete answer.
+
+        Raises
+        ------
+        TransportError
+            If the caller is gone.
+        """
+        headers["Content-Length"] = str(len(body))
+        await self.send_head(status, headers, data=body)
+        self.finish()
+
     def finish(self) -> None:
         """Mark the answer as complete."""
         self._connection.finish()
@@ -76,13 +85,10 @@
             self.break_off()
             return
         body = (refusal.reason + "\n").encode()
-        headers = HTTPHeaders(
-            {"Content-Type": "text/plain", "Content-Length": str(len(body))}
-        )
+        headers = HTTPHeaders({"Content-Type": "text/plain"})
         if refusal.retry_after_s:
             headers["Retry-After"] = f"{refusal.retry_after_s:.3f}"
-        await self.send_head(refusal.status, headers, data=body)
-        self.finish()
+        await self.send_whole(refusal.status, headers, body)
 
     def break_off(self) -> None:
         """Close the connection, so that an unfinished answer does not look complete."""
--- a/src/sesameknot/forwarding/events.py
+++ b/src/sesameknot/forwarding/events.py
@@ -15,11 +15,10 @@
         Last event that the caller has.
     """
 
-    __slots__ = ("_rest", "event_count", "last_event_id")
+    __slots__ = ("_rest", "last_event_id")
 
     def __init__(self, last_event_id: str = "") -> None:
         self.last_event_id = last_event_id
-        self.event_count = 0
         self._rest = b""
 
     @property
@@ -46,7 +45,6 @@
         for line in whole.splitlines():
             if line.startswith(b"id:"):
                 self.last_event_id = line[3:].strip().decode("utf-8", "replace")
-                self.event_count += 1
 
 
 def _event_end(data: bytes, separator: bytes) -> int:
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -47,7 +47,8 @@
                     body = await attempt.read_all()
                     if self._final(request, attempt):
                         attempt.succeeded()
-                        await _answer(caller, attempt, body)
+                        headers = caller_headers(attempt.headers)
+                        await caller.send_whole(attempt.status, headers, body)
                         return
                     attempt.succeeded("repeated")
             except (TransportError, NotSentError) as error:
@@ -74,10 +75,3 @@
         if attempt.status < SERVER_ERROR_STATUS or not request.route.repeatable:
             return True
         return not (request.attempts_left and self._loop.spend(request))
-
-
-async def _answer(caller: CallerConnection, attempt: Attempt, body: bytes) -> None:
-    headers = caller_headers(attempt.headers)
-    headers["Content-Length"] = str(len(body))
-    await caller.send_head(attempt.status, headers, data=body)
-    caller.finish()
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -142,10 +142,7 @@
             return False
         if caller.head_sent:
             raise self._loop.ended(request, f"endpoint answered {attempt.status}")
-        headers = caller_headers(attempt.headers)
-        headers["Content-Length"] = str(len(body))
-        await caller.send_head(attempt.status, headers, data=body)
-        caller.finish()
+        await caller.send_whole(attempt.status, caller_headers(attempt.headers), body)
         return True
 
     def _dropped_for_larger(
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Coroutine
 from typing import Any
 
@@ -74,6 +75,8 @@
 # Part of the grace time after which requests that still run are broken off.
 FINISH_PART_OF_GRACE = 0.9
 FORGET_INTERVAL_S = 1.0
+# Until the first configuration tells the limits on callers.
+FIRST_IDLE_TIMEOUT_S = 60.0
 # Endpoints that a request may take down; one of them may have failed by itself.
 CRASH_LIMIT_COUNT = 3
 
@@ -325,13 +328,11 @@
         peer_server.handle(StatsRequest)(self._answer_stats)
         peer_server.handle(ObjectSync)(self.snapshot.answer)
         peer_server.handle(DomainSync)(self.exchange.answer)
-        ip, _, port = self.host.peer_address.rpartition(":")
-        peer_server.add_sockets(bind_sockets(int(port), ip))
+        peer_server.add_sockets(_bind(self.host.peer_address))
         self._stack.push_async_callback(peer_server.close)
-        limits = self.view.configuration.limits if self.view.configuration else None
         self._caller_server = HTTPServer(
             self._callers,
-            idle_connection_timeout=limits.idle_timeout_s if limits else 60.0,
+            idle_connection_timeout=FIRST_IDLE_TIMEOUT_S,
         )
         self._serve(self._caller_server, self.host.caller_address)
         self._serve(HTTPServer(self._pages.answer_ready), self.host.ready_address)
@@ -339,8 +340,7 @@
         self._serve(HTTPServer(self._pages.answer_metrics), metrics_address)
 
     def _serve(self, server: HTTPServer, address: str) -> None:
-        ip, _, port = address.rpartition(":")
-        server.add_sockets(bind_sockets(int(port), ip))
+        server.add_sockets(_bind(address))
         self._stack.push_async_callback(server.close_all_connections)
         self._stack.callback(server.stop)
 
@@ -399,6 +399,11 @@
         await self._stack.aclose()
 
 
+def _bind(address: str) -> list[socket.socket]:
+    ip, _, port = address.rpartition(":")
+    return bind_sockets(int(port), ip)
+
+
 def _log_end(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
         log.error("task_failed", task=task.get_name(), reason=repr(task.exception()))
--- a/src/sesameknot/state/endpoint_health.py
+++ b/src/sesameknot/state/endpoint_health.py
@@ -28,7 +28,6 @@
     connect_failure_count: int = 0
     ejection_count: int = 0
     ejected_until_s: float = 0.0
-    was_unreachable: bool = False
 
     @property
     def ejected(self) -> bool:
@@ -41,7 +40,6 @@
         self.connect_failure_count = 0
         self.ejection_count = 0
         self.ejected_until_s = 0.0
-        self.was_unreachable = False
 
     def failed(self) -> None:
         """Count an attempt that the endpoint failed after the request was sent."""
@@ -54,7 +52,6 @@
         self.failure_share += RESULT_WEIGHT * (1.0 - self.failure_share)
         self.connect_failure_count += 1
         if self.connect_failure_count >= CONNECT_FAILURE_LIMIT_COUNT:
-            self.was_unreachable = True
             self._eject()
 
     def _eject(self) -> None:
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -193,11 +193,6 @@
                 cold_s = self._cold_s(known.entry.service)
                 known.cold_until_s = max(known.cold_until_s, now_s + cold_s)
 
-    def mark_cold(self, known: KnownEndpoint) -> None:
-        """Treat an endpoint that came back after it was down as cold."""
-        cold_s = self._cold_s(known.entry.service)
-        known.cold_until_s = max(known.cold_until_s, self.clock.monotonic_s() + cold_s)
-
     def _cold_s(self, service: str) -> float:
         if self.configuration is None:
             return 0.0
