Serve short requests on a leaving host until its grace time ends

Cause: 2.3 s after SIGTERM a host refused every request.

Also: the pool of peer connections forgets addresses that are no longer used; PeerClient.close_idle existed, but the front never called it, and locks of unreachable addresses were kept for ever.

Ruled out: leaving idle connections open to the end of the grace time. Callers of long streams would then meet a refusal instead of another host.

--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -153,14 +153,6 @@
     def _admit(
         self, received: HTTPServerRequest, facts: RequestFacts, started_s: float
     ) -> ForwardedRequest:
-        if self._drain.refusing:
-            raise RequestEndedError(
-                not_run(
-                    "host is leaving",
-                    wait_s=LEAVING_WAIT_S,
-                    time_left_s=(facts.time_left_ms or 0) / 1000.0,
-                )
-            )
         configuration = self._configuration(facts)
         route = configuration.route(_host(received), received.path)
         if route is None:
@@ -168,6 +160,11 @@
         customer = configuration.customer(facts.key) if facts.key else None
         if configuration.customers and not route.public and customer is None:
             raise RequestEndedError(Refusal(status=NO_KEY_STATUS, reason="unknown key"))
+        limit_s = _limit_s(route, facts)
+        if not self._drain.takes(started_s + limit_s):
+            raise RequestEndedError(
+                not_run("host is leaving", wait_s=LEAVING_WAIT_S, time_left_s=limit_s)
+            )
         session = facts.session_key or facts.request_id
         return ForwardedRequest(
             facts=facts,
@@ -179,7 +176,7 @@
             customer=customer,
             service=_service(route, session),
             arrived_s=started_s,
-            deadline_s=started_s + _limit_s(route, facts),
+            deadline_s=started_s + limit_s,
             session_position=unit_hash("session", session),
         )
 
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -364,6 +364,7 @@
             await asyncio.sleep(FORGET_INTERVAL_S)
             self.view.forget_gone()
             self.crash_guard.expire()
+            self.peers.close_idle()
 
     def _spawn(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work, name=name)
@@ -380,6 +381,8 @@
         await self.directory.withdraw()
         withdrawn_s = self.clock.monotonic_s() - began_s
         await asyncio.sleep(max(0.0, SERVE_AFTER_SIGTERM_S - withdrawn_s))
+        # Requests that surely end within the grace time are still served.
+        self.drain.finish_by_s = began_s + limit_s
         self.drain.refusing = True
         closed = self._callers.close_idle()
         left_s = limit_s - (self.clock.monotonic_s() - began_s)
--- a/src/sesameknot/router/drain.py
+++ b/src/sesameknot/router/drain.py
@@ -1,6 +1,7 @@
 """Requests in flight and the graceful shutdown of a router."""
 
 import asyncio
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -14,19 +15,26 @@
         Whether readiness fails so that the load balancer stops sending.
     refusing : bool
         Whether new requests are refused.
+    finish_by_s : float
+        Monotonic time by which a request must end to be taken while refusing.
     in_flight_count : int
         Requests being served.
     """
 
-    __slots__ = ("_idle", "in_flight_count", "leaving", "refusing")
+    __slots__ = ("_idle", "finish_by_s", "in_flight_count", "leaving", "refusing")
 
     def __init__(self) -> None:
         self.leaving = False
         self.refusing = False
+        self.finish_by_s = -math.inf
         self.in_flight_count = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
+    def takes(self, deadline_s: float) -> bool:
+        """Return whether a request with this monotonic deadline may be taken."""
+        return not self.refusing or deadline_s <= self.finish_by_s
+
     @contextmanager
     def request(self) -> Iterator[None]:
         """Count one request while the context is open."""
--- a/src/sesameknot/transport/caller_server.py
+++ b/src/sesameknot/transport/caller_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from weakref import WeakSet
 
+import structlog
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.httputil import (
     HTTPConnection,
@@ -13,6 +14,8 @@
     RequestStartLine,
 )
 
+log = structlog.get_logger(__name__)
+
 RequestCallback = Callable[[HTTPServerRequest], None]
 
 
@@ -75,9 +78,14 @@
         self._parts.append(chunk)
 
     def finish(self) -> None:
-        if self._request is not None:
-            self._request.body = b"".join(self._parts)
-            self._connections.on_request(self._request)
+        if self._request is None:
+            return
+        if self._server_conn.stream.closed():
+            # Read in the same turn of the loop in which the connection was closed.
+            log.info("request_dropped", path=self._request.path, reason="closed")
+            return
+        self._request.body = b"".join(self._parts)
+        self._connections.on_request(self._request)
 
     def on_connection_close(self) -> None:
         self._connections.idle.discard(self._server_conn)
--- a/src/sesameknot/transport/peer_client.py
+++ b/src/sesameknot/transport/peer_client.py
@@ -118,13 +118,20 @@
             stream, address=address, sender=self.host_id, clock=self._clock
         )
 
+    @property
+    def known_address_count(self) -> int:
+        """Return the number of addresses for which state is kept."""
+        return len(self._locks)
+
     def close_idle(self) -> None:
-        """Close connections that are idle beyond the age limit."""
+        """Close connections idle beyond the age limit and forget their addresses."""
         for address, connection in list(self._connections.items()):
             if not self._usable(connection):
                 connection.close()
                 del self._connections[address]
-                self._locks.pop(address, None)
+        for address, lock in list(self._locks.items()):
+            if address not in self._connections and not lock.locked():
+                del self._locks[address]
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/transport/test_peer.py
+++ b/tests/transport/test_peer.py
@@ -9,8 +9,10 @@
 from tornado.tcpserver import TCPServer
 from tornado.testing import gen_test
 
+from sesameknot.clock import ManualClock
 from sesameknot.errors import ConnectError, DeadlineError, RouterError
 from sesameknot.protocol.messages import Done, Ping, StatsRequest
+from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
 from tests.support import LoopTestCase
 
@@ -63,6 +65,27 @@
                 await self.client.call(address, Ping(), expect=Done, timeout_s=0.05)
         self.assertThat(len(streams), Equals(2))
 
+    @gen_test
+    async def test_departed_hosts_are_forgotten(self):
+        """Guards against a pool that grows with each host that ever was."""
+        clock = ManualClock()
+        client = PeerClient("client", clock=clock)
+        self.closing(client.close)
+        server, address = self._serve()
+
+        @server.handle(Ping)
+        async def answer(message):
+            return Done()
+
+        await client.call(address, Ping(), expect=Done)
+        with self.assertRaises(ConnectError):
+            await client.call("127.0.0.1:1", Ping(), expect=Done)
+        client.close_idle()
+        self.assertThat(client.known_address_count, Equals(1))
+        clock.advance(60.0)
+        client.close_idle()
+        self.assertThat(client.known_address_count, Equals(0))
+
     @gen_test
     async def test_an_oversized_frame_closes_only_its_connection(self):
         """Guards against a length prefix that makes the server buffer without bound."""
