Start the front process without numpy

Cause: after a kill of all hosts the callers meet closed ports until the new processes listen. The front used it for the draw between equal endpoints only.

A test starts the interpreter and checks that the module is not loaded.

Ruled out: lazy loading of peer messages and a smaller settings loader.

--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 from collections.abc import Coroutine
 from typing import Any
 
-import numpy as np
 import structlog
 from aioprometheus.collectors import Registry
 from tornado.httpserver import HTTPServer
@@ -232,7 +232,7 @@
         return TargetPicker(
             view=self.view,
             placement=PLACEMENTS.get(placement.strategy)(
-                costs=costs, cache=cache, random_generator=np.random.default_rng(seed)
+                costs=costs, cache=cache, random_generator=random.Random(seed)
             ),
             partition=ModelPartition(clock=self.clock),
             cold=ColdAdmission(clock=self.clock, host_id=self.host.host_id),
--- a/src/sesameknot/policy/prompt_placement.py
+++ b/src/sesameknot/policy/prompt_placement.py
@@ -1,12 +1,11 @@
 """Choice of an endpoint by load, cached prompt parts and observed failures."""
 
+import random
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
-import numpy as np
-
 from sesameknot.clock import Clock
 from sesameknot.policy.rendezvous import unit_hash
 from sesameknot.registry import Registry
@@ -127,7 +126,7 @@
         *,
         costs: PlacementCosts,
         cache: PromptCacheMemory,
-        random_generator: np.random.Generator,
+        random_generator: random.Random,
     ) -> None:
         self.costs = costs
         self.cache = cache
@@ -158,10 +157,8 @@
         self, candidates: Sequence[PlacementCandidate], request: PlacementRequest
     ) -> PlacementCandidate:
         """Return the candidate with the lowest load."""
-        draws = self.random_generator.random(len(candidates))
-        order = range(len(candidates))
-        best = min(order, key=lambda i: (self._load_ms(candidates[i]), draws[i]))
-        return candidates[best]
+        draw = self.random_generator.random
+        return min(candidates, key=lambda each: (self._load_ms(each), draw()))
 
 
 @PLACEMENTS.register("prompt_cache")
--- a/tests/apps/test_front_binary.py
+++ b/tests/apps/test_front_binary.py
@@ -49,3 +49,14 @@
         self.assertThat(process.returncode, Equals(2))
         self.assertThat(text.count(b"\n"), Equals(1))
         self.assertIn(b"Node", text)
+
+    @gen_test(timeout=40)
+    async def test_start_loads_no_numerical_library(self):
+        """Guards against a slow restart; numpy took a third of the start's time."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "import sys, sesameknot.apps.front; sys.exit('numpy' in sys.modules)",
+            env={**os.environ, "PYTHONPATH": "src"},
+        )
+        self.assertThat(await process.wait(), Equals(0))
--- a/tests/policy/test_front_policies.py
+++ b/tests/policy/test_front_policies.py
@@ -1,6 +1,7 @@
 """Tests of the decisions of the front process, each named after a load pattern."""
 
-import numpy as np
+import random
+
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 
@@ -154,7 +155,7 @@
             failure_penalty_ms=1000.0,
         )
         return PLACEMENTS.get(name)(
-            costs=costs, cache=self.cache, random_generator=np.random.default_rng(1)
+            costs=costs, cache=self.cache, random_generator=random.Random(1)
         )
 
     def candidates(self, count=6, **changed):
