Ask the large model more readily for the most urgent routes

Cause: one threshold of confidence (45) held for all routes. These requests are short, so asking again costs a twentieth of what they are worth; for the short notes it costs more than a third.

Change: the default thresholds by priority are 65 for the most urgent routes and 45 for all others.

--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -33,7 +33,7 @@
     strategy: str = "smallest_then_largest"
     # By priority from the most urgent on; the last one holds for all beyond.
     confidence_thresholds: Annotated[list[Confidence], Meta(min_length=1)] = field(
-        default_factory=lambda: [45.0]
+        default_factory=lambda: [65.0, 45.0]
     )
 
 
