Let starting hosts list once and leave the watches to the relays

Cause: each host began four watches right after its lists and ended them 0.4 s later, when it knew its relays; the store prices every call. Hosts that start together see only a part of each other in their first list and read it again after 8 s, so for that long more than two hosts of a failure domain took themselves for relays.

Change: followers wait for the first decision on the relays before they watch; the list of hosts is read again after 1, 2 and 4 s, with stale answers allowed, which cost a tenth. The client counts such calls apart.

Ruled out: taking the lists of a starting host from its peers.

--- a/src/sesameknot/coordination/host_directory.py
+++ b/src/sesameknot/coordination/host_directory.py
@@ -17,6 +17,10 @@
 from sesameknot.settings.front import StoreSettings
 from sesameknot.state.fleet_view import FleetView
 
+# Hosts that start together know few of the others at first; the pause doubles from here
+# to the usual interval.
+FIRST_INTERVAL_S = 1.0
+
 log = structlog.get_logger(__name__)
 
 
@@ -55,8 +59,10 @@
 
     async def run(self) -> None:
         """Announce this host, then refresh the list until cancelled."""
+        interval_s = FIRST_INTERVAL_S
         while True:
-            pause_s = self._settings.host_list_interval_s
+            pause_s = interval_s
+            interval_s = min(self._settings.host_list_interval_s, 2.0 * interval_s)
             try:
                 if not self._announced:
                     await self._announce()
--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -54,28 +54,30 @@
     ----------
     on_failure : callable
         Called at each failure.
+
+    Attributes
+    ----------
+    relayed : bool
+        Whether another host relays the store's changes.
     """
 
-    __slots__ = ("_direct", "_interrupted", "on_failure")
+    __slots__ = ("_direct", "_interrupted", "on_failure", "relayed")
 
     def __init__(self, *, on_failure: Callable[[], None]) -> None:
         self.on_failure = on_failure
+        self.relayed = False
         self._interrupted = asyncio.Event()
+        # Nobody watches before the first decision who does.
         self._direct = asyncio.Event()
-        self._direct.set()
-
-    @property
-    def relayed(self) -> bool:
-        """Whether another host relays the store's changes."""
-        return not self._direct.is_set()
 
     def relay(self, relayed: bool) -> None:
         """Begin or end the relaying."""
-        if relayed and not self.relayed:
+        if not relayed:
+            self._direct.set()
+        elif not self.relayed:
             self._direct.clear()
             self.interrupt()
-        elif not relayed:
-            self._direct.set()
+        self.relayed = relayed
 
     async def until_direct(self) -> None:
         """Wait until no other host relays the changes."""
@@ -179,8 +181,7 @@
 
     async def _step(self) -> None:
         if self.listed:
-            if self._link.relayed:
-                await self._link.until_direct()
+            await self._link.until_direct()
             await self._watch()
             return
         changes = await self._store.list(self.kind)
--- a/src/sesameknot/platform/_store.py
+++ b/src/sesameknot/platform/_store.py
@@ -78,9 +78,15 @@
         ``ip:port`` of the store.
     timeout_s : float, default=1.0
         Time for one call; a watch waits longer.
+
+    Attributes
+    ----------
+    stale_call_count : int
+        Calls made so far that allowed a stale answer; they cost a tenth.
     """
 
     def __init__(self, address: str, *, timeout_s: float = 1.0) -> None:
+        self.stale_call_count = 0
         self._http = JsonHttp(f"http://{address}", timeout_s=timeout_s)
 
     @property
@@ -112,6 +118,7 @@
             query = {"StartAfter": after} if after else {}
             if stale:
                 query["StaleOk"] = "1"
+                self.stale_call_count += 1
             body = self._body(await self._get(kind, query, "list"), "list")
             found = [_entry(kind, item) for item in _items(body, "Items")]
             entries += [entry for entry in found if entry is not None]
