Put changed host settings in force without a restart where possible

Cause: a changed settings file was only logged. A store that moves to another address was lost until the next start of each host.

Change: the store's address, the seeds and the grace time are taken at once; watches at the former address are ended. The log names the changed fields. Addresses that the process listens on and bounds that its parts were built with still hold until the next start (docs/OPERATIONS.md).

Ruled out: building all parts anew within the process; requests in flight would have to move between two request paths.

Test: ReloadTest.test_moved_store_is_followed, red before.

--- a/src/sesameknot/apps/front.py
+++ b/src/sesameknot/apps/front.py
@@ -6,6 +6,7 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import asyncio
+import dataclasses
 import os
 import sys
 from pathlib import Path
@@ -49,15 +50,15 @@
 class _HostSettingsWatch:
     """Reads the host's settings file again when it may have changed."""
 
-    def __init__(self, path: Path, settings: HostSettings) -> None:
+    def __init__(self, path: Path, front: Front) -> None:
         self._path = path
-        self._settings = settings
+        self._front = front
         self._signalled = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._signalled.set)
 
     async def run(self) -> None:
-        """Report changes until cancelled; a wrong file leaves the settings as are."""
+        """Apply changes until cancelled; a wrong file leaves the settings as are."""
         while True:
             try:
                 async with asyncio.timeout(SETTINGS_POLL_S):
@@ -70,15 +71,21 @@
             except SettingsError as error:
                 log.warning("settings_rejected", reason=str(error))
                 continue
-            if found != self._settings:
-                self._settings = found
-                log.info("settings_reloaded", path=str(self._path))
+            present = self._front.host
+            if found != present:
+                self._front.reload(found)
+                log.info("settings_reloaded", changed=_changed(present, found))
+
+
+def _changed(before: HostSettings, after: HostSettings) -> list[str]:
+    names = [field.name for field in dataclasses.fields(HostSettings)]
+    return [name for name in names if getattr(before, name) != getattr(after, name)]
 
 
 async def _serve(path: Path, host: HostSettings, settings: FrontSettings) -> None:
     front = Front(host, settings)
     stopped = stop_event()
-    watch = asyncio.create_task(_HostSettingsWatch(path, host).run())
+    watch = asyncio.create_task(_HostSettingsWatch(path, front).run())
     try:
         await front.start()
         await stopped.wait()
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -373,6 +373,18 @@
         # The stack keeps the task alive; the loop refers to tasks weakly.
         self._stack.callback(task.cancel)
 
+    def reload(self, host: HostSettings) -> None:
+        """Take the host's settings after a change.
+
+        The store's address, the seeds and the grace time are in force at once; what the
+        process listens on and what its parts were built with at the next start.
+        """
+        if host.store_address != self.host.store_address:
+            self.store.redirect(f"http://{host.store_address}")
+            # Watches that wait at the former address would hear nothing more.
+            self.link.interrupt()
+        self.host = host
+
     async def shut_down(self) -> None:
         """Finish the requests in flight, then stop."""
         began_s = self.clock.monotonic_s()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,11 +1,13 @@
 """Tests of one front process: what it follows in the store, and how it stops."""
 
 import asyncio
+import dataclasses
 
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 from tornado.httpclient import HTTPClientError
 from tornado.testing import gen_test
 
+from sesameknot.platform.standin import FleetStore
 from tests.front_world import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -212,6 +214,20 @@
         )
 
 
+class ReloadTest(FrontWorld):
+    @gen_test
+    async def test_moved_store_is_followed(self):
+        """Guards against a host that goes on watching the store's former address."""
+        self.store.put("config", "main", configuration())
+        front = await self.start_front()
+        moved = FleetStore()
+        moved.revision = self.store.revision
+        moved.put("config", "main", configuration(9))
+        address = self.listen(moved.server())
+        front.reload(dataclasses.replace(front.host, store_address=address))
+        await eventually(lambda: front.view.configuration.version == 9, limit_s=4.0)
+
+
 class StopTest(FrontWorld):
     def setUp(self):
         super().setUp()
