Move the building of the request path out of front.py

Change: _front_request_path.py builds the request path, as _wiring_coordination.py does for the router.

--- /dev/null
+++ b/src/sesameknot/_front_request_path.py
@@ -0,0 +1,181 @@
+"""Part of the composition root: build the path of a caller's request."""
+
+import contextlib
+import random
+
+from sesameknot.clock import Clock
+from sesameknot.forwarding.attempt import AttemptRunner
+from sesameknot.forwarding.attempt_loop import AttemptLoop
+from sesameknot.forwarding.crash_detector import CrashDetector
+from sesameknot.forwarding.ingress import Ingress
+from sesameknot.forwarding.per_service import PerService
+from sesameknot.forwarding.plain import PlainForwarder
+from sesameknot.forwarding.stream import StreamForwarder
+from sesameknot.forwarding.target_picker import TargetPicker
+from sesameknot.policy.cold_admission import ColdAdmission
+from sesameknot.policy.confidence_cascade import CASCADES
+from sesameknot.policy.crash_guard import CrashGuard
+from sesameknot.policy.model_partition import ModelPartition
+from sesameknot.policy.pressure import PressureGauge
+from sesameknot.policy.prompt_placement import (
+    PLACEMENTS,
+    PlacementCosts,
+    PromptCacheMemory,
+)
+from sesameknot.policy.retry_window import RetryWindow
+from sesameknot.router.drain import Drain
+from sesameknot.router.metrics import RouterMetrics
+from sesameknot.settings.front import FrontSettings
+from sesameknot.settings.host import HostSettings
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.state.version_counts import VersionCounts
+from sesameknot.transport.endpoint_client import EndpointClient
+
+# Hosts may count requests and repeats in slightly different windows.
+RETRY_RATIO_PART = 0.85
+# Hosts for which the retry slack is divided before others are known.
+FIRST_HOST_COUNT = 32
+
+
+class RequestPath:
+    """Builds the parts that a request passes, from the settings.
+
+    Parameters
+    ----------
+    host : HostSettings
+        Identity and bounds of this host.
+    settings : FrontSettings
+        The project's own settings.
+    view : FleetView
+        Configuration, endpoints and hosts.
+    client : EndpointClient
+        Connections to endpoints.
+    counts : VersionCounts
+        Outcomes by version.
+    crash_guard : CrashGuard
+        Requests that took endpoints down.
+    metrics : RouterMetrics
+        Counters and latency histograms.
+    clock : Clock
+        Source of monotonic time.
+    stack : contextlib.AsyncExitStack
+        Closes the parts.
+    """
+
+    __slots__ = (
+        "_client",
+        "_clock",
+        "_counts",
+        "_crash_guard",
+        "_host",
+        "_metrics",
+        "_settings",
+        "_stack",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        host: HostSettings,
+        settings: FrontSettings,
+        view: FleetView,
+        client: EndpointClient,
+        counts: VersionCounts,
+        crash_guard: CrashGuard,
+        metrics: RouterMetrics,
+        clock: Clock,
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
+        self._host = host
+        self._settings = settings
+        self._view = view
+        self._client = client
+        self._counts = counts
+        self._crash_guard = crash_guard
+        self._metrics = metrics
+        self._clock = clock
+        self._stack = stack
+
+    def build(self, drain: Drain) -> Ingress:
+        """Return the part that accepts callers' requests."""
+        settings = self._settings
+        cache = PromptCacheMemory(
+            clock=self._clock, life_s=settings.placement.cache_life_s
+        )
+        picker = self._build_picker(cache)
+        runner = AttemptRunner(
+            client=self._client,
+            view=self._view,
+            picker=picker,
+            cache=cache,
+            counts=self._counts,
+            pressures=PerService(self._build_gauge),
+            settings=settings.attempts,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+        crashes = CrashDetector(self._crash_guard)
+        self._stack.callback(crashes.close)
+        loop = AttemptLoop(
+            picker=picker,
+            runner=runner,
+            crashes=crashes,
+            budgets=PerService(self._build_budget),
+            settings=settings.attempts,
+            clock=self._clock,
+        )
+        stream = StreamForwarder(
+            loop,
+            cascade=CASCADES.get(settings.cascade.strategy),
+            cascade_settings=settings.cascade,
+            patience_factor=settings.pressure.patience_factor,
+            metrics=self._metrics,
+        )
+        return Ingress(
+            view=self._view,
+            plain=PlainForwarder(loop),
+            stream=stream,
+            drain=drain,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+
+    def _build_picker(self, cache: PromptCacheMemory) -> TargetPicker:
+        placement = self._settings.placement
+        costs = PlacementCosts(
+            prefill_ms_per_token=placement.prefill_ms_per_token,
+            request_load_ms=placement.request_load_ms,
+            other_domain_ms=placement.other_domain_ms,
+            failure_penalty_ms=placement.failure_penalty_ms,
+            waiting_ms=placement.waiting_ms,
+            other_model_ms=placement.other_model_ms,
+        )
+        seed = self._settings.random_state or None
+        return TargetPicker(
+            view=self._view,
+            placement=PLACEMENTS.get(placement.strategy)(
+                costs=costs, cache=cache, random_generator=random.Random(seed)
+            ),
+            partition=ModelPartition(clock=self._clock),
+            cold=ColdAdmission(clock=self._clock, host_id=self._host.host_id),
+            domain=self._host.domain,
+            clock=self._clock,
+        )
+
+    def _build_gauge(self) -> PressureGauge:
+        pressure = self._settings.pressure
+        return PressureGauge(
+            clock=self._clock,
+            calm_level=pressure.calm_level,
+            full_level=pressure.full_level,
+        )
+
+    def _build_budget(self) -> RetryWindow:
+        bounds = self._host.bounds
+        return RetryWindow(
+            clock=self._clock,
+            ratio=bounds.retry_ratio * RETRY_RATIO_PART,
+            window_s=bounds.retry_window_s,
+            slack_count=bounds.retry_slack_count / FIRST_HOST_COUNT,
+        )
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 import socket
 from collections.abc import Coroutine
 from typing import Any
@@ -13,6 +12,7 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.netutil import bind_sockets
 
+from sesameknot._front_request_path import RequestPath
 from sesameknot.clock import Clock, SystemClock
 from sesameknot.coordination.crash_exchange import CrashExchange
 from sesameknot.coordination.domain_exchange import DomainExchange
@@ -21,31 +21,14 @@
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
 from sesameknot.coordination.rollout_duty import RolloutDuty
 from sesameknot.coordination.store_follower import StoreFollower, StoreLink, WatchPace
-from sesameknot.forwarding.attempt import AttemptRunner
-from sesameknot.forwarding.attempt_loop import AttemptLoop
-from sesameknot.forwarding.crash_detector import CrashDetector
 from sesameknot.forwarding.ingress import Ingress
-from sesameknot.forwarding.per_service import PerService
-from sesameknot.forwarding.plain import PlainForwarder
 from sesameknot.forwarding.status_pages import StatusPages
-from sesameknot.forwarding.stream import StreamForwarder
-from sesameknot.forwarding.target_picker import TargetPicker
 from sesameknot.platform import (
     CONFIGURATION_KIND,
     ENDPOINT_KIND,
     StoreClient,
 )
-from sesameknot.policy.cold_admission import ColdAdmission
-from sesameknot.policy.confidence_cascade import CASCADES
 from sesameknot.policy.crash_guard import CrashGuard
-from sesameknot.policy.model_partition import ModelPartition
-from sesameknot.policy.pressure import PressureGauge
-from sesameknot.policy.prompt_placement import (
-    PLACEMENTS,
-    PlacementCosts,
-    PromptCacheMemory,
-)
-from sesameknot.policy.retry_window import RetryWindow
 from sesameknot.policy.rollout_course import CoursePlan, RolloutCourse
 from sesameknot.protocol.fleet_records import HostEntry
 from sesameknot.protocol.messages import (
@@ -65,10 +48,6 @@
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
 
-# Hosts may count requests and repeats in slightly different windows.
-RETRY_RATIO_PART = 0.85
-# Hosts for which the retry slack is divided before others are known.
-FIRST_HOST_COUNT = 32
 # The balancer asks once a second and takes a host out after two misses. A request that
 # is taken later than this might not be finished within the grace time.
 SERVE_AFTER_SIGTERM_S = 2.3
@@ -176,86 +155,17 @@
         return [address for address in known if address != self.host.peer_address]
 
     def _build_ingress(self) -> Ingress:
-        settings = self.settings
-        cache = PromptCacheMemory(
-            clock=self.clock, life_s=settings.placement.cache_life_s
-        )
-        picker = self._build_picker(cache)
-        runner = AttemptRunner(
-            client=self.endpoint_client,
+        return RequestPath(
+            host=self.host,
+            settings=self.settings,
             view=self.view,
-            picker=picker,
-            cache=cache,
+            client=self.endpoint_client,
             counts=self.counts,
-            pressures=PerService(self._build_gauge),
-            settings=settings.attempts,
-            metrics=self.metrics,
-            clock=self.clock,
-        )
-        crashes = CrashDetector(self.crash_guard)
-        self._stack.callback(crashes.close)
-        loop = AttemptLoop(
-            picker=picker,
-            runner=runner,
-            crashes=crashes,
-            budgets=PerService(self._build_budget),
-            settings=settings.attempts,
-            clock=self.clock,
-        )
-        stream = StreamForwarder(
-            loop,
-            cascade=CASCADES.get(settings.cascade.strategy),
-            cascade_settings=settings.cascade,
-            patience_factor=settings.pressure.patience_factor,
-            metrics=self.metrics,
-        )
-        return Ingress(
-            view=self.view,
-            plain=PlainForwarder(loop),
-            stream=stream,
-            drain=self.drain,
+            crash_guard=self.crash_guard,
             metrics=self.metrics,
             clock=self.clock,
-        )
-
-    def _build_picker(self, cache: PromptCacheMemory) -> TargetPicker:
-        placement = self.settings.placement
-        costs = PlacementCosts(
-            prefill_ms_per_token=placement.prefill_ms_per_token,
-            request_load_ms=placement.request_load_ms,
-            other_domain_ms=placement.other_domain_ms,
-            failure_penalty_ms=placement.failure_penalty_ms,
-            waiting_ms=placement.waiting_ms,
-            other_model_ms=placement.other_model_ms,
-        )
-        seed = self.settings.random_state or None
-        return TargetPicker(
-            view=self.view,
-            placement=PLACEMENTS.get(placement.strategy)(
-                costs=costs, cache=cache, random_generator=random.Random(seed)
-            ),
-            partition=ModelPartition(clock=self.clock),
-            cold=ColdAdmission(clock=self.clock, host_id=self.host.host_id),
-            domain=self.host.domain,
-            clock=self.clock,
-        )
-
-    def _build_gauge(self) -> PressureGauge:
-        pressure = self.settings.pressure
-        return PressureGauge(
-            clock=self.clock,
-            calm_level=pressure.calm_level,
-            full_level=pressure.full_level,
-        )
-
-    def _build_budget(self) -> RetryWindow:
-        bounds = self.host.bounds
-        return RetryWindow(
-            clock=self.clock,
-            ratio=bounds.retry_ratio * RETRY_RATIO_PART,
-            window_s=bounds.retry_window_s,
-            slack_count=bounds.retry_slack_count / FIRST_HOST_COUNT,
-        )
+            stack=self._stack,
+        ).build(self.drain)
 
     async def start(self) -> None:
         """Listen, and start the tasks that follow the store."""
