Probe a lost store with short waits; count roll-outs from their first sight

The host counted the roll-out's time from its own late sight.

Hosts tell each other, with their counters, how long they have known an open order, by monotonic time; the host that carries a roll-out takes the longest. A course is forgotten when its order is closed, so that a second order of the same version begins anew. What libraries log is written as one structured line without a trace: those lines went to standard error, blocking, and 30 of them came from one reset.

Ruled out: passing on the start that is recorded in the store; it is a wall clock's time, and a wrong clock would then end roll-outs at all hosts.

Tests, red before: test_short_outage_does_not_delay_later_changes, test_course_counts_from_the_host_that_saw_the_order_first, test_closed_order_is_forgotten, test_library_message_is_one_structured_line.

--- a/src/sesameknot/apps/_logging.py
+++ b/src/sesameknot/apps/_logging.py
@@ -11,6 +11,8 @@
 
 import structlog
 
+LIBRARY_MESSAGE_LIMIT_CHARS = 300
+
 
 def configure_logging(level: str, *, writer: "BoundedLogWriter | None" = None) -> None:
     """Write lines of at least ``level`` as JSON.
@@ -36,6 +38,21 @@
         logger_factory=structlog.WriteLoggerFactory(file=writer or sys.stderr),
         cache_logger_on_first_use=True,
     )
+    logging.getLogger().handlers[:] = [LibraryLogHandler(logging.WARNING)]
+
+
+class LibraryLogHandler(logging.Handler):
+    """Writes what libraries log as lines of the same form, without their traces."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line; the library's own handler would block on a slow reader."""
+        error = record.exc_info[1] if record.exc_info else None
+        structlog.get_logger(__name__).warning(
+            "library_message",
+            library=record.name,
+            message=record.getMessage()[:LIBRARY_MESSAGE_LIMIT_CHARS],
+            error=repr(error) if error else "",
+        )
 
 
 class BoundedLogWriter:
--- a/src/sesameknot/coordination/rollout_duty.py
+++ b/src/sesameknot/coordination/rollout_duty.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import replace
 
 import structlog
@@ -21,7 +22,7 @@
 )
 from sesameknot.policy.rollout_test import VersionSample
 from sesameknot.protocol.fleet_records import RolloutOrder, RolloutOutcome
-from sesameknot.protocol.messages import StatsReply, StatsRequest, VersionStats
+from sesameknot.protocol.messages import OrderAge, StatsReply, StatsRequest
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.version_counts import VersionCounts
 from sesameknot.transport.peer_client import PeerClient
@@ -35,11 +36,12 @@
 class _Course:
     """What this host has seen of one roll-out; times are monotonic."""
 
-    __slots__ = ("share", "share_s", "started_s", "target_version")
+    __slots__ = ("seen_s", "share", "share_s", "started_s", "target_version")
 
     def __init__(self, order: RolloutOrder, started_s: float, now_s: float) -> None:
         self.target_version = order.target_version
         self.started_s = started_s
+        self.seen_s = now_s
         self.share = order.share
         self.share_s = now_s
 
@@ -93,9 +95,8 @@
         """Look after all open roll-outs until cancelled."""
         while True:
             await asyncio.sleep(self._interval_s)
-            for order in list(self._view.rollouts.values()):
-                if order.outcome not in OPEN_OUTCOMES:
-                    continue
+            self._forget_closed()
+            for order in self._open_orders():
                 self._follow(order)
                 try:
                     await self._look_after(order)
@@ -107,6 +108,31 @@
                         reason=error.message,
                     )
 
+    def order_ages(self) -> list[OrderAge]:
+        """Return how long this host has known the open orders.
+
+        Times from the store are left out; another host's wall clock may be wrong.
+        """
+        now_s = self._clock.monotonic_s()
+        return [
+            OrderAge(
+                service=service,
+                target_version=course.target_version,
+                age_ms=(now_s - course.seen_s) * 1000.0,
+            )
+            for service, course in self._courses.items()
+        ]
+
+    def _open_orders(self) -> list[RolloutOrder]:
+        orders = self._view.rollouts.values()
+        return [order for order in orders if order.outcome in OPEN_OUTCOMES]
+
+    def _forget_closed(self) -> None:
+        """Forget courses that ended; the same version may be ordered again."""
+        still_open = {order.service for order in self._open_orders()}
+        for service in set(self._courses) - still_open:
+            del self._courses[service]
+
     def _follow(self, order: RolloutOrder) -> _Course:
         now_s = self._clock.monotonic_s()
         course = self._courses.get(order.service)
@@ -126,8 +152,10 @@
     async def _look_after(self, order: RolloutOrder) -> None:
         if not await self._is_first(order.service):
             return
-        new, stable = await self._samples(order)
+        replies = await self._replies()
+        new, stable = self._samples(order, replies)
         course = self._follow(order)
+        self._learn_age(order, course, replies)
         now_s = self._clock.monotonic_s()
         progress = RolloutProgress(
             started=order.outcome is RolloutOutcome.RUNNING,
@@ -192,18 +220,22 @@
         for host_id in ranked(service, self._view.hosts):
             if host_id == self._host_id:
                 return True
-            if await self._counters_of(host_id) is not None:
+            if await self._stats_of(host_id) is not None:
                 return False
         return True
 
-    async def _samples(
-        self, order: RolloutOrder
-    ) -> tuple[VersionSample, VersionSample]:
+    async def _replies(self) -> list[StatsReply]:
+        """Return the answers of all other hosts that give one."""
         others = [h for h in self._view.hosts if h != self._host_id]
-        found = await asyncio.gather(*(self._counters_of(h) for h in others))
+        found = await asyncio.gather(*(self._stats_of(h) for h in others))
+        return [reply for reply in found if reply is not None]
+
+    def _samples(
+        self, order: RolloutOrder, replies: Sequence[StatsReply]
+    ) -> tuple[VersionSample, VersionSample]:
         records = self._counts.records()
-        for reply in found:
-            records += reply or []
+        for reply in replies:
+            records += reply.versions
         new = [0, 0]
         stable = [0, 0]
         for record in records:
@@ -214,10 +246,24 @@
             counts[1] += record.error_count
         return VersionSample(new[0], new[1]), VersionSample(stable[0], stable[1])
 
-    async def _counters_of(self, host_id: str) -> list[VersionStats] | None:
-        """Return a peer's counters, None if it does not answer."""
+    def _learn_age(
+        self, order: RolloutOrder, course: _Course, replies: Sequence[StatsReply]
+    ) -> None:
+        """Take the time of the host that saw the order first."""
+        ages_ms = [
+            age.age_ms
+            for reply in replies
+            for age in reply.orders
+            if (age.service, age.target_version)
+            == (order.service, order.target_version)
+        ]
+        age_s = min(order.duration_s, max(ages_ms, default=0.0) / 1000.0)
+        course.started_s = min(course.started_s, self._clock.monotonic_s() - age_s)
+
+    async def _stats_of(self, host_id: str) -> StatsReply | None:
+        """Return a peer's answer, None if it does not answer."""
         try:
-            reply = await self._peers.call(
+            return await self._peers.call(
                 self._view.hosts[host_id].peer_address,
                 StatsRequest(requester=self._host_id),
                 expect=StatsReply,
@@ -226,7 +272,6 @@
         except RouterError as error:
             log.info("peer_silent", peer=host_id, reason=error.message)
             return None
-        return reply.versions
 
     def _target_count(self, order: RolloutOrder) -> int:
         return sum(
--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -221,8 +221,8 @@
         self._replace(entries)
 
     async def _watch(self) -> None:
-        # While calls fail, short waits show sooner that the store is back.
-        wait_s = self._settings.probe_wait_s if self.lost else self.pace.wait_s
+        # After a failure, a call that hardly waits shows at once if the store answers.
+        wait_s = self._settings.retry_min_s if self.lost else self.pace.wait_s
         changes = await self._link.until_interrupted(
             self._store.watch(
                 self.kind,
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -124,6 +124,7 @@
         )
         self.crash_guard = CrashGuard(clock=self.clock, limit_count=CRASH_LIMIT_COUNT)
         self.exchange = self._build_exchange()
+        self.rollout_duty = self._build_rollout_duty()
         self.ingress = self._build_ingress()
         self._pages = StatusPages(
             view=self.view,
@@ -175,7 +176,7 @@
         self._spawn("snapshot", self.snapshot.run())
         self._spawn("exchange", self.exchange.run())
         self._spawn("hosts", self.directory.run())
-        self._spawn("rollouts", self._build_rollout_duty().run())
+        self._spawn("rollouts", self.rollout_duty.run())
         self._spawn("forget", self._forget_loop())
         log.info(
             "front_started",
@@ -268,7 +269,11 @@
         parameters.max_body_size = configuration.limits.body_bytes
 
     async def _answer_stats(self, request: StatsRequest) -> StatsReply:
-        return StatsReply(host_id=self.host.host_id, versions=self.counts.records())
+        return StatsReply(
+            host_id=self.host.host_id,
+            versions=self.counts.records(),
+            orders=self.rollout_duty.order_ages(),
+        )
 
     async def _forget_loop(self) -> None:
         while True:
--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -113,6 +113,15 @@
     age_ms: int = 0
 
 
+@dataclass(slots=True, kw_only=True)
+class OrderAge:
+    """Time since a host first saw a roll-out's order."""
+
+    service: str = ""
+    target_version: str = ""
+    age_ms: float = 0.0
+
+
 @dataclass(slots=True, kw_only=True)
 class EndpointLoads:
     """Requests and unread prompt tokens that hosts have at endpoints, as columns."""
--- a/src/sesameknot/protocol/_stats.py
+++ b/src/sesameknot/protocol/_stats.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from sesameknot.protocol._message_registry import message
-from sesameknot.protocol._records import VersionStats
+from sesameknot.protocol._records import OrderAge, VersionStats
 
 
 @message("statsRequest")
@@ -22,3 +22,4 @@
     host_id: str = ""
     incarnation: int = 0
     versions: list[VersionStats] = field(default_factory=list)
+    orders: list[OrderAge] = field(default_factory=list)
--- a/src/sesameknot/protocol/messages.py
+++ b/src/sesameknot/protocol/messages.py
@@ -48,6 +48,7 @@
     MemberInfo,
     ObjectRecord,
     ObjectVersion,
+    OrderAge,
     VersionStats,
 )
 from sesameknot.protocol._stats import (
@@ -88,6 +89,7 @@
     "ObjectSync",
     "ObjectSyncReply",
     "ObjectVersion",
+    "OrderAge",
     "Ping",
     "StatsReply",
     "StatsRequest",
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -239,6 +239,13 @@
   hostId @0 :Text;
   incarnation @1 :UInt64;
   versions @2 :List(VersionStats);
+  orders @3 :List(OrderAge);
+}
+
+struct OrderAge {
+  service @0 :Text;
+  targetVersion @1 :Text;
+  ageMs @2 :Float64;
 }
 
 struct MembersRequest {
--- a/tests/coordination/test_domain_exchange.py
+++ b/tests/coordination/test_domain_exchange.py
@@ -130,6 +130,18 @@
             limit_s=2.0,
         )
 
+    @gen_test(timeout=30)
+    async def test_short_outage_does_not_delay_later_changes(self):
+        """Guards against a probe that waits long while the other kinds wait for it."""
+        front = await self.start_front()
+        await self.pause(0.5)
+        self.store.refuse_status = 503
+        front.link.interrupt()
+        await self.pause(0.05)
+        self.store.refuse_status = 0
+        self.store.put("evacuations", "b", {})
+        await eventually(lambda: front.view.evacuated_domains, limit_s=1.0)
+
     @gen_test(timeout=30)
     async def test_relayed_host_mostly_asks_one_relay(self):
         """Guards against relays that all hosts of a large domain ask all the time."""
--- /dev/null
+++ b/tests/coordination/test_rollout_duty.py
@@ -0,0 +1,108 @@
+"""Tests of the task that carries roll-outs to their end."""
+
+import asyncio
+
+from testtools.matchers import Equals, HasLength
+from tornado.testing import gen_test
+
+from sesameknot.clock import ManualClock
+from sesameknot.coordination.rollout_duty import RolloutDuty
+from sesameknot.policy.rendezvous import ranked
+from sesameknot.policy.rollout_course import CoursePlan, RolloutCourse
+from sesameknot.protocol.fleet_records import HostEntry, RolloutOrder, RolloutOutcome
+from sesameknot.protocol.messages import OrderAge, StatsReply
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.state.version_counts import VersionCounts
+from tests.support import LoopTestCase, eventually
+
+SERVICE = "advisor"
+
+
+class _Entry:
+    revision = 9
+
+
+class _Store:
+    def __init__(self):
+        self.written = []
+
+    async def write_status(self, kind, name, status, *, expected_revision):
+        self.written.append(status)
+        return _Entry()
+
+
+class _Peers:
+    """A peer that saw the order some time before this host."""
+
+    def __init__(self, age_ms):
+        age = OrderAge(service=SERVICE, target_version="v2", age_ms=age_ms)
+        self.reply = StatsReply(host_id="other", orders=[age])
+
+    async def call(self, address, body, *, expect, timeout_s):
+        return self.reply
+
+
+class RolloutDutyTest(LoopTestCase):
+    def start(self, *, age_ms):
+        self.clock = ManualClock()
+        view = FleetView(self.clock)
+        for host_id in ("other", "own"):
+            view.hosts[host_id] = HostEntry(
+                host_id=host_id, peer_address="127.0.0.1:1", domain="a"
+            )
+        view.rollouts[SERVICE] = RolloutOrder(
+            service=SERVICE, target_version="v2", duration_s=20.0
+        )
+        self.store = _Store()
+        plan = CoursePlan(
+            first_share=0.25, first_share_at=0.5, full_share_at=0.7, decide_at=0.9
+        )
+        self.duty = RolloutDuty(
+            view=view,
+            store=self.store,
+            peers=_Peers(age_ms),
+            counts=VersionCounts(),
+            course=RolloutCourse(plan),
+            host_id=ranked(SERVICE, view.hosts)[0],
+            interval_s=0.01,
+            clock=self.clock,
+        )
+        self.view = view
+        task = asyncio.ensure_future(self.duty.run())
+        self.closing(task.cancel)
+
+    @gen_test
+    async def test_course_counts_from_the_host_that_saw_the_order_first(self):
+        """Guards against a late end where the carrying host heard of it late."""
+        self.start(age_ms=3000.0)
+        await eventually(lambda: self.store.written, limit_s=2.0)
+        started_ms = self.store.written[0]["StartedMs"]
+        self.assertThat(started_ms, Equals(self.clock.wall_ms() - 3000))
+
+    @gen_test
+    async def test_age_from_the_store_is_not_passed_on(self):
+        """Guards against a wrong wall clock that ends roll-outs at all hosts."""
+        self.start(age_ms=0.0)
+        self.view.rollouts[SERVICE] = RolloutOrder(
+            service=SERVICE,
+            target_version="v2",
+            duration_s=20.0,
+            outcome=RolloutOutcome.RUNNING,
+            started_ms=1,
+        )
+        await eventually(self.duty.order_ages, limit_s=2.0)
+        self.assertThat(self.duty.order_ages()[0].age_ms, Equals(0.0))
+
+    @gen_test
+    async def test_closed_order_is_forgotten(self):
+        """Guards against a second order of a version that begins at its end."""
+        self.start(age_ms=0.0)
+        await eventually(self.duty.order_ages, limit_s=2.0)
+        self.view.rollouts[SERVICE] = RolloutOrder(
+            service=SERVICE,
+            target_version="v2",
+            duration_s=20.0,
+            outcome=RolloutOutcome.ROLLED_BACK,
+        )
+        await eventually(lambda: not self.duty.order_ages(), limit_s=2.0)
+        self.assertThat(self.duty.order_ages(), HasLength(0))
