Test truncated bodies, crashes over hosts, slow and late bad versions, restarts

Change: tests on the stand-ins for truncated answers of plain requests (a stand-in endpoint can break off a body), a request that crashes endpoints through several hosts, a version that is slow or turns bad at full share, and killed processes that serve again within the recovery time of the users' pages.

Ruled out: a test of an endpoint that turns cold without notice; the stand-in endpoint has no cold state, so docs/rules.md still says "not proved".

--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -56,6 +56,8 @@
         Whether answers carry a receipt.
     crash_body : bytes or None, default=None
         Body of requests that end this endpoint.
+    cut_body : bool, default=False
+        Whether answers with one body are broken off in their middle.
     """
 
     endpoint_id: str
@@ -70,6 +72,7 @@
     echoed_id: str | None = None
     receipt: bool = True
     crash_body: bytes | None = None
+    cut_body: bool = False
     body: bytes = b"answer"
     runs: list[RecordedRun] = field(default_factory=list)
     refused_count: int = 0
@@ -132,6 +135,10 @@
         headers = self._answer_headers(request, run)
         if not self.event_count or self.status != OK_STATUS:
             headers["Content-Length"] = str(len(self.body))
+            if self.cut_body:
+                await self._head(request, headers, self.body[: len(self.body) // 2])
+                request.connection.close()
+                return
             await self._head(request, headers, self.body)
             request.connection.finish()
             return
--- a/tests/apps/test_front_binary.py
+++ b/tests/apps/test_front_binary.py
@@ -7,12 +7,24 @@
 
 from soak._fronts import FrontProcess
 from testtools.matchers import Equals
+from tornado.httpclient import HTTPClientError
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.testing import gen_test
 
-from sesameknot.platform.standin import FleetStore
-from tests.front_world import configuration
+from sesameknot.platform.standin import FleetEndpoint, FleetStore
+from tests.front_world import (
+    HOST,
+    KEY,
+    PLAIN_SERVICE,
+    UNSAFE_PATH,
+    configuration,
+    server_entry,
+)
 from tests.support import LoopTestCase
 
+# Time in which hosts must serve again, from the users' pages for the smaller sites.
+RECOVER_LIMIT_S = 12.0
+
 
 class FrontBinaryTest(LoopTestCase):
     @gen_test(timeout=40)
@@ -32,6 +44,47 @@
         front.signal(signal.SIGTERM)
         self.assertThat(await front.wait(10.0), Equals(0))
 
+    @gen_test(timeout=60)
+    async def test_killed_hosts_serve_again_in_time(self):
+        """Guards against a start that needs other hosts, which were killed as well."""
+        store = FleetStore()
+        store.put("config", "main", configuration())
+        address = self.listen(store.server())
+        endpoint = FleetEndpoint(endpoint_id="e1", event_count=0)
+        entry = server_entry(PLAIN_SERVICE, self.listen(endpoint.server()))
+        store.put("servers", "e1", entry)
+        fronts = [FrontProcess(n, address, self.make_directory()) for n in (1, 2)]
+        for front in fronts:
+            self.closing(lambda f=front: self.io_loop.run_sync(f.close))
+        seeds = [front.peer_address for front in fronts]
+        for _ in range(2):
+            for front in fronts:
+                await front.start(seeds)
+            for front in fronts:
+                await self.first_answer(front, limit_s=RECOVER_LIMIT_S)
+            for front in fronts:
+                front.signal(signal.SIGKILL)
+                await front.wait(5.0)
+
+    async def first_answer(self, front, *, limit_s):
+        """Ask until the host answers with success."""
+        http = SimpleAsyncHTTPClient(force_instance=True)
+        self.closing(http.close)
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": "r1",
+            "X-Deadline-Ms": "1000",
+            "Authorization": f"Bearer {KEY}",
+        }
+        url = f"http://{front.caller_address}{UNSAFE_PATH}"
+        async with asyncio.timeout(limit_s):
+            while True:
+                try:
+                    await http.fetch(url, method="POST", body=b"", headers=headers)
+                    return
+                except (OSError, HTTPClientError):
+                    await asyncio.sleep(0.05)
+
     @gen_test(timeout=40)
     async def test_wrong_settings_end_the_start_with_one_clear_line(self):
         """Guards against a start with half of the settings, or a trace of ours."""
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -118,6 +118,25 @@
         response = await self.ask(front, UNSAFE_PATH)
         self.assertThat(response.code, Equals(502))
 
+    @gen_test
+    async def test_truncated_answer_does_not_look_complete(self):
+        """Guards against half of a body that passes as the whole one."""
+        self.add_endpoint("cut1", PLAIN_SERVICE, event_count=0, cut_body=True)
+        front = await self.start_front()
+        response = await self.ask(front, UNSAFE_PATH)
+        self.assertThat(response.code, Equals(502))
+        self.assertThat(self.runs(), HasLength(1))
+
+    @gen_test
+    async def test_truncated_answer_of_a_safe_request_is_replaced(self):
+        """Guards against a failure where another endpoint answers whole."""
+        self.add_endpoint("cut1", PLAIN_SERVICE, event_count=0, cut_body=True)
+        self.add_endpoint("good", PLAIN_SERVICE, event_count=0)
+        front = await self.start_front()
+        for _ in range(6):
+            response = await self.ask(front, SAFE_PATH, method="GET")
+            self.assertThat((response.code, response.body), Equals((200, b"answer")))
+
     @gen_test
     async def test_reused_address_gets_no_request_of_the_earlier_endpoint(self):
         """Guards against requests at an address that another endpoint took over."""
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -132,6 +132,23 @@
         crashed = [e for e in self.endpoints.values() if e.runs]
         self.assertThat(crashed, HasLength(3))
 
+    @gen_test(timeout=20)
+    async def test_request_that_crashes_endpoints_is_stopped_at_all_hosts(self):
+        """Guards against a request that comes again at a host that never saw it."""
+        for number in range(8):
+            self.add_endpoint(f"e{number}", MODEL_SERVICE, crash_body=b"poison")
+        fronts = [await self.start_front(f"host-{n}") for n in range(3)]
+        for front in fronts:
+            await front.directory.refresh()
+        for _ in range(4):
+            await self.ask(fronts[0], STREAM_PATH, body=b"poison")
+        # Two rounds of the exchange between the hosts.
+        await self.pause(1.5)
+        for front in fronts[1:]:
+            await self.ask(front, STREAM_PATH, body=b"poison")
+        crashed = [e for e in self.endpoints.values() if e.runs]
+        self.assertThat(crashed, HasLength(3))
+
     @gen_test
     async def test_caller_may_continue_its_own_stream(self):
         """Guards against a second start of a stream that the caller has in part."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -203,6 +203,34 @@
         every = sum(len(e.runs) for e in self.endpoints.values())
         self.assertThat(new, LessThan(0.15 * every + 30))
 
+    @gen_test(timeout=20)
+    async def test_slow_version_is_rolled_back(self):
+        """Guards against a version whose answers are right and several times slower."""
+        fronts = [await self.start_front(f"host-{n}") for n in range(2)]
+        self.order()
+        for number in range(2):
+            self.endpoints[f"new{number}"].delay_s = 0.3
+        await asyncio.wait_for(
+            self.traffic(fronts, lambda: self.state() == "rolled_back"), 6.0
+        )
+
+    @gen_test(timeout=20)
+    async def test_version_that_turns_bad_at_full_share_is_rolled_back(self):
+        """Guards against a version that fails only once it carries the load."""
+        fronts = [await self.start_front(f"host-{n}") for n in range(2)]
+        self.order(duration_s=4.0)
+
+        def full():
+            return all(f.view.rollouts[PLAIN_SERVICE].share >= 1.0 for f in fronts)
+
+        await eventually(lambda: all(f.view.rollouts for f in fronts))
+        await asyncio.wait_for(self.traffic(fronts, full), 6.0)
+        for number in range(2):
+            self.endpoints[f"new{number}"].status = 500
+        await asyncio.wait_for(
+            self.traffic(fronts, lambda: self.state() == "rolled_back"), 4.0
+        )
+
     @gen_test(timeout=20)
     async def test_store_that_loses_answers_does_not_stop_the_roll_out(self):
         """Guards against a step that is taken twice or never after a lost answer."""
