Share the common parts of the two pipelines and of the stand-in binaries

Cause: the pipelines of the product's own deployment took the same nine steps apart and judged failed attempts with the same three lines; three stand-in binaries had the same main function, two of which ignored wrong arguments.

Change: a base class Pipeline and run_with_flags. Behaviour unchanged, but that all stand-ins refuse arguments that are not flags.

Ruled out: one pipeline for both kinds; their loops differ in what ends them.

--- a/src/sesameknot/apps/endpoint_standin.py
+++ b/src/sesameknot/apps/endpoint_standin.py
@@ -1,9 +1,8 @@
 """Run an endpoint stand-in."""
 
-import asyncio
-
-from absl import app, flags
+from absl import flags
 
+from sesameknot.apps._binary import run_with_flags
 from sesameknot.apps._serving import serve_until_stopped
 from sesameknot.standins.endpoint import EndpointStandin, EngineOptions
 
@@ -55,15 +54,9 @@
     await serve_until_stopped(server, FLAGS.address, FLAGS.port)
 
 
-def main(argv: list[str]) -> None:
-    """Run the stand-in."""
-    del argv
-    asyncio.run(serve())
-
-
 def run() -> None:
-    """Entry point of the binary."""
-    app.run(main)
+    """Run the binary."""
+    run_with_flags(serve)
 
 
 if __name__ == "__main__":
--- a/src/sesameknot/apps/platform_standin.py
+++ b/src/sesameknot/apps/platform_standin.py
@@ -1,11 +1,10 @@
 """Binary ``sesameknot-platform-standin``: a platform for tests and the demo."""
 
-import asyncio
-
-from absl import app, flags
+from absl import flags
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from sesameknot.apps._binary import run_with_flags
 from sesameknot.apps._serving import stop_event
 from sesameknot.clock import SystemClock
 from sesameknot.standins.platform import PlatformCore, make_application
@@ -39,15 +38,9 @@
     await server.close_all_connections()
 
 
-def _main(argv: list[str]) -> None:
-    if len(argv) > 1:
-        raise app.UsageError(f"got {argv[1:]}, expected flags only")
-    asyncio.run(_serve())
-
-
 def run() -> None:
     """Run the binary."""
-    app.run(_main)
+    run_with_flags(_serve)
 
 
 if __name__ == "__main__":
--- a/src/sesameknot/apps/rating_standin.py
+++ b/src/sesameknot/apps/rating_standin.py
@@ -1,9 +1,8 @@
 """Run the stand-in of the rating service and the weight store."""
 
-import asyncio
-
-from absl import app, flags
+from absl import flags
 
+from sesameknot.apps._binary import run_with_flags
 from sesameknot.apps._serving import serve_until_stopped
 from sesameknot.standins.rating import RatingOptions, RatingStandin
 
@@ -40,15 +39,9 @@
     await serve_until_stopped(server, FLAGS.address, FLAGS.port)
 
 
-def main(argv: list[str]) -> None:
-    """Run the stand-in."""
-    del argv
-    asyncio.run(serve())
-
-
 def run() -> None:
-    """Entry point of the binary."""
-    app.run(main)
+    """Run the binary."""
+    run_with_flags(serve)
 
 
 if __name__ == "__main__":
--- a/src/sesameknot/router/chat_pipeline.py
+++ b/src/sesameknot/router/chat_pipeline.py
@@ -6,6 +6,7 @@
 from sesameknot.errors import RequestError, RouterError, TransportError
 from sesameknot.policy.endpoint_choice import RequestShape
 from sesameknot.protocol.chat import ChatRequest, build_request, parse_request
+from sesameknot.router._pipeline import Pipeline
 from sesameknot.router.attempts import Failure
 from sesameknot.router.bills import CANCELLED
 from sesameknot.router.call import AnswerSink, Call, CallHeaders
@@ -32,7 +33,7 @@
     """The caller closed its connection before the answer was whole."""
 
 
-class ChatPipeline:
+class ChatPipeline(Pipeline):
     """Serve chat completion requests.
 
     Parameters
@@ -58,15 +59,7 @@
         ratings: Ratings,
         metrics: RouterMetrics,
     ) -> None:
-        self._gate = parts.gate
-        self._keyed = parts.keyed
-        self._picker = parts.picker
-        self._rules = parts.rules
-        self._client = parts.client
-        self._billing = parts.billing
-        self._catalogue = parts.catalogue
-        self._traffic = parts.traffic
-        self._clock = parts.clock
+        super().__init__(parts)
         self._versions = versions
         self._grants = grants
         self._ratings = ratings
@@ -178,9 +171,7 @@
             await self._bill(call, choice, endpoint_id, writer, outcome=CANCELLED)
             raise TransportError(error.message, step="answer") from error
         except RouterError as error:
-            failure = await self._rules.judge(call, picked, error)
-            picked.slot.release(failure.outcome)
-            call.sent = sent_before or failure.may_have_run
+            failure = await self._failed(call, picked, error, sent_before=sent_before)
             self._picker.slot_freed(_target_name(call, choice))
             if failure.may_have_run:
                 self._traffic.count_error(
--- a/src/sesameknot/router/service_pipeline.py
+++ b/src/sesameknot/router/service_pipeline.py
@@ -5,6 +5,7 @@
 import structlog
 
 from sesameknot.errors import RequestError, RouterError
+from sesameknot.router._pipeline import Pipeline
 from sesameknot.router.attempts import Failure
 from sesameknot.router.call import (
     NOT_RUN,
@@ -17,7 +18,6 @@
 from sesameknot.router.catalogue import Service
 from sesameknot.router.endpoint_picker import Picked, Target
 from sesameknot.router.keyed import replay
-from sesameknot.router.parts import PipelineParts
 from sesameknot.transport.endpoint_client import (
     EndpointAnswer,
     EndpointCall,
@@ -32,25 +32,8 @@
 log = structlog.get_logger(__name__)
 
 
-class ServicePipeline:
-    """Serve requests to plain services.
-
-    Parameters
-    ----------
-    parts : PipelineParts
-        Steps that all pipelines share.
-    """
-
-    def __init__(self, parts: PipelineParts) -> None:
-        self._gate = parts.gate
-        self._keyed = parts.keyed
-        self._picker = parts.picker
-        self._rules = parts.rules
-        self._client = parts.client
-        self._billing = parts.billing
-        self._catalogue = parts.catalogue
-        self._traffic = parts.traffic
-        self._clock = parts.clock
+class ServicePipeline(Pipeline):
+    """Serve requests to plain services."""
 
     async def serve(
         self, headers: CallHeaders, request: ServiceRequest, sink: AnswerSink
@@ -137,10 +120,7 @@
             if answer.refused or (idempotent and answer.status in RETRIED_STATUSES):
                 raise EndpointStatusError(answer, peer=picked.endpoint.url)
         except RouterError as error:
-            failure = await self._rules.judge(call, picked, error)
-            picked.slot.release(failure.outcome)
-            call.sent = sent_before or failure.may_have_run
-            return failure
+            return await self._failed(call, picked, error, sent_before=sent_before)
         except BaseException:
             picked.slot.release()
             raise
