Give soak and demo other ports than the tests' workers

Without a worker's number both took the range of worker 0, and a port is free from its choice until its listener starts: both programs were given 16000 first.

Change: programs outside of pytest take one of eight ranges above those of the eight workers, by process id.

--- a/examples/local_deployment.py
+++ b/examples/local_deployment.py
@@ -33,14 +33,25 @@
 # of that range can be taken between its choice and the start of the listener.
 FIRST_PORT = 16_000
 PORTS_PER_WORKER = 1_000
-_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % 16
+TEST_WORKER_COUNT = 8
+
+
+def _port_range() -> int:
+    """Return the number of this process's range; soak and demo keep off the tests'."""
+    worker = os.environ.get("PYTEST_XDIST_WORKER")
+    if worker is None:
+        return TEST_WORKER_COUNT + os.getpid() % TEST_WORKER_COUNT
+    return int(worker.removeprefix("gw")) % TEST_WORKER_COUNT
+
+
+_RANGE = _port_range()
 _port_numbers = itertools.cycle(range(PORTS_PER_WORKER))
 
 
 def unused_port() -> int:
     """Return a TCP port that no process listens on now."""
     for number in _port_numbers:
-        port = FIRST_PORT + _WORKER * PORTS_PER_WORKER + number
+        port = FIRST_PORT + _RANGE * PORTS_PER_WORKER + number
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
