--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -68,7 +68,7 @@
         self.on_failure = on_failure
         self.relayed = False
         self._interrupted = asyncio.Event()
-        # Nobody watches before the first decision who does.
+        # Followers watch only once it is decided which hosts are the relays.
         self._direct = asyncio.Event()
         self._answering = asyncio.Event()
         self._answering.set()
