--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -52,6 +52,7 @@
             "endpoint_down_after_request",
             request_id=request.request_id,
             endpoint=endpoint.endpoint_id,
+            fingerprint=f"{fingerprint:016x}",
             crashes=self._crash_guard.count(fingerprint),
             reason=error.message,
         )
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -180,6 +180,7 @@
         log.info(
             "answer_dropped_for_larger_model",
             request_id=request.request_id,
+            endpoint=attempt.endpoint.endpoint_id,
             confidence=attempt.metadata.confidence,
             threshold=round(self._confidence_threshold(request), 1),
             pressure=round(self._pressure_gauge(request).level, 3),
