--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -56,6 +56,9 @@
         Whether answers carry the endpoint's receipt.
     crash_body : bytes or None, default=None
         Request body that crashes this endpoint.
+    crash_after_head_s : float or None, default=None
+        Time from the head of its answer to the crash, which happens even if the caller
+        leaves; None for a crash before the head.
     cut_body : bool, default=False
         Whether the connection is closed in the middle of a plain answer.
     """
@@ -72,6 +75,7 @@
     answer_request_id: str | None = None
     receipt: bool = True
     crash_body: bytes | None = None
+    crash_after_head_s: float | None = None
     cut_body: bool = False
     body: bytes = b"answer"
     runs: list[RecordedRun] = field(default_factory=list)
@@ -130,8 +134,7 @@
         self.runs.append(run)
         request.connection.set_close_callback(lambda: setattr(run, "caller_left", True))
         if self.crash_body is not None and request.body == self.crash_body:
-            self._server.stop()
-            request.connection.close()
+            await self._crash(request, run)
             return
         await asyncio.sleep(self.delay_s)
         if self.silent:
@@ -151,6 +154,13 @@
         headers["Content-Type"] = "text/event-stream"
         await self._write_events(request, headers)
 
+    async def _crash(self, request: HTTPServerRequest, run: RecordedRun) -> None:
+        if self.crash_after_head_s is not None:
+            await self._write_head(request, self._answer_headers(request, run))
+            await asyncio.sleep(self.crash_after_head_s)
+        self._server.stop()
+        await self._server.close_all_connections()
+
     def _answer_headers(
         self, request: HTTPServerRequest, run: RecordedRun
     ) -> HTTPHeaders:
--- /dev/null
+++ b/tests/forwarding/test_crashing_requests.py
@@ -0,0 +1,57 @@
+"""Tests of requests that crash the endpoints which run them."""
+
+from testtools.matchers import Equals, HasLength
+from tornado.testing import gen_test
+
+from tests.front_world import MODEL_SERVICE, STREAM_PATH, FrontWorld, configuration
+from tests.virtual_time import VirtualTimeMixin
+
+CRASH_LIMIT_COUNT = 3
+CRASHING_BODY = b"crashing question"
+PROMPT = {
+    "X-Model": "*",
+    "X-Token-Usage": "1000,80",
+    "X-Prompt-Prefix": "5c1e:400,91bd:400,e440:200",
+}
+
+
+class CrashingRequestTest(VirtualTimeMixin, FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+
+    def add_engines(self, count, **options):
+        """Start engines that the request crashes, unsure with the small model."""
+        for number in range(count):
+            self.add_endpoint(
+                f"e{number}",
+                MODEL_SERVICE,
+                crash_body=CRASHING_BODY,
+                confidences={"small": 10, "large": 90},
+                **options,
+            )
+
+    def crashed(self):
+        """Return the endpoints that ran the request."""
+        return [endpoint for endpoint in self.endpoints.values() if endpoint.runs]
+
+    async def ask_crashing(self, front):
+        """Send the request and check that it gets no answer."""
+        response = await self.ask(
+            front, STREAM_PATH, body=CRASHING_BODY, headers=PROMPT
+        )
+        self.assertThat(response.code in (502, 503), Equals(True))
+
+    @gen_test(timeout=30)
+    async def test_endpoints_that_crash_after_a_dropped_answer_are_counted(self):
+        """Guards against more crashes because an answer was dropped before the crash.
+
+        The cascade drops an unsure answer at its head and asks a larger model; the
+        first endpoint crashes all the same.
+        """
+        self.add_engines(8, crash_after_head_s=0.05)
+        front = await self.start_front()
+        for _ in range(4):
+            await self.ask_crashing(front)
+            await self.pause(1.0)
+        self.assertThat(self.crashed(), HasLength(CRASH_LIMIT_COUNT))
