Count endpoints that crash after their run was ended by this host

The cascade drops an unsure answer as soon as its head has come; the endpoint crashes some 50 to 130 ms later, when nothing watches it. The same holds when a caller leaves.

A request now keeps the runs that its host ended after the head. Their endpoints are checked together with one that is found down, and again 0.5 s after a request that got no answer. One connection a run, and only for requests that fail, so answered ones cost nothing.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -128,7 +128,7 @@
             metrics=self._metrics,
             clock=self._clock,
         )
-        crash_detector = CrashDetector(self._crash_guard)
+        crash_detector = CrashDetector(self._crash_guard, clock=self._clock)
         self._stack.callback(crash_detector.close)
         retry_policy = RetryPolicy(
             selector=selector,
@@ -150,6 +150,7 @@
             pause_guard=self._pause_guard,
             plain_forwarder=PlainForwarder(retry_policy),
             stream_forwarder=stream_forwarder,
+            crash_detector=crash_detector,
             drain=drain,
             metrics=self._metrics,
             clock=self._clock,
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -7,7 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from sesameknot.errors import ConnectError, RouterError, TransportError
-from sesameknot.forwarding.request import ForwardedRequest
+from sesameknot.forwarding.request import AbandonedRun, ForwardedRequest
 from sesameknot.platform import (
     AnswerMetadata,
     AttemptMetadata,
@@ -24,6 +24,8 @@
 MIN_TIME_LEFT_MS = 1
 SUCCESS_STATUS_LIMIT = 300
 SERVER_ERROR_STATUS = 500
+# Results of attempts that end while the endpoint may still be running the request.
+ABANDONED_RESULTS = frozenset({"abandoned", "dropped"})
 
 log = structlog.get_logger(__name__)
 
@@ -77,6 +79,7 @@
         self._sent = False
         self._result = "abandoned"
         self._started_s = runner.clock.monotonic_s()
+        self._head_s: float | None = None
         self._first_data_s: float | None = None
 
     def __enter__(self) -> "Attempt":
@@ -95,6 +98,7 @@
         traceback: TracebackType | None,
     ) -> None:
         self._exchange.close()
+        self._record_abandoned_run()
         self._record_version_result()
         self.mark_prompt_processed()
         self.endpoint.in_flight_count -= 1
@@ -164,6 +168,7 @@
             self.endpoint.health.failed()
             self.record_failure(error)
             raise
+        self._head_s = self._runner.clock.monotonic_s()
         self.status = self._exchange.status
         self.metadata = parse_answer_metadata(self.status, self.headers)
         self._check_answer()
@@ -261,6 +266,15 @@
         self.endpoint.pending_tokens -= self._pending_token_count
         self._pending_token_count = 0
 
+    def _record_abandoned_run(self) -> None:
+        """Keep the endpoint of a run that this host ended for a check of crashes."""
+        if self._result not in ABANDONED_RESULTS or self.metadata.not_run:
+            return
+        if self._head_s is not None:
+            self.request.abandoned_runs.append(
+                AbandonedRun(self.endpoint, self._head_s)
+            )
+
     def _record_version_result(self) -> None:
         """Count the answer as good or bad for the endpoint's version."""
         if self._result == "abandoned" or not self._sent or self.metadata.not_run:
--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -6,13 +6,16 @@
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from sesameknot.clock import Clock
 from sesameknot.errors import ConnectError, DeadlineError, RouterError, TransportError
-from sesameknot.forwarding.request import ForwardedRequest
+from sesameknot.forwarding.request import AbandonedRun, ForwardedRequest
 from sesameknot.policy.crash_guard import CrashGuard, request_fingerprint
 from sesameknot.state.fleet_view import KnownEndpoint
 
 # A running endpoint accepts a connection well within this time.
 PROBE_TIMEOUT_S = 0.2
+# A request that crashes endpoints does so this soon after its run has begun.
+CRASH_DELAY_LIMIT_S = 0.5
 
 log = structlog.get_logger(__name__)
 
@@ -24,11 +27,15 @@
     ----------
     crash_guard : CrashGuard
         Crash counts by request, shared between hosts.
+    clock : Clock
+        Source of monotonic time.
     """
 
-    def __init__(self, crash_guard: CrashGuard) -> None:
+    def __init__(self, crash_guard: CrashGuard, *, clock: Clock) -> None:
         self._crash_guard = crash_guard
+        self._clock = clock
         self._tcp_client = TCPClient()
+        self._checks: set[asyncio.Task[None]] = set()
 
     def refuses(self, request: ForwardedRequest) -> bool:
         """Return whether the request crashed too many endpoints."""
@@ -39,13 +46,53 @@
     async def record_if_down(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, error: RouterError
     ) -> None:
-        """Record a crash if the endpoint of a failed attempt accepts no connections."""
+        """Record a crash if the endpoint of a failed attempt accepts no connections.
+
+        The endpoints of the request's abandoned runs are then checked as well: they may
+        have crashed after the run was ended.
+        """
         if isinstance(error, ConnectError | DeadlineError):
             return
         if not isinstance(error, TransportError) or await self._accepts_connections(
             endpoint
         ):
             return
+        self._record(request, endpoint, reason=error.message)
+        await self._record_abandoned(request, request.abandoned_runs)
+
+    def check_abandoned_runs(self, request: ForwardedRequest) -> None:
+        """Check later whether runs of a request without an answer crashed endpoints."""
+        now_s = self._clock.monotonic_s()
+        recent_runs = [
+            run
+            for run in request.abandoned_runs
+            if now_s - run.began_s < CRASH_DELAY_LIMIT_S
+        ]
+        if not recent_runs:
+            return
+        check = asyncio.create_task(self._check_after_delay(request, recent_runs))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    async def _check_after_delay(
+        self, request: ForwardedRequest, runs: list[AbandonedRun]
+    ) -> None:
+        await asyncio.sleep(CRASH_DELAY_LIMIT_S)
+        await self._record_abandoned(request, runs)
+
+    async def _record_abandoned(
+        self, request: ForwardedRequest, runs: list[AbandonedRun]
+    ) -> None:
+        accepts = await asyncio.gather(
+            *(self._accepts_connections(run.endpoint) for run in runs)
+        )
+        for run, accepted in zip(runs, accepts, strict=True):
+            if not accepted:
+                self._record(request, run.endpoint, reason="run was ended before")
+
+    def _record(
+        self, request: ForwardedRequest, endpoint: KnownEndpoint, *, reason: str
+    ) -> None:
         fingerprint = _fingerprint(request)
         self._crash_guard.record(fingerprint, endpoint.endpoint_id)
         log.warning(
@@ -54,7 +101,7 @@
             endpoint=endpoint.endpoint_id,
             fingerprint=f"{fingerprint:016x}",
             crashes=self._crash_guard.count(fingerprint),
-            reason=error.message,
+            reason=reason,
         )
 
     async def _accepts_connections(self, endpoint: KnownEndpoint) -> bool:
@@ -73,7 +120,9 @@
         return True
 
     def close(self) -> None:
-        """Close the TCP client."""
+        """Cancel pending checks and close the TCP client."""
+        for check in self._checks:
+            check.cancel()
         self._tcp_client.close()
 
 
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -9,6 +9,7 @@
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.errors import TransportError
 from sesameknot.forwarding.caller import CallerConnection
+from sesameknot.forwarding.crash_detector import CrashDetector
 from sesameknot.forwarding.error_answer import (
     ErrorAnswer,
     RequestEndedError,
@@ -53,6 +54,8 @@
         Forwards requests whose answer is a single body.
     stream_forwarder : StreamForwarder
         Forwards requests whose answer is a stream of events.
+    crash_detector : CrashDetector
+        Checks endpoints whose runs ended without an answer.
     drain : Drain
         Counts requests in flight; rejects new ones during shutdown.
     metrics : RouterMetrics
@@ -69,6 +72,7 @@
         view: FleetView,
         plain_forwarder: PlainForwarder,
         stream_forwarder: StreamForwarder,
+        crash_detector: CrashDetector,
         drain: Drain,
         metrics: RouterMetrics,
         pause_guard: PauseGuard,
@@ -78,6 +82,7 @@
         self._pause_guard = pause_guard
         self._plain_forwarder = plain_forwarder
         self._stream_forwarder = stream_forwarder
+        self._crash_detector = crash_detector
         self._drain = drain
         self._metrics = metrics
         self._clock = clock
@@ -157,6 +162,15 @@
             time_left_ms=round((request.deadline_s - arrived_s) * 1000),
             resume_after=metadata.resume_after_event_id,
         )
+        try:
+            await self._forward_until_deadline(request, caller)
+        except BaseException:
+            self._crash_detector.check_abandoned_runs(request)
+            raise
+
+    async def _forward_until_deadline(
+        self, request: ForwardedRequest, caller: CallerConnection
+    ) -> None:
         forward = self._plain_forwarder.forward
         if request.route.kind is RequestKind.STREAM:
             forward = self._stream_forwarder.forward
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -6,6 +6,23 @@
 
 from sesameknot.platform import RequestMetadata
 from sesameknot.protocol.configuration import Customer, Route
+from sesameknot.state.fleet_view import KnownEndpoint
+
+
+@dataclass(slots=True, frozen=True)
+class AbandonedRun:
+    """A run that this host ended, so that it did not see how the endpoint fared.
+
+    Parameters
+    ----------
+    endpoint : KnownEndpoint
+        Endpoint that had begun to answer.
+    began_s : float
+        Monotonic time at which the head of its answer arrived.
+    """
+
+    endpoint: KnownEndpoint
+    began_s: float
 
 
 @dataclass(slots=True, kw_only=True)
@@ -41,6 +58,8 @@
         Attempts that an endpoint declared as not run.
     connect_failure_count : int
         Attempts whose connection could not be opened.
+    abandoned_runs : list of AbandonedRun
+        Runs that this host ended before their end.
     """
 
     metadata: RequestMetadata
@@ -58,6 +77,7 @@
     run_count: int = 0
     not_run_count: int = 0
     connect_failure_count: int = 0
+    abandoned_runs: list[AbandonedRun] = field(default_factory=list)
 
     @property
     def request_id(self) -> str:
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -1,5 +1,7 @@
 """Tests of requests that crash the endpoints which run them."""
 
+import asyncio
+
 from testtools.matchers import Equals, HasLength
 from tornado.testing import gen_test
 
@@ -55,3 +57,21 @@
             await self.ask_crashing(front)
             await self.pause(1.0)
         self.assertThat(self.crashed(), HasLength(CRASH_LIMIT_COUNT))
+
+    @gen_test(timeout=30)
+    async def test_endpoint_that_crashes_after_its_caller_left_is_counted(self):
+        """Guards against a crash that no one counts because the caller has left."""
+        self.add_engines(1, crash_after_head_s=0.2)
+        front = await self.start_front()
+        _, writer = await asyncio.open_connection(*front.host.caller_address.split(":"))
+        writer.write(
+            b"POST /advice/x HTTP/1.1\r\nHost: callers.example\r\n"
+            b"X-Request-Id: q\r\nX-Deadline-Ms: 3000\r\nX-Model: large\r\n"
+            b"Authorization: Bearer key-1\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (len(CRASHING_BODY), CRASHING_BODY)
+        )
+        await self.pause(0.1)
+        writer.close()
+        await self.pause(1.0)
+        counted = [entry.endpoint_ids for entry in front.crash_guard.entries()]
+        self.assertThat(counted, Equals([frozenset({"e0"})]))
