Keep counts of a repeated request in the exchange beside many others

A message carried the 8 entries with the latest crash, and every request in flight at a crashed endpoint adds an entry of the same age.

Refused requests now come first and are shared until they expire, so a host that starts later learns of them; the others are shared for 5 s after their crash, the most frequent first. A message holds 512 entries (19,466 bytes with one endpoint each, encoded in 3.2 ms).

--- a/src/sesameknot/coordination/crash_exchange.py
+++ b/src/sesameknot/coordination/crash_exchange.py
@@ -8,8 +8,8 @@
 from sesameknot.policy.crash_guard import CrashEntry, CrashGuard
 from sesameknot.protocol.messages import CrashCount
 
-# Few requests crash endpoints, so the most recent entries suffice for one heartbeat.
-SENT_ENTRY_LIMIT_COUNT = 8
+# Bounds a message to some 20 KB when many endpoints crash with many requests in flight.
+SENT_ENTRY_LIMIT_COUNT = 512
 
 log = structlog.get_logger(__name__)
 
@@ -30,8 +30,8 @@
         self._left_out_count = 0
 
     def counts(self) -> list[CrashCount]:
-        """Return the most recent crash counts, to be sent in a heartbeat."""
-        entries = self._guard.entries()
+        """Return the crash counts that other hosts need, to be sent in a message."""
+        entries = self._guard.entries_to_share()
         self._log_left_out(len(entries) - SENT_ENTRY_LIMIT_COUNT)
         return [
             CrashCount(
--- a/src/sesameknot/policy/crash_guard.py
+++ b/src/sesameknot/policy/crash_guard.py
@@ -60,6 +60,8 @@
     # Each gossip hop understates an age by its transit time. Without a margin, two
     # hosts would renew each other's entries forever.
     REFRESH_MARGIN_S = 5.0
+    # Several rounds of the exchange between hosts, across failure domains.
+    RECENT_CRASH_S = 5.0
 
     def __init__(
         self,
@@ -108,7 +110,7 @@
                     margin_s=self.REFRESH_MARGIN_S,
                 )
 
-    def entries(self, *, limit: int | None = None) -> list[CrashEntry]:
+    def entries(self) -> list[CrashEntry]:
         """Return the entries that have not expired, latest crash first."""
         now_s = self.clock.monotonic_s()
         active = [
@@ -121,7 +123,26 @@
             if not self._expired(crash_record)
         ]
         active.sort(key=lambda entry: (entry.age_s, entry.fingerprint))
-        return active[:limit]
+        return active
+
+    def entries_to_share(self) -> list[CrashEntry]:
+        """Return the entries that other hosts need, the most important first.
+
+        An endpoint that crashes adds an entry for each request in flight at it, so the
+        latest entries alone would hide the one request that crashes endpoints.
+        Requests that are refused come first and are shared until they expire. Others
+        are shared while their last crash is recent.
+        """
+        entries = self.entries()
+        refused = [e for e in entries if len(e.endpoint_ids) >= self.limit_count]
+        recent = [
+            entry
+            for entry in entries
+            if len(entry.endpoint_ids) < self.limit_count
+            and entry.age_s < self.RECENT_CRASH_S
+        ]
+        recent.sort(key=lambda entry: -len(entry.endpoint_ids))
+        return refused + recent
 
     def expire(self) -> None:
         """Delete old entries.
