Count each start of an endpoint that a request crashes

Crashes were counted by the endpoint's ID, and an endpoint may start again under the ID that it had: a request could crash it without end and count once. They are counted by ID and start now.

--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -94,7 +94,7 @@
         self, request: ForwardedRequest, endpoint: KnownEndpoint, *, reason: str
     ) -> None:
         fingerprint = _fingerprint(request)
-        self._crash_guard.record(fingerprint, endpoint.endpoint_id)
+        self._crash_guard.record(fingerprint, endpoint.incarnation_id)
         log.warning(
             "endpoint_down_after_request",
             request_id=request.request_id,
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -66,6 +66,12 @@
         """Identifier of the endpoint."""
         return self.entry.endpoint_id
 
+    @property
+    def incarnation_id(self) -> str:
+        """Identifier that changes when the endpoint starts again under its own."""
+        started_ms = self.entry.started_ms
+        return f"{self.endpoint_id}@{started_ms}" if started_ms else self.endpoint_id
+
 
 @dataclass(slots=True)
 class FleetView:
--- a/tests/coordination/test_crash_exchange.py
+++ b/tests/coordination/test_crash_exchange.py
@@ -1,7 +1,7 @@
 """Tests of the exchange of crash counts between hosts.
 
-The load: one request comes again and again and crashes each endpoint that runs it, while
-the endpoints run many other requests for all hosts.
+The load: one request comes again and again and crashes each endpoint that runs it,
+while the endpoints run many other requests for all hosts.
 """
 
 from testtools import TestCase
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -6,6 +6,7 @@
 from tornado.testing import gen_test
 
 from tests.front_world import MODEL_SERVICE, STREAM_PATH, FrontWorld, configuration
+from tests.support import eventually
 from tests.virtual_time import VirtualTimeMixin
 
 CRASH_LIMIT_COUNT = 3
@@ -75,3 +76,23 @@
         await self.pause(1.0)
         counted = [entry.endpoint_ids for entry in front.crash_guard.entries()]
         self.assertThat(counted, Equals([frozenset({"e0"})]))
+
+    @gen_test(timeout=30)
+    async def test_endpoint_that_restarts_under_its_id_is_counted_again(self):
+        """Guards against one endpoint that a request crashes over and over."""
+        front = await self.start_front()
+        lives = []
+        for start_ms in range(1, 6):
+            self.add_engines(1)
+            lives.append(self.endpoints["e0"])
+            entry = self.store.get("servers", "e0")["Spec"]
+            self.store.put("servers", "e0", {**entry, "born": start_ms})
+            await eventually(
+                lambda at=start_ms: (
+                    "e0" in front.view.endpoints
+                    and front.view.endpoints["e0"].entry.started_ms == at
+                )
+            )
+            await self.ask_crashing(front)
+        crashed = [endpoint for endpoint in lives if endpoint.runs]
+        self.assertThat(crashed, HasLength(CRASH_LIMIT_COUNT))
