Keep refused requests across a kill of all hosts

After a kill of all, a request that was refused everywhere could crash three more endpoints. A host that saw one of the crashes now writes a report into the store when a request is refused, and every host reads the reports at its start, twice, from the stale copy at a tenth of a call's price.

--- /dev/null
+++ b/src/sesameknot/coordination/crash_archive.py
@@ -0,0 +1,158 @@
+"""Keep what crashes endpoints in the platform's store, for hosts that start later.
+
+Hosts tell each other in messages, which is faster and costs no call of the store. When
+all of them are killed at once, only the store still knows.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Protocol
+
+import structlog
+
+from sesameknot.clock import Clock
+from sesameknot.errors import PlatformError
+from sesameknot.platform import (
+    CRASH_KIND,
+    EntryConflictError,
+    EntryError,
+    StoreClient,
+    StoredEntry,
+    decode_crash_report,
+    encode_crash_report,
+)
+from sesameknot.policy.crash_guard import CrashEntry
+from sesameknot.protocol.fleet_records import CrashReport
+from sesameknot.settings.front import StoreSettings
+
+WRITE_INTERVAL_S = 0.5
+# A stale copy of the store is seconds old, so reports are read again after this time.
+READ_AGAIN_AFTER_S = 5.0
+# Bounds the calls of a host when many requests meet several crashes.
+WRITE_LIMIT_COUNT = 2
+
+log = structlog.get_logger(__name__)
+
+
+class RefusalSource(Protocol):
+    """Decides what is refused because it crashes endpoints."""
+
+    retention_s: float
+
+    def refused_after_own_crashes(self) -> list[CrashEntry]:
+        """Return what is refused and of which this host saw a crash."""
+
+    def merge(self, entries: list[CrashEntry]) -> None:
+        """Merge entries that the store holds."""
+
+
+class CrashArchive:
+    """Task that reads crash reports at the start, and writes those of this host.
+
+    Parameters
+    ----------
+    sources : mapping of str to RefusalSource
+        Sources by the kind of what they refuse; the kind is part of reports' names.
+    store : StoreClient
+        The store.
+    settings : StoreSettings
+        Pause after a failed call.
+    clock : Clock
+        Source of the time of day.
+    """
+
+    def __init__(
+        self,
+        sources: Mapping[str, RefusalSource],
+        *,
+        store: StoreClient,
+        settings: StoreSettings,
+        clock: Clock,
+    ) -> None:
+        self._sources = sources
+        self._store = store
+        self._settings = settings
+        self._clock = clock
+        self._stored_names: set[str] = set()
+        self._own_names: set[str] = set()
+
+    async def run(self) -> None:
+        """Read the reports, then write new ones until cancelled."""
+        started_s = self._clock.monotonic_s()
+        remaining_reads = [started_s + READ_AGAIN_AFTER_S, started_s]
+        while True:
+            try:
+                if remaining_reads and self._clock.monotonic_s() >= remaining_reads[-1]:
+                    await self.read_reports()
+                    remaining_reads.pop()
+                await self.write_reports()
+            except PlatformError as error:
+                log.info("crash_reports_failed", step=error.step, reason=error.message)
+                await asyncio.sleep(self._settings.retry_max_s)
+            await asyncio.sleep(WRITE_INTERVAL_S)
+
+    async def read_reports(self) -> None:
+        """Read the reports once, from a stale copy at a tenth of a call's price.
+
+        Raises
+        ------
+        PlatformError
+            If the store does not answer.
+        """
+        batch = await self._store.list(CRASH_KIND, allow_stale=True)
+        for entry in batch.entries:
+            await self._take(entry)
+        if batch.entries:
+            log.info("crash_reports_read", reports=len(batch.entries))
+
+    async def _take(self, entry: StoredEntry) -> None:
+        try:
+            report = decode_crash_report(entry)
+            kind, _, digits = report.name.partition("-")
+            source, fingerprint = self._sources[kind], int(digits, 16)
+        except (EntryError, KeyError, ValueError) as error:
+            log.warning("entry_rejected", entry=entry.key, reason=str(error))
+            return
+        age_s = max(0.0, (self._clock.wall_ms() - report.last_crash_ms) / 1000.0)
+        if age_s >= source.retention_s:
+            await self._store.delete(CRASH_KIND, report.name)
+            return
+        self._stored_names.add(report.name)
+        source.merge([CrashEntry(fingerprint, report.endpoint_ids, age_s)])
+
+    async def write_reports(self) -> None:
+        """Write the reports of this host that the store does not hold yet.
+
+        Reports of this host that have expired are deleted.
+
+        Raises
+        ------
+        PlatformError
+            If the store does not answer.
+        """
+        new_reports = [
+            report
+            for report in self._reports()
+            if report.name not in self._stored_names
+        ]
+        for report in new_reports[:WRITE_LIMIT_COUNT]:
+            try:
+                content = encode_crash_report(report)
+                await self._store.create(CRASH_KIND, report.name, content)
+            except EntryConflictError:
+                # Another host that saw a crash was faster.
+                pass
+            self._stored_names.add(report.name)
+            log.info("crash_report_written", report=report.name)
+
+    def _reports(self) -> list[CrashReport]:
+        wall_ms = self._clock.wall_ms()
+        return [
+            CrashReport(
+                name=f"{kind}-{entry.fingerprint:016x}",
+                endpoint_ids=entry.endpoint_ids,
+                last_crash_ms=wall_ms - int(entry.age_s * 1000),
+            )
+            for kind, source in self._sources.items()
+            for entry in source.refused_after_own_crashes()
+        ]
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -14,6 +14,7 @@
 
 from sesameknot._front_request_path import RequestPathBuilder
 from sesameknot.clock import Clock, SystemClock
+from sesameknot.coordination.crash_archive import CrashArchive
 from sesameknot.coordination.crash_exchange import CrashExchange
 from sesameknot.coordination.domain_exchange import DomainExchange
 from sesameknot.coordination.fleet_sinks import SINKS
@@ -130,6 +131,12 @@
             addresses=self._other_addresses,
         )
         self.crash_guard = CrashGuard(clock=self.clock, limit_count=CRASH_LIMIT_COUNT)
+        self.crash_archive = CrashArchive(
+            {"request": self.crash_guard},
+            store=self.store,
+            settings=settings.store,
+            clock=self.clock,
+        )
         self.domain_exchange = self._build_domain_exchange()
         self.rollout_coordinator = self._build_rollout_coordinator()
         self.pause_guard = PauseGuard(
@@ -200,6 +207,7 @@
         self._spawn("snapshot", self.peer_snapshot.run())
         self._spawn("exchange", self.domain_exchange.run())
         self._spawn("hosts", self.directory.run())
+        self._spawn("crash reports", self.crash_archive.run())
         self._spawn("rollouts", self.rollout_coordinator.run())
         self._spawn("pauses", self.pause_guard.run())
         self._spawn("forget", self._cleanup_loop())
--- a/src/sesameknot/platform/__init__.py
+++ b/src/sesameknot/platform/__init__.py
@@ -17,15 +17,18 @@
 from sesameknot.platform._node_file import NODE_FILE_VARIABLE, load_host_settings
 from sesameknot.platform._objects import (
     CONFIGURATION_KIND,
+    CRASH_KIND,
     ENDPOINT_KIND,
     EVACUATION_KIND,
     HOST_KIND,
     ROLLOUT_KIND,
     EntryError,
     decode_configuration,
+    decode_crash_report,
     decode_endpoint,
     decode_host,
     decode_rollout,
+    encode_crash_report,
     encode_host,
     encode_rollout_progress,
 )
@@ -40,6 +43,7 @@
 
 __all__ = [
     "CONFIGURATION_KIND",
+    "CRASH_KIND",
     "ENDPOINT_KIND",
     "EVACUATION_KIND",
     "HOST_KIND",
@@ -56,9 +60,11 @@
     "StoreClient",
     "StoredEntry",
     "decode_configuration",
+    "decode_crash_report",
     "decode_endpoint",
     "decode_host",
     "decode_rollout",
+    "encode_crash_report",
     "encode_host",
     "encode_rollout_progress",
     "headers_for_caller",
--- a/src/sesameknot/platform/_objects.py
+++ b/src/sesameknot/platform/_objects.py
@@ -16,6 +16,7 @@
     ServiceShare,
 )
 from sesameknot.protocol.fleet_records import (
+    CrashReport,
     EndpointEntry,
     EndpointState,
     HostEntry,
@@ -27,8 +28,9 @@
 ENDPOINT_KIND = "servers"
 EVACUATION_KIND = "evacuations"
 ROLLOUT_KIND = "rollouts"
-# The router's own kind, which the platform does not define.
+# The router's own kinds, which the platform does not define.
 HOST_KIND = "sesameknot-hosts"
+CRASH_KIND = "sesameknot-crashes"
 
 REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -137,6 +139,11 @@
     started_ms: int = 0
 
 
+class _CrashReport(msgspec.Struct, rename="pascal"):
+    endpoint_ids: list[str]
+    last_crash_ms: int
+
+
 class _Host(msgspec.Struct, rename="pascal"):
     address: str
     zone: str
@@ -300,3 +307,27 @@
 def encode_host(host: HostEntry) -> dict[str, object]:
     """Return the ``Spec`` under which ``host`` registers itself."""
     return {"Address": host.peer_address, "Zone": host.domain}
+
+
+def decode_crash_report(entry: StoredEntry) -> CrashReport:
+    """Return the crash report in ``entry``.
+
+    Raises
+    ------
+    EntryError
+        If a field is missing or has a wrong type.
+    """
+    spec = _decode_spec(entry, _CrashReport)
+    return CrashReport(
+        name=entry.name,
+        endpoint_ids=frozenset(spec.endpoint_ids),
+        last_crash_ms=spec.last_crash_ms,
+    )
+
+
+def encode_crash_report(report: CrashReport) -> dict[str, object]:
+    """Return the ``Spec`` of a crash report."""
+    return {
+        "EndpointIds": sorted(report.endpoint_ids),
+        "LastCrashMs": report.last_crash_ms,
+    }
--- a/src/sesameknot/policy/crash_guard.py
+++ b/src/sesameknot/policy/crash_guard.py
@@ -38,6 +38,7 @@
 class _CrashRecord:
     endpoint_ids: set[str] = field(default_factory=set)
     last_crash_s: float = 0.0
+    seen_here: bool = False
 
 
 class CrashGuard:
@@ -81,6 +82,7 @@
         """Record that a request crashed ``endpoint_id``."""
         now_s = self.clock.monotonic_s()
         self._merge_entry(fingerprint, {endpoint_id}, now_s, margin_s=0.0)
+        self._records[fingerprint].seen_here = True
 
     def count(self, fingerprint: int) -> int:
         """Return the number of endpoints that a request crashed."""
@@ -144,6 +146,15 @@
         recent.sort(key=lambda entry: -len(entry.endpoint_ids))
         return refused + recent
 
+    def refused_after_own_crashes(self) -> list[CrashEntry]:
+        """Return the refused requests of which this host saw a crash."""
+        return [
+            entry
+            for entry in self.entries()
+            if self._records[entry.fingerprint].seen_here
+            and self.refuses(entry.fingerprint)
+        ]
+
     def expire(self) -> None:
         """Delete old entries.
 
--- a/src/sesameknot/protocol/fleet_records.py
+++ b/src/sesameknot/protocol/fleet_records.py
@@ -88,3 +88,22 @@
     host_id: str
     peer_address: str
     domain: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CrashReport:
+    """Endpoints that crashed under something that is refused since.
+
+    Parameters
+    ----------
+    name : str
+        Kind and fingerprint of what crashed them.
+    endpoint_ids : frozenset of str
+        Incarnations of the endpoints.
+    last_crash_ms : int
+        Unix time of the last crash in milliseconds.
+    """
+
+    name: str
+    endpoint_ids: frozenset[str]
+    last_crash_ms: int
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -96,3 +96,17 @@
             await self.ask_crashing(front)
         crashed = [endpoint for endpoint in lives if endpoint.runs]
         self.assertThat(crashed, HasLength(CRASH_LIMIT_COUNT))
+
+    @gen_test(timeout=30)
+    async def test_refused_request_stays_refused_after_all_hosts_were_killed(self):
+        """Guards against crashes that are needed again after a kill of all hosts."""
+        self.add_engines(8)
+        front = await self.start_front()
+        for _ in range(2):
+            await self.ask_crashing(front)
+        await self.pause(1.0)
+        await front.close()
+        started = await self.start_front("host-2")
+        await self.pause(0.5)
+        await self.ask_crashing(started)
+        self.assertThat(self.crashed(), HasLength(CRASH_LIMIT_COUNT))
