--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -100,6 +100,7 @@
             request_id=request.request_id,
             endpoint=endpoint.endpoint_id,
             fingerprint=f"{fingerprint:016x}",
+            prompt_parts=[part.part_id for part in request.metadata.prompt],
             crashes=self._crash_guard.count(fingerprint),
             reason=reason,
         )
