--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -56,6 +56,8 @@
         Whether answers carry the endpoint's receipt.
     crash_body : bytes or None, default=None
         Request body that crashes this endpoint.
+    crash_part : str, default=""
+        Identifier of a part of the prompt that crashes this endpoint.
     crash_after_head_s : float or None, default=None
         Time from the head of its answer to the crash, which happens even if the caller
         leaves; None for a crash before the head.
@@ -75,6 +77,7 @@
     answer_request_id: str | None = None
     receipt: bool = True
     crash_body: bytes | None = None
+    crash_part: str = ""
     crash_after_head_s: float | None = None
     cut_body: bool = False
     body: bytes = b"answer"
@@ -133,7 +136,7 @@
         )
         self.runs.append(run)
         request.connection.set_close_callback(lambda: setattr(run, "caller_left", True))
-        if self.crash_body is not None and request.body == self.crash_body:
+        if self._crashes_on(request):
             await self._crash(request, run)
             return
         await asyncio.sleep(self.delay_s)
@@ -154,6 +157,13 @@
         headers["Content-Type"] = "text/event-stream"
         await self._write_events(request, headers)
 
+    def _crashes_on(self, request: HTTPServerRequest) -> bool:
+        if self.crash_body is not None and request.body == self.crash_body:
+            return True
+        prompt = request.headers.get(platform_headers.PROMPT_PREFIX_HEADER, "")
+        part_ids = [entry.partition(":")[0] for entry in prompt.split(",")]
+        return bool(self.crash_part) and self.crash_part in part_ids
+
     async def _crash(self, request: HTTPServerRequest, run: RecordedRun) -> None:
         if self.crash_after_head_s is not None:
             await self._write_head(request, self._answer_headers(request, run))
--- /dev/null
+++ b/tests/forwarding/test_crashing_prompt_parts.py
@@ -0,0 +1,96 @@
+"""Tests of prompt parts that crash the endpoints which answer requests with them.
+
+The load: requests of all customers and hosts share one part of their prompts, are no
+two alike otherwise, and crash each endpoint that begins to answer. Sound requests share
+their key and their other parts.
+"""
+
+from testtools.matchers import Equals, LessThan
+from tornado.testing import gen_test
+
+from tests.front_world import MODEL_SERVICE, STREAM_PATH, FrontWorld, configuration
+from tests.virtual_time import VirtualTimeMixin
+
+# Crashes after which requests with the part must not reach endpoints.
+CRASH_LIMIT_COUNT = 5
+CRASHING_PART = "bad0"
+FIRST_PART = "5c1e"
+# Parts that sound and crashing requests share.
+OTHER_PARTS = ("91bd", "91be", "91bf")
+
+
+class CrashingPromptPartTest(VirtualTimeMixin, FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+        self.prompt_count = 0
+
+    def add_engines(self, count, **options):
+        """Start engines that the part crashes."""
+        for number in range(count):
+            self.add_endpoint(
+                f"e{number}",
+                MODEL_SERVICE,
+                crash_part=CRASHING_PART,
+                confidences={"small": 90, "large": 90},
+                **options,
+            )
+
+    def crashed(self):
+        """Return the endpoints that ran a crashing request."""
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if any(
+                CRASHING_PART in run.headers["X-Prompt-Prefix"] for run in endpoint.runs
+            )
+        ]
+
+    async def ask_with(self, front, *part_ids):
+        """Send a request of its own with these parts and a last one of its own."""
+        self.prompt_count += 1
+        part_ids = [FIRST_PART, *part_ids, f"e{self.prompt_count:03x}"]
+        headers = {
+            "X-Model": "*",
+            "X-Token-Usage": "1000,80",
+            "X-Prompt-Prefix": ",".join(f"{part_id}:300" for part_id in part_ids),
+        }
+        body = b"question %d" % self.prompt_count
+        return await self.ask(front, STREAM_PATH, body=body, headers=headers)
+
+    async def start_hosts(self, count):
+        """Start hosts that know each other."""
+        fronts = [await self.start_front(f"host-{n}") for n in range(count)]
+        for front in fronts:
+            await front.directory.refresh()
+        return fronts
+
+    @gen_test(timeout=30)
+    async def test_crashing_part_is_refused_and_sound_requests_are_answered(self):
+        """Guards against requests that crash endpoints and are no two alike."""
+        self.add_engines(20)
+        (front,) = await self.start_hosts(1)
+        for part in OTHER_PARTS:
+            response = await self.ask_with(front, part)
+            self.assertThat(response.code, Equals(200))
+        for number in range(12):
+            other_part = OTHER_PARTS[number % len(OTHER_PARTS)]
+            await self.ask_with(front, other_part, CRASHING_PART)
+            response = await self.ask_with(front, other_part)
+            self.assertThat(response.code, Equals(200))
+        self.assertThat(len(self.crashed()), LessThan(CRASH_LIMIT_COUNT + 1))
+
+    @gen_test(timeout=30)
+    async def test_crashing_part_is_refused_at_all_hosts(self):
+        """Guards against hosts that learn of the part by crashes of their own."""
+        self.add_engines(30)
+        fronts = await self.start_hosts(4)
+        for number in range(12):
+            other_part = OTHER_PARTS[number % len(OTHER_PARTS)]
+            await self.ask_with(fronts[number % 4], other_part, CRASHING_PART)
+            # Some rounds of the exchange between the hosts.
+            await self.pause(1.5)
+        self.assertThat(len(self.crashed()), LessThan(CRASH_LIMIT_COUNT + 1))
+        for front in fronts:
+            response = await self.ask_with(front, OTHER_PARTS[0])
+            self.assertThat(response.code, Equals(200))
