Compare the pace of streams while they run in a roll-out

Its streams took longer than the roll-out, and an answer was counted when it had ended: 31 answers of the new version were counted at the decision, 6 of them bad, among them short ones and runs dropped at their head. Its time to the first event is little longer, so the limit on that shows nothing. Ruled out: late counters of other hosts, which answered each round.

Each stream is now measured once, after the longest pause that its route wants or at its end, by the mean time between its events. Hosts report the paces on a logarithmic scale by model; the coordinator calls a stream slow at three times the stable version's median, and the sequential test stops a version whose share of slow streams is higher by 0.35.

--- a/src/sesameknot/coordination/rollout_coordinator.py
+++ b/src/sesameknot/coordination/rollout_coordinator.py
@@ -18,6 +18,7 @@
 from sesameknot.platform import ROLLOUT_KIND, StoreClient, encode_rollout_progress
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.policy.rollout_statistics import VersionSample
+from sesameknot.policy.stream_pace import PaceGroup, compare_paces
 from sesameknot.policy.timed_rollout import (
     RolloutAction,
     RolloutProgress,
@@ -187,7 +188,14 @@
             time_since_raise_share=(now_s - timing.share_changed_s) / order.duration_s,
             target_endpoint_count=self._target_endpoint_count(order),
         )
-        action, share = self._rollout_policy.next_action(progress, new, stable)
+        new_streams, stable_streams = self._stream_samples(order, replies)
+        action, share = self._rollout_policy.next_action(
+            progress,
+            new,
+            stable,
+            new_streams=new_streams,
+            stable_streams=stable_streams,
+        )
         if action is RolloutAction.WAIT:
             return
         await self._write_progress(order, action, share, timing)
@@ -202,6 +210,10 @@
             new_bad=new.error_count,
             stable_answers=stable.request_count,
             stable_bad=stable.error_count,
+            new_streams=new_streams.request_count,
+            new_slow=new_streams.error_count,
+            stable_streams=stable_streams.request_count,
+            stable_slow=stable_streams.error_count,
             revision=order.revision,
         )
 
@@ -275,6 +287,21 @@
             counts[1] += record.error_count
         return VersionSample(new[0], new[1]), VersionSample(stable[0], stable[1])
 
+    def _stream_samples(
+        self, order: RolloutOrder, replies: Sequence[StatsReply]
+    ) -> tuple[VersionSample, VersionSample]:
+        """Return streams and slow streams of the target and of other versions."""
+        records = self._attempt_counts.pace_records()
+        for reply in replies:
+            records += reply.paces
+        new, stable = [], []
+        for record in records:
+            if record.service == order.service:
+                group = PaceGroup(record.model, record.level, record.stream_count)
+                is_new = record.version == order.target_version
+                (new if is_new else stable).append(group)
+        return compare_paces(new, stable)
+
     def _adopt_earliest_start(
         self, order: RolloutOrder, timing: _OrderTiming, replies: Sequence[StatsReply]
     ) -> None:
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -294,6 +294,13 @@
             entry.service, entry.version, bad=failed or slow
         )
 
+    def count_stream(self, gap_s: float) -> None:
+        """Count the answer as a stream with a mean time between events of ``gap_s``."""
+        entry = self.endpoint.entry
+        self._runner.attempt_counts.count_stream(
+            entry.service, entry.version, self.model, gap_s=gap_s
+        )
+
     def record_answer(self, result: str = "answered") -> None:
         """Record a complete answer; a 5xx status counts against the endpoint."""
         self._result = result
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -18,6 +18,7 @@
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.forwarding.retry_policy import RetryPolicy
 from sesameknot.forwarding.sound_answer import SoundAnswerWatch
+from sesameknot.forwarding.stream_pace import StreamPace
 from sesameknot.platform import headers_for_caller
 from sesameknot.policy.confidence_cascade import CascadeStrategy
 from sesameknot.policy.pressure import PressureGauge
@@ -120,7 +121,11 @@
                     return await self._handle_error_status(state, attempt, caller)
                 if self._try_larger_model(state, attempt, caller):
                     return False
-                await self._relay_events(state, attempt, caller)
+                pace = StreamPace(attempt)
+                try:
+                    await self._relay_events(state, attempt, caller, pace)
+                finally:
+                    pace.ended(self._retry_policy.clock.monotonic_s())
                 return True
         except (TransportError, NotSentError) as error:
             if error.step == "answer" and caller.head_sent and not error.peer:
@@ -214,7 +219,11 @@
         return self._retry_policy.runner.pressure_gauges.get(request.service)
 
     async def _relay_events(
-        self, state: _StreamState, attempt: Attempt, caller: CallerConnection
+        self,
+        state: _StreamState,
+        attempt: Attempt,
+        caller: CallerConnection,
+        pace: StreamPace,
     ) -> None:
         request = state.request
         clock = self._retry_policy.clock
@@ -235,6 +244,7 @@
             attempt.report_progress()
             attempt.mark_prompt_processed()
             answer_watch.event_received(now_s)
+            pace.events_received(state.splitter.event_count - event_count, now_s)
             if caller.head_sent:
                 self._metrics.token_gap_s.observe({}, now_s - last_event_s)
                 await caller.send(block)
--- /dev/null
+++ b/src/sesameknot/forwarding/stream_pace.py
@@ -0,0 +1,57 @@
+"""Measurement of the pace of one stream."""
+
+from sesameknot.forwarding.attempt import Attempt
+
+# Shorter streams are measured at their end, if they have this many gaps.
+GAP_MIN_COUNT = 3
+
+
+class StreamPace:
+    """Measures the mean time between events once, and counts it for the version.
+
+    A stream is measured as soon as it has run for the longest pause that its route
+    wants between events, so that slow streams are counted as early as others. Streams
+    of cold endpoints are not measured.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        The attempt whose answer is the stream.
+    """
+
+    __slots__ = ("_attempt", "_event_count", "_first_event_s", "_measured")
+
+    def __init__(self, attempt: Attempt) -> None:
+        self._attempt = attempt
+        self._event_count = 0
+        self._first_event_s = 0.0
+        self._measured = False
+
+    def events_received(self, count: int, now_s: float) -> None:
+        """Note events that arrived together."""
+        if not self._event_count:
+            self._first_event_s = now_s
+            self._measured = now_s < self._attempt.endpoint.cold_until_s
+        self._event_count += count
+        if now_s - self._first_event_s >= self._measuring_time_s:
+            self._measure(now_s)
+
+    def ended(self, now_s: float) -> None:
+        """Note the end of the stream, whether whole or not."""
+        waited_s = now_s - self._first_event_s
+        if not self._event_count:
+            return
+        if self._event_count > GAP_MIN_COUNT or waited_s >= self._measuring_time_s:
+            self._measure(now_s)
+
+    @property
+    def _measuring_time_s(self) -> float:
+        route = self._attempt.request.route
+        return (route.event_gap_ms or route.latency_target_ms) / 1000.0
+
+    def _measure(self, now_s: float) -> None:
+        if not self._measured:
+            self._measured = True
+            gap_count = max(1, self._event_count - 1)
+            gap_s = (now_s - self._first_event_s) / gap_count
+            self._attempt.count_stream(gap_s)
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -325,6 +325,7 @@
             host_id=self.host.host_id,
             versions=self.attempt_counts.records(),
             orders=self.rollout_coordinator.order_ages(),
+            paces=self.attempt_counts.pace_records(),
         )
 
     async def _cleanup_loop(self) -> None:
--- a/src/sesameknot/policy/timed_rollout.py
+++ b/src/sesameknot/policy/timed_rollout.py
@@ -7,6 +7,9 @@
 
 # Increase of the share of bad answers at which a version counts as bad.
 ERROR_RISE = 0.15
+# The same for the share of slow streams, which is far from 0 under load. A version that
+# is several times slower raises it by more.
+SLOW_RISE = 0.35
 # Fewer bad answers may be caused by one faulty endpoint or a broken connection.
 BAD_ANSWER_MIN_COUNT = 3
 
@@ -69,11 +72,12 @@
         When the roll-out advances.
     """
 
-    __slots__ = ("_test", "plan")
+    __slots__ = ("_pace_test", "_test", "plan")
 
     def __init__(self, plan: TimedRolloutPlan) -> None:
         self.plan = plan
         self._test = SequentialTest(error_rise=ERROR_RISE, step_count=2)
+        self._pace_test = SequentialTest(error_rise=SLOW_RISE, step_count=2)
 
     def is_bad(self, new: VersionSample, stable: VersionSample) -> bool:
         """Return whether the new version fails significantly more often."""
@@ -81,12 +85,34 @@
             return False
         return self._test.stops_on_errors(new, stable)
 
+    def is_slow(self, new: VersionSample, stable: VersionSample) -> bool:
+        """Return whether significantly more streams of the new version are slow."""
+        if new.error_count < BAD_ANSWER_MIN_COUNT:
+            return False
+        return self._pace_test.stops_on_errors(new, stable)
+
     def next_action(
-        self, progress: RolloutProgress, new: VersionSample, stable: VersionSample
+        self,
+        progress: RolloutProgress,
+        new: VersionSample,
+        stable: VersionSample,
+        *,
+        new_streams: VersionSample = VersionSample(),  # noqa: B008 - immutable
+        stable_streams: VersionSample = VersionSample(),  # noqa: B008 - immutable
     ) -> tuple[RolloutAction, float]:
-        """Return the next action and the share of sessions after it."""
+        """Return the next action and the share of sessions after it.
+
+        Parameters
+        ----------
+        progress : RolloutProgress
+            Progress of the roll-out.
+        new, stable : VersionSample
+            Answers and bad answers of the versions.
+        new_streams, stable_streams : VersionSample
+            Streams and slow streams of the versions.
+        """
         plan = self.plan
-        if self.is_bad(new, stable):
+        if self.is_bad(new, stable) or self.is_slow(new_streams, stable_streams):
             return RolloutAction.ROLL_BACK, 0.0
         if not progress.started:
             return RolloutAction.START, 0.0
--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -118,6 +118,20 @@
     answered_age_ms: int = -1
 
 
+@dataclass(slots=True, kw_only=True)
+class PaceCount:
+    """Number of streams with about the same mean time between events.
+
+    ``level`` is its logarithm, see :mod:`sesameknot.policy.stream_pace`.
+    """
+
+    service: str = ""
+    version: str = ""
+    model: str = ""
+    level: int = 0
+    stream_count: int = 0
+
+
 @dataclass(slots=True, kw_only=True)
 class OrderAge:
     """Time since a host first received a roll-out order."""
--- a/src/sesameknot/protocol/_stats.py
+++ b/src/sesameknot/protocol/_stats.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from sesameknot.protocol._message_registry import message
-from sesameknot.protocol._records import OrderAge, VersionStats
+from sesameknot.protocol._records import OrderAge, PaceCount, VersionStats
 
 
 @message("statsRequest")
@@ -17,9 +17,10 @@
 @message("statsReply")
 @dataclass(slots=True, kw_only=True)
 class StatsReply:
-    """Counters per model version and roll-out order ages of one router."""
+    """Counters per model version, stream paces and order ages of one router."""
 
     host_id: str = ""
     incarnation: int = 0
     versions: list[VersionStats] = field(default_factory=list)
     orders: list[OrderAge] = field(default_factory=list)
+    paces: list[PaceCount] = field(default_factory=list)
--- a/src/sesameknot/protocol/messages.py
+++ b/src/sesameknot/protocol/messages.py
@@ -49,6 +49,7 @@
     ObjectRecord,
     ObjectVersion,
     OrderAge,
+    PaceCount,
     VersionStats,
 )
 from sesameknot.protocol._stats import (
@@ -90,6 +91,7 @@
     "ObjectSyncReply",
     "ObjectVersion",
     "OrderAge",
+    "PaceCount",
     "Ping",
     "StatsReply",
     "StatsRequest",
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -241,6 +241,15 @@
   incarnation @1 :UInt64;
   versions @2 :List(VersionStats);
   orders @3 :List(OrderAge);
+  paces @4 :List(PaceCount);
+}
+
+struct PaceCount {
+  service @0 :Text;
+  version @1 :Text;
+  model @2 :Text;
+  level @3 :Int32;
+  streamCount @4 :UInt64;
 }
 
 struct OrderAge {
