Take a head without any event as a stream that was broken off

A stream that ends with its connection before any event now counts as broken off and is asked for elsewhere.

--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -216,6 +216,10 @@
         self.record_failure(error)
         return error
 
+    def broken_stream_error(self, reason: str) -> TransportError:
+        """Return the error of a stream that its endpoint broke off."""
+        return TransportError(reason, step="body", peer=self.endpoint.endpoint_id)
+
     async def read(self) -> bytes:
         """Return the next bytes of the body, ``b""`` at its end.
 
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -254,11 +254,9 @@
                 await caller.send_head(attempt.status, headers, data=comments + block)
             last_event_s = now_s
         if state.splitter.incomplete:
-            raise TransportError(
-                "stream ended inside an event",
-                step="body",
-                peer=attempt.endpoint.endpoint_id,
-            )
+            raise attempt.broken_stream_error("stream ended inside an event")
+        if attempt.ends_with_connection and not state.splitter.event_count:
+            raise attempt.broken_stream_error("stream ended before any event")
         if not caller.head_sent:
             await caller.send_head(attempt.status, headers_for_caller(attempt.headers))
         attempt.record_answer()
