Evict refused requests last from the crash counts

Entries that are not refused go first now. The test failed before: the request was let through after 50 others.

--- a/src/sesameknot/policy/crash_guard.py
+++ b/src/sesameknot/policy/crash_guard.py
@@ -67,7 +67,8 @@
     retention_s : float, default=600.0
         Time in seconds after the last crash for which a fingerprint counts.
     size_limit : int, default=4096
-        Maximum number of fingerprints; the one with the oldest crash is evicted first.
+        Maximum number of fingerprints; those that are not refused are evicted first, by
+        the age of their last crash.
     """
 
     __slots__ = ("_records", "clock", "limit_count", "retention_s", "size_limit")
@@ -228,5 +229,9 @@
         if len(self._records) > self.size_limit:
             self.expire()
         while len(self._records) > self.size_limit:
-            oldest = min(self._records, key=lambda key: self._records[key].last_crash_s)
-            del self._records[oldest]
+            del self._records[min(self._records, key=self._eviction_rank)]
+
+    def _eviction_rank(self, fingerprint: int) -> tuple[bool, float]:
+        crash_record = self._records[fingerprint]
+        refused = len(crash_record.endpoint_ids) >= self.limit_count
+        return refused, crash_record.last_crash_s
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -187,6 +187,17 @@
         first.record(7, "e3")
         self.assertFalse(first.refuses(7))
 
+    def test_refused_request_outlasts_many_others(self):
+        """Guards against a refusal that later crashes of other requests evict."""
+        clock = ManualClock()
+        guard = CrashGuard(clock=clock, size_limit=10)
+        guard.record(7, "e1")
+        guard.record(7, "e2")
+        for other in range(100, 150):
+            clock.advance(0.01)
+            guard.record(other, "e3")
+        self.assertTrue(guard.refuses(7))
+
     def test_slow_gossip_does_not_renew_an_entry(self):
         """Guards against hosts whose gossip delay renews each other's entries."""
         clock = ManualClock()
