Take a crash of unknown time as recent in the part guard

An expired entry that comes to life through another host may name endpoints whose crash times were dropped, and would have ended the check with KeyError. Found by reading, not seen in a run.

--- a/src/sesameknot/policy/prompt_part_guard.py
+++ b/src/sesameknot/policy/prompt_part_guard.py
@@ -190,7 +190,8 @@
         unexplained_count = len(crashes - explained)
         if unexplained_count < self.limit_count:
             return False
-        times_s = [self._crashed_s[endpoint_id] for endpoint_id in crashes]
+        now_s = self.clock.monotonic_s()
+        times_s = [self._crashed_s.get(endpoint_id, now_s) for endpoint_id in crashes]
         first_s, last_s = min(times_s), max(times_s)
         in_its_time_count = sum(
             first_s <= crashed_s <= last_s
