Delete expired crash reports, and show reports to operators

A host deletes its own report when the refusal expires; without that, reports would stay in the store for ever. 'sesameknotctl store' lists what is refused.

--- a/src/sesameknot/coordination/crash_archive.py
+++ b/src/sesameknot/coordination/crash_archive.py
@@ -130,20 +130,25 @@
         PlatformError
             If the store does not answer.
         """
-        new_reports = [
-            report
-            for report in self._reports()
-            if report.name not in self._stored_names
-        ]
-        for report in new_reports[:WRITE_LIMIT_COUNT]:
-            try:
-                content = encode_crash_report(report)
-                await self._store.create(CRASH_KIND, report.name, content)
-            except EntryConflictError:
-                # Another host that saw a crash was faster.
-                pass
-            self._stored_names.add(report.name)
+        reports = {report.name: report for report in self._reports()}
+        for name in self._own_names - set(reports):
+            await self._store.delete(CRASH_KIND, name)
+            self._own_names.discard(name)
+        self._stored_names &= set(reports)
+        new_names = [name for name in reports if name not in self._stored_names]
+        for name in new_names[:WRITE_LIMIT_COUNT]:
+            await self._write(reports[name])
+
+    async def _write(self, report: CrashReport) -> None:
+        content = encode_crash_report(report)
+        try:
+            await self._store.create(CRASH_KIND, report.name, content)
+        except EntryConflictError:
+            log.info("crash_report_exists", report=report.name)
+        else:
+            self._own_names.add(report.name)
             log.info("crash_report_written", report=report.name)
+        self._stored_names.add(report.name)
 
     def _reports(self) -> list[CrashReport]:
         wall_ms = self._clock.wall_ms()
--- a/src/sesameknot/operator/_store_command.py
+++ b/src/sesameknot/operator/_store_command.py
@@ -9,6 +9,7 @@
 from sesameknot.operator.results import ExitCode, Report, table
 from sesameknot.platform import (
     CONFIGURATION_KIND,
+    CRASH_KIND,
     ENDPOINT_KIND,
     EVACUATION_KIND,
     HOST_KIND,
@@ -17,6 +18,7 @@
     StoreClient,
     StoredEntry,
     decode_configuration,
+    decode_crash_report,
     decode_endpoint,
     decode_host,
     decode_rollout,
@@ -25,7 +27,7 @@
 
 @command("store", "IP:PORT", argument_counts=(1,))
 async def show_store(context: OperatorContext, arguments: list[str]) -> Report:
-    """Show versions, roll-outs, evacuated domains and hosts in the platform's store."""
+    """Show versions, roll-outs, domains, hosts and refusals in the platform's store."""
     store = StoreClient(arguments[0])
     try:
         return await _report(store)
@@ -58,6 +60,8 @@
     lines.append(f"evacuated domains: {', '.join(sorted(evacuated)) or 'none'}")
     for entry in (await store.list(HOST_KIND)).entries:
         lines.append(_text(entry, _host_line))
+    for entry in (await store.list(CRASH_KIND)).entries:
+        lines.append(_text(entry, _crash_line))
     return Report(lines=lines, value={"endpoints": rows, "evacuated": evacuated})
 
 
@@ -87,3 +91,8 @@
 def _host_line(entry: StoredEntry) -> str:
     found = decode_host(entry)
     return f"host {found.host_id} in {found.domain} at {found.peer_address}"
+
+
+def _crash_line(entry: StoredEntry) -> str:
+    found = decode_crash_report(entry)
+    return f"refused {found.name}: {len(found.endpoint_ids)} endpoints crashed"
--- a/tests/operator/test_explain.py
+++ b/tests/operator/test_explain.py
@@ -78,6 +78,11 @@
         self.add_endpoint("e1", PLAIN_SERVICE)
         self.store.put("servers", "bad", {"Service": 1})
         self.store.put("evacuations", "b", {})
+        self.store.put(
+            "sesameknot-crashes",
+            "part-00000000000000ff",
+            {"EndpointIds": ["e1", "e2"], "LastCrashMs": 5},
+        )
         self.store.put(
             "rollouts", "s", {"Service": "s", "Target": "v2", "DurationS": 9}
         )
@@ -88,6 +93,7 @@
             "configuration 4",
             "dispatch",
             "evacuated domains: b",
+            "refused part-00000000000000ff: 2 endpoints crashed",
             "roll-out of s to v2: requested",
             "error: decode servers/bad",
         ):
