Bound the crash reports that all hosts write together

A storm of crashes counts many requests at three crashes or more, at all hosts. Each host wrote up to four reports a second, which grows with the hosts; 195 could pass the store's limit on writes. Rounds now wait so that all hosts together write 20 a second, and the reports with the most crashes go first, so that the crashing request is not behind the others. Found by reading; the test failed before (the order of reports).

--- a/src/sesameknot/coordination/crash_archive.py
+++ b/src/sesameknot/coordination/crash_archive.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import structlog
@@ -28,8 +28,10 @@
 WRITE_INTERVAL_S = 0.5
 # A stale copy of the store is seconds old, so reports are read again after this time.
 READ_AGAIN_AFTER_S = 5.0
-# Bounds the calls of a host when many requests meet several crashes.
+# Bound the writes when many requests meet several crashes: those of a host in one round,
+# and those of all hosts together.
 WRITE_LIMIT_COUNT = 2
+FLEET_WRITES_PER_S = 20.0
 
 log = structlog.get_logger(__name__)
 
@@ -57,6 +59,8 @@
         The store.
     settings : StoreSettings
         Pause after a failed call.
+    host_count : callable
+        Returns the number of hosts, which share the limit on writes.
     clock : Clock
         Source of the time of day.
     """
@@ -67,11 +71,13 @@
         *,
         store: StoreClient,
         settings: StoreSettings,
+        host_count: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._sources = sources
         self._store = store
         self._settings = settings
+        self._host_count = host_count
         self._clock = clock
         self._stored_names: set[str] = set()
         self._own_names: set[str] = set()
@@ -81,15 +87,17 @@
         started_s = self._clock.monotonic_s()
         remaining_reads = [started_s + READ_AGAIN_AFTER_S, started_s]
         while True:
+            written_count = 0
             try:
                 if remaining_reads and self._clock.monotonic_s() >= remaining_reads[-1]:
                     await self.read_reports()
                     remaining_reads.pop()
-                await self.write_reports()
+                written_count = await self.write_reports()
             except PlatformError as error:
                 log.info("crash_reports_failed", step=error.step, reason=error.message)
                 await asyncio.sleep(self._settings.retry_max_s)
-            await asyncio.sleep(WRITE_INTERVAL_S)
+            pause_s = written_count * self._host_count() / FLEET_WRITES_PER_S
+            await asyncio.sleep(max(WRITE_INTERVAL_S, pause_s))
 
     async def read_reports(self) -> None:
         """Read the reports once, from a stale copy at a tenth of a call's price.
@@ -120,10 +128,16 @@
         self._stored_names.add(report.name)
         source.merge([CrashEntry(fingerprint, report.endpoint_ids, age_s)])
 
-    async def write_reports(self) -> None:
+    async def write_reports(self) -> int:
         """Write the reports of this host that the store does not hold yet.
 
-        Reports of this host that have expired are deleted.
+        The reports with the most crashes go first. Reports of this host that have
+        expired are deleted.
+
+        Returns
+        -------
+        int
+            Number of reports written.
 
         Raises
         ------
@@ -135,9 +149,14 @@
             await self._store.delete(CRASH_KIND, name)
             self._own_names.discard(name)
         self._stored_names &= set(reports)
-        new_names = [name for name in reports if name not in self._stored_names]
-        for name in new_names[:WRITE_LIMIT_COUNT]:
-            await self._write(reports[name])
+        new_reports = [
+            report for name, report in reports.items() if name not in self._stored_names
+        ]
+        new_reports.sort(key=lambda report: -len(report.endpoint_ids))
+        written_reports = new_reports[:WRITE_LIMIT_COUNT]
+        for report in written_reports:
+            await self._write(report)
+        return len(written_reports)
 
     async def _write(self, report: CrashReport) -> None:
         content = encode_crash_report(report)
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -137,6 +137,7 @@
             {"request": self.crash_guard, "part": self.part_guard},
             store=self.store,
             settings=settings.store,
+            host_count=lambda: len(self.view.hosts),
             clock=self.clock,
         )
         self.domain_exchange = self._build_domain_exchange()
--- a/tests/coordination/test_crash_archive.py
+++ b/tests/coordination/test_crash_archive.py
@@ -4,7 +4,7 @@
 from tornado.testing import gen_test
 
 from sesameknot.clock import ManualClock
-from sesameknot.coordination.crash_archive import CrashArchive
+from sesameknot.coordination.crash_archive import WRITE_LIMIT_COUNT, CrashArchive
 from sesameknot.platform import CRASH_KIND, StoreClient
 from sesameknot.policy.crash_guard import CrashGuard
 from sesameknot.settings.front import StoreSettings
@@ -28,6 +28,7 @@
             {"request": guard},
             store=self.client_of_store,
             settings=StoreSettings(),
+            host_count=lambda: 1,
             clock=self.clock,
         )
         return guard, archive
@@ -60,6 +61,21 @@
         await archive.write_reports()
         self.assertThat(self.store.get(CRASH_KIND, REPORT_NAME), Equals(None))
 
+    @gen_test
+    async def test_many_refusals_are_written_a_few_at_a_time_the_worst_first(self):
+        """Guards against a burst of writes when many requests meet crashes."""
+        guard, archive = self.new_host()
+        for request in range(20):
+            for number in range(2 + (request == 13)):
+                guard.record(request, f"e{number}")
+        call_count = self.client_of_store.call_count
+        written_count = await archive.write_reports()
+        self.assertThat(written_count, Equals(WRITE_LIMIT_COUNT))
+        self.assertThat(
+            self.client_of_store.call_count - call_count, Equals(WRITE_LIMIT_COUNT)
+        )
+        self.assertNotEqual(self.store.get(CRASH_KIND, f"request-{13:016x}"), None)
+
     @gen_test
     async def test_second_host_that_saw_a_crash_keeps_the_first_report(self):
         """Guards against hosts that write and delete each other's reports."""
