--- a/src/sesameknot/coordination/crash_archive.py
+++ b/src/sesameknot/coordination/crash_archive.py
@@ -28,7 +28,7 @@
 WRITE_INTERVAL_S = 0.5
 # A stale copy of the store is seconds old, so reports are read again after this time.
 READ_AGAIN_AFTER_S = 5.0
-# Bound the writes when many requests meet several crashes: those of a host in one round,
+# Bound the writes when many requests meet several crashes: those of a host in a round,
 # and those of all hosts together.
 WRITE_LIMIT_COUNT = 2
 FLEET_WRITES_PER_S = 20.0
