--- a/tests/forwarding/test_crashing_prompt_parts.py
+++ b/tests/forwarding/test_crashing_prompt_parts.py
@@ -13,6 +13,8 @@
 
 # Crashes after which requests with the part must not reach endpoints.
 CRASH_LIMIT_COUNT = 5
+# Time after which no host may send requests with the part.
+REFUSED_WITHIN_S = 3.0
 CRASHING_PART = "bad0"
 FIRST_PART = "5c1e"
 # Parts that sound and crashing requests share.
@@ -58,9 +60,12 @@
         body = b"question %d" % self.prompt_count
         return await self.ask(front, STREAM_PATH, body=body, headers=headers)
 
-    async def start_hosts(self, count):
-        """Start hosts that know each other."""
-        fronts = [await self.start_front(f"host-{n}") for n in range(count)]
+    async def start_hosts(self, count, *, domains="a"):
+        """Start hosts that know each other, in these failure domains in turn."""
+        fronts = [
+            await self.start_front(f"host-{n}", domain=domains[n % len(domains)])
+            for n in range(count)
+        ]
         for front in fronts:
             await front.directory.refresh()
         return fronts
@@ -95,6 +100,23 @@
             response = await self.ask_with(front, OTHER_PARTS[0])
             self.assertThat(response.code, Equals(200))
 
+    @gen_test(timeout=60)
+    async def test_part_is_known_in_all_failure_domains_in_time(self):
+        """Guards against counts that stay in the failure domain of the crashes."""
+        self.add_engines(30)
+        fronts = await self.start_hosts(9, domains="abc")
+        await self.pause(2.0)
+        for number in range(4):
+            other_part = OTHER_PARTS[number % len(OTHER_PARTS)]
+            await self.ask_with(fronts[0], other_part)
+            await self.ask_with(fronts[0], other_part, CRASHING_PART)
+        crashed_count = len(self.crashed())
+        await self.pause(REFUSED_WITHIN_S)
+        for front in fronts:
+            response = await self.ask_with(front, OTHER_PARTS[0], CRASHING_PART)
+            self.assertThat(response.code, Equals(503))
+        self.assertThat(len(self.crashed()), Equals(crashed_count))
+
     @gen_test(timeout=30)
     async def test_endpoints_that_crash_after_a_dropped_answer_are_counted(self):
         """Guards against a part that crashes two endpoints for each one counted."""
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -107,14 +107,14 @@
         self.endpoints[endpoint_id] = endpoint
         return endpoint
 
-    def host_settings(self, host_id="host-1", *, seeds=(), **bounds):
+    def host_settings(self, host_id="host-1", *, domain="a", seeds=(), **bounds):
         """Return settings with unused ports."""
         ports = [reserve_port() for _ in range(3)]
         return HostSettings(
             host_id=host_id,
             ip="127.0.0.1",
             region="r",
-            domain="a",
+            domain=domain,
             domains={"a": "r", "b": "r"},
             caller_address=f"127.0.0.1:{ports[0]}",
             ready_address=f"127.0.0.1:{ports[1]}",
@@ -126,10 +126,12 @@
             ),
         )
 
-    async def start_front(self, host_id="host-1", *, settings=None, seeds=(), **bounds):
+    async def start_front(
+        self, host_id="host-1", *, domain="a", settings=None, seeds=(), **bounds
+    ):
         """Start a front process with the test's store and wait until it is ready."""
         front = Front(
-            self.host_settings(host_id, seeds=seeds, **bounds),
+            self.host_settings(host_id, domain=domain, seeds=seeds, **bounds),
             settings or FrontSettings(metrics_port=reserve_port()),
             clock=self.make_clock(),
         )
