Make no crash report calls while the store does not answer

Each host reads the crash reports twice after its start. When the second read fell into an outage, it was tried every 1.5 s at all hosts, a tenth of a call each. The task now waits until the store has answered since its last known failure.

--- a/src/sesameknot/coordination/crash_archive.py
+++ b/src/sesameknot/coordination/crash_archive.py
@@ -61,6 +61,9 @@
         Pause after a failed call.
     host_count : callable
         Returns the number of hosts, which share the limit on writes.
+    store_answers : callable
+        Returns whether the store has answered since its last failure, as far as this
+        host knows. In an outage this task makes no calls of its own.
     clock : Clock
         Source of the time of day.
     """
@@ -72,33 +75,42 @@
         store: StoreClient,
         settings: StoreSettings,
         host_count: Callable[[], int],
+        store_answers: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._sources = sources
         self._store = store
         self._settings = settings
         self._host_count = host_count
+        self._store_answers = store_answers
         self._clock = clock
         self._stored_names: set[str] = set()
         self._own_names: set[str] = set()
+        # Times at which reports are read, the next one last.
+        self._read_due_s: list[float] = []
 
     async def run(self) -> None:
         """Read the reports, then write new ones until cancelled."""
         started_s = self._clock.monotonic_s()
-        remaining_reads = [started_s + READ_AGAIN_AFTER_S, started_s]
+        self._read_due_s = [started_s + READ_AGAIN_AFTER_S, started_s]
         while True:
             written_count = 0
-            try:
-                if remaining_reads and self._clock.monotonic_s() >= remaining_reads[-1]:
-                    await self.read_reports()
-                    remaining_reads.pop()
-                written_count = await self.write_reports()
-            except PlatformError as error:
-                log.info("crash_reports_failed", step=error.step, reason=error.message)
-                await asyncio.sleep(self._settings.retry_max_s)
+            if self._store_answers():
+                try:
+                    written_count = await self._read_and_write()
+                except PlatformError as error:
+                    reason = error.message
+                    log.info("crash_reports_failed", step=error.step, reason=reason)
+                    await asyncio.sleep(self._settings.retry_max_s)
             pause_s = written_count * self._host_count() / FLEET_WRITES_PER_S
             await asyncio.sleep(max(WRITE_INTERVAL_S, pause_s))
 
+    async def _read_and_write(self) -> int:
+        if self._read_due_s and self._clock.monotonic_s() >= self._read_due_s[-1]:
+            await self.read_reports()
+            self._read_due_s.pop()
+        return await self.write_reports()
+
     async def read_reports(self) -> None:
         """Read the reports once, from a stale copy at a tenth of a call's price.
 
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -138,6 +138,7 @@
             store=self.store,
             settings=settings.store,
             host_count=lambda: len(self.view.hosts),
+            store_answers=self._store_answers,
             clock=self.clock,
         )
         self.domain_exchange = self._build_domain_exchange()
@@ -178,6 +179,10 @@
             self.domain_exchange.relay_answered_s, self.store_link.probe_answered_s
         )
 
+    def _store_answers(self) -> bool:
+        """Return whether the store has answered since its last known failure."""
+        return self._information_confirmed_s() > self.view.store_failed_s
+
     def _change_limit_s(self) -> float:
         """Return the time within which every change in the store must be in force."""
         bounds = self.host.bounds
--- a/tests/coordination/test_crash_archive.py
+++ b/tests/coordination/test_crash_archive.py
@@ -1,5 +1,7 @@
 """Tests of the crash reports in the platform's store."""
 
+import asyncio
+
 from testtools.matchers import Equals
 from tornado.testing import gen_test
 
@@ -18,6 +20,7 @@
     def setUp(self):
         super().setUp()
         self.clock = ManualClock()
+        self.store_answers = True
         self.client_of_store = StoreClient(self.store_address)
         self.closing(self.client_of_store.close)
 
@@ -29,6 +32,7 @@
             store=self.client_of_store,
             settings=StoreSettings(),
             host_count=lambda: 1,
+            store_answers=lambda: self.store_answers,
             clock=self.clock,
         )
         return guard, archive
@@ -87,6 +91,16 @@
         await archive.write_reports()
         self.assertNotEqual(self.store.get(CRASH_KIND, REPORT_NAME), None)
 
+    @gen_test
+    async def test_no_call_is_made_while_the_store_does_not_answer(self):
+        """Guards against calls of all hosts in a long outage."""
+        self.store_answers = False
+        _, archive = self.new_host()
+        task = asyncio.create_task(archive.run())
+        self.closing(task.cancel)
+        await asyncio.sleep(0.1)
+        self.assertThat(self.client_of_store.call_count, Equals(0))
+
     @gen_test
     async def test_unreadable_report_harms_no_other(self):
         """Guards against one wrong object that keeps all reports from a host."""
