Keep messages of crash counts small

A message held up to 512 entries: 19,466 bytes, 3.2 ms to encode and 2.9 ms to decode. A relay of 95 hosts answers 155 messages a second, which would take about a whole core for 5 s after each crash. 64 entries suffice: a relay adds up the counts of its hosts, so the second crash already puts what repeats before the others. 4,790 bytes with both lists full, 0.80 and 0.75 ms.

--- a/src/sesameknot/coordination/crash_exchange.py
+++ b/src/sesameknot/coordination/crash_exchange.py
@@ -9,8 +9,9 @@
 from sesameknot.policy.crash_guard import CrashEntry
 from sesameknot.protocol.messages import CrashCount
 
-# Bounds a message to some 20 KB when many endpoints crash with many requests in flight.
-SENT_ENTRY_LIMIT_COUNT = 512
+# What repeats is among the first entries, as a relay adds up the counts of all its hosts.
+# A relay of many hosts answers many times a second, so messages must stay small.
+SENT_ENTRY_LIMIT_COUNT = 64
 
 log = structlog.get_logger(__name__)
 
