--- a/src/sesameknot/coordination/crash_exchange.py
+++ b/src/sesameknot/coordination/crash_exchange.py
@@ -9,8 +9,8 @@
 from sesameknot.policy.crash_guard import CrashEntry
 from sesameknot.protocol.messages import CrashCount
 
-# What repeats is among the first entries, as a relay adds up the counts of all its hosts.
-# A relay of many hosts answers many times a second, so messages must stay small.
+# A relay of many hosts answers many times a second, so messages must stay small. What
+# repeats is among the first entries, as relays add up the counts of their hosts.
 SENT_ENTRY_LIMIT_COUNT = 64
 
 log = structlog.get_logger(__name__)
