Look for a larger rise of slow streams, and put off a doubtful end

The test now looks for a rise of 0.5, which a version that slows half of its streams causes, and an end in doubt waits for the next step while that comes in time.

--- a/src/sesameknot/coordination/rollout_coordinator.py
+++ b/src/sesameknot/coordination/rollout_coordinator.py
@@ -187,6 +187,7 @@
             elapsed_share=(now_s - timing.started_s) / order.duration_s,
             time_since_raise_share=(now_s - timing.share_changed_s) / order.duration_s,
             target_endpoint_count=self._target_endpoint_count(order),
+            step_share=self._interval_s / order.duration_s,
         )
         new_streams, stable_streams = self._stream_samples(order, replies)
         action, share = self._rollout_policy.next_action(
--- a/src/sesameknot/policy/rollout_statistics.py
+++ b/src/sesameknot/policy/rollout_statistics.py
@@ -160,6 +160,10 @@
         """Return whether the errors alone are sufficient to stop the new version."""
         return self._error_llr(new, stable) >= self._stop_llr
 
+    def stop_progress(self, new: VersionSample, stable: VersionSample) -> float:
+        """Return the evidence of the errors as a share of what stops a version."""
+        return self._error_llr(new, stable) / self._stop_llr
+
     def early_llr(self, new: VersionSample, stable: VersionSample) -> float:
         """Return the larger log-likelihood ratio, even for few ratings."""
         rating_llr = self._rating_llr(new, stable, min_ratings=2)
--- a/src/sesameknot/policy/timed_rollout.py
+++ b/src/sesameknot/policy/timed_rollout.py
@@ -9,7 +9,10 @@
 ERROR_RISE = 0.15
 # The same for the share of slow streams, which is far from 0 under load. A version that
 # is several times slower raises it by more.
-SLOW_RISE = 0.35
+SLOW_RISE = 0.5
+# Share of the evidence that stops a version at which its end is put off while there is
+# time for more.
+DOUBT_SHARE = 0.5
 # Fewer bad answers may be caused by one faulty endpoint or a broken connection.
 BAD_ANSWER_MIN_COUNT = 3
 
@@ -54,6 +57,8 @@
         Time since ``share`` was last raised, as a share of the ordered duration.
     target_endpoint_count : int
         Endpoints of the new version that can receive requests.
+    step_share : float, default=0.0
+        Time between two decisions, as a share of the ordered duration.
     """
 
     started: bool
@@ -61,6 +66,12 @@
     elapsed_share: float
     time_since_raise_share: float
     target_endpoint_count: int
+    step_share: float = 0.0
+
+    @property
+    def may_wait(self) -> bool:
+        """Whether the next decision still comes in time."""
+        return self.elapsed_share + 2.0 * self.step_share < 1.0
 
 
 class TimedRolloutPolicy:
@@ -127,7 +138,12 @@
             return RolloutAction.RAISE, 1.0
         full = progress.share >= 1.0
         if full and self._is_stage_over(progress, plan.full_share_at, plan.decide_at):
-            return RolloutAction.FINISH, 1.0
+            doubt_share = max(
+                self._test.stop_progress(new, stable),
+                self._pace_test.stop_progress(new_streams, stable_streams),
+            )
+            if doubt_share < DOUBT_SHARE or not progress.may_wait:
+                return RolloutAction.FINISH, 1.0
         return RolloutAction.WAIT, progress.share
 
     def _is_stage_over(
