Begin a second roll-out of a service at its beginning

The status in the store still held the share and start of the earlier roll-out, to another target, and only its outcome was left out: the first step of the second one saw all of its time gone. The status of another target counts as none now. The test failed before on share and start.

--- a/src/sesameknot/platform/_objects.py
+++ b/src/sesameknot/platform/_objects.py
@@ -267,10 +267,10 @@
         status = msgspec.convert(entry.status or {}, _RolloutStatus)
     except msgspec.ValidationError:
         status = _RolloutStatus()
-    outcome = RolloutOutcome.REQUESTED
-    # Progress recorded for an earlier target does not apply to this order.
-    if status.target == spec.target:
-        outcome = ROLLOUT_OUTCOMES.get(status.state, RolloutOutcome.REQUESTED)
+    if status.target != spec.target:
+        # Progress recorded for an earlier target does not apply to this order.
+        status = _RolloutStatus()
+    outcome = ROLLOUT_OUTCOMES.get(status.state, RolloutOutcome.REQUESTED)
     return RolloutOrder(
         service=spec.service,
         target_version=spec.target,
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -111,6 +111,13 @@
         self.assertThat(decoded.route("other.example", "/booking/x"), Is(None))
         self.assertThat(decoded.route("callers.example", "/book"), Is(None))
 
+    def test_progress_of_an_earlier_target_does_not_apply(self):
+        """Guards against a second roll-out that begins in the middle of its course."""
+        spec = {"Service": "s", "Target": "v3", "DurationS": 9.0}
+        earlier = {"State": "succeeded", "Target": "v2", "Share": 1.0, "StartedMs": 5}
+        order = decode_rollout(stored_entry(spec, status=earlier))
+        self.assertThat(order, Equals(decode_rollout(stored_entry(spec))))
+
     def test_progress_of_a_rollout_survives_the_store(self):
         """Guards against a host that restarts a roll-out which is in progress."""
         spec = {"Service": "s", "Target": "v2", "DurationS": 12}
