Run the tests of following and of stopping on virtual time

Traced by their logs: the process stood still for 1.049 s (process_was_paused) while an endpoint was cold for 1 s, so that all 30 requests came to a warm one; a stream of 2.7 s with a deadline of 3 s ended at 3,002 ms. Checks and bounds are unchanged; time now passes only when nothing is left to do.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -19,9 +19,10 @@
     route,
 )
 from tests.support import eventually
+from tests.virtual_time import VirtualTimeMixin
 
 
-class FollowTest(FrontWorld):
+class FollowTest(VirtualTimeMixin, FrontWorld):
     def setUp(self):
         super().setUp()
         self.store.put("config", "main", configuration())
@@ -286,7 +287,7 @@
         await eventually(lambda: front.view.configuration.version == 9, limit_s=4.0)
 
 
-class StopTest(FrontWorld):
+class StopTest(VirtualTimeMixin, FrontWorld):
     def setUp(self):
         super().setUp()
         self.store.put("config", "main", configuration())
