Log and count the request rates that endpoints name

Cause: an answer with Server-Limit left no trace, so that the logs could not tell a host that reads no limit from one that bounds its own rate only. No decision uses it yet. The stand-in endpoint names a limit and records runs on the time of its loop.

--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -109,6 +109,7 @@
             in_flight=chosen.in_flight_count,
             others_in_flight=chosen.other_in_flight_count,
             failure_share=round(chosen.health.failure_share, 3),
+            limit_per_s=self._view.endpoint_limits.rate_per_s(chosen.incarnation_id),
             attempt=len(request.tried_endpoint_ids) + 1,
         )
         return chosen
--- a/src/sesameknot/forwarding/status_pages.py
+++ b/src/sesameknot/forwarding/status_pages.py
@@ -66,6 +66,7 @@
         metrics = self._metrics
         metrics.in_flight.set({}, self._drain.in_flight_count)
         metrics.platform_calls.set({}, self._store_call_count())
+        metrics.limited_endpoints.set({}, self._view.endpoint_limits.limited_count)
         config_age_s = self._clock.monotonic_s() - self._view.configuration_applied_s
         metrics.config_age_s.set({}, config_age_s)
         accept_headers = http_request.headers.get_list("Accept")
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -338,6 +338,7 @@
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self.view.forget_gone()
+            self.view.endpoint_limits.expire()
             self.crash_guard.expire()
             self.part_guard.expire()
             self.peer_client.close_idle()
--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -1,7 +1,6 @@
 """Stand-in for an endpoint that runs on the users' platform."""
 
 import asyncio
-import time
 from dataclasses import dataclass, field
 
 from tornado.httpserver import HTTPServer
@@ -63,6 +62,8 @@
         leaves; None for a crash before the head.
     cut_body : bool, default=False
         Whether the connection is closed in the middle of a plain answer.
+    rate_limit : str, default=""
+        Request rate that its answers name; empty for none.
     """
 
     endpoint_id: str
@@ -80,6 +81,7 @@
     crash_part: str = ""
     crash_after_head_s: float | None = None
     cut_body: bool = False
+    rate_limit: str = ""
     body: bytes = b"answer"
     runs: list[RecordedRun] = field(default_factory=list)
     refused_count: int = 0
@@ -132,7 +134,7 @@
             uri=request.uri,
             body=request.body,
             headers=request.headers,
-            received_s=time.monotonic(),
+            received_s=asyncio.get_running_loop().time(),
         )
         self.runs.append(run)
         request.connection.set_close_callback(lambda: setattr(run, "caller_left", True))
@@ -184,6 +186,8 @@
             headers[platform_headers.RECEIPT_HEADER] = (
                 f"{self.endpoint_id}.{len(self.runs)}"
             )
+        if self.rate_limit:
+            headers[platform_headers.RATE_LIMIT_HEADER] = self.rate_limit
         model = request.headers.get(platform_headers.MODEL_HEADER, "")
         if model in self.confidences:
             headers[platform_headers.CONFIDENCE_HEADER] = str(self.confidences[model])
--- a/src/sesameknot/router/metrics.py
+++ b/src/sesameknot/router/metrics.py
@@ -50,6 +50,11 @@
         self.in_flight = Gauge(
             "sesameknot_requests_in_flight", "Requests in flight", registry=registry
         )
+        self.limited_endpoints = Gauge(
+            "sesameknot_limited_endpoints",
+            "Endpoints that named a limit on their request rate",
+            registry=registry,
+        )
         self.platform_calls = Gauge(
             "sesameknot_platform_calls", "Calls to the platform", registry=registry
         )
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -13,6 +13,7 @@
     RolloutOutcome,
 )
 from sesameknot.state.endpoint_health import EndpointHealth
+from sesameknot.state.endpoint_limits import EndpointLimits
 
 # Endpoints whose entries expired during a store outage register again within this time.
 LAPSE_GRACE_S = 2.0
@@ -102,6 +103,8 @@
         Front hosts by name.
     store_failed_s : float
         Monotonic time of the last failed call to the store.
+    endpoint_limits : EndpointLimits
+        Request rates that endpoints named in their answers.
     """
 
     clock: Clock
@@ -115,6 +118,10 @@
     rollouts: dict[str, RolloutOrder] = field(default_factory=dict)
     hosts: dict[str, HostEntry] = field(default_factory=dict)
     store_failed_s: float = float("-inf")
+    endpoint_limits: EndpointLimits = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.endpoint_limits = EndpointLimits(self.clock)
 
     @property
     def ready(self) -> bool:
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -145,6 +145,26 @@
             200, HTTPHeaders({"X-Confidence": headers["X-Deadline-Ms"]})
         )
 
+    @given(value=TEXT | st.sampled_from(["nan", "inf", "-1", "1e9", "9" * 5000, "1,2"]))
+    def test_malformed_limit_of_an_endpoint_changes_nothing(self, value):
+        """Guards against nonsense that is taken as a limit, or fails the request."""
+        answer = parse_answer_metadata(200, HTTPHeaders({"Server-Limit": value}))
+        is_decimal = value.strip().replace(".", "", 1).isdecimal() and len(value) < 19
+        if not is_decimal:
+            self.assertThat(answer.rate_limit_per_s, Is(None))
+        if answer.rate_limit_per_s is None:
+            self.assertThat(len(answer.malformed_rate_limit) > 0, Equals(True))
+
+    def test_limit_of_an_endpoint_is_a_decimal_number(self):
+        """Guards against a limit that is not understood."""
+        rates = [
+            parse_answer_metadata(200, HTTPHeaders({"Server-Limit": value}))
+            for value in ("2.25", "0", " 12 ")
+        ]
+        self.assertThat([r.rate_limit_per_s for r in rates], Equals([2.25, 0.0, 12.0]))
+        absent = parse_answer_metadata(200, HTTPHeaders())
+        self.assertThat(absent.malformed_rate_limit, Equals(""))
+
     def test_session_is_the_last_shared_part(self):
         """Guards against a session key that differs between a session's requests."""
         headers = HTTPHeaders({"X-Prompt-Prefix": "a:1,b:2,c:3"})
