Share the request rate that an endpoint names among all hosts

Cause: no host used the limit. Ruled out: a bound of each host alone would not do, since all eight hosts sent to i-b99f2aad07, none of them much; nor one on first attempts alone, as 57 of 83 were second attempts for larger models. The restart of a host changed nothing there. Change: one host, by rendezvous hashing of the endpoint over the list of hosts, schedules the requests to it, the others ask for a permit before each; its place is taken by the next host if it does not answer. Requests prefer endpoints without a limit to waiting; if all have one, they wait for a part of their latency target, the urgent ones longest, or are refused as not run with the time until a permit is likely. An answer is dropped for a larger model only once an endpoint has been found for that. A limit ends with the first answer to a later request that names none.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -4,6 +4,7 @@
 import random
 
 from sesameknot.clock import Clock
+from sesameknot.coordination.endpoint_permits import EndpointPermits
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.forwarding.attempt_runner import AttemptRunner
 from sesameknot.forwarding.crash_detector import CrashDetector
@@ -62,6 +63,8 @@
         Detects prompt parts that crash endpoints.
     metrics : RouterMetrics
         Counters and latency histograms.
+    permits : EndpointPermits
+        Permits for endpoints that limit their request rate.
     pause_guard : PauseGuard
         Detects pauses of this process.
     clock : Clock
@@ -79,6 +82,7 @@
         "_metrics",
         "_part_guard",
         "_pause_guard",
+        "_permits",
         "_settings",
         "_stack",
         "_view",
@@ -95,6 +99,7 @@
         crash_guard: CrashGuard,
         part_guard: PromptPartGuard,
         metrics: RouterMetrics,
+        permits: EndpointPermits,
         pause_guard: PauseGuard,
         clock: Clock,
         stack: contextlib.AsyncExitStack,
@@ -107,6 +112,7 @@
         self._crash_guard = crash_guard
         self._part_guard = part_guard
         self._metrics = metrics
+        self._permits = permits
         self._pause_guard = pause_guard
         self._clock = clock
         self._stack = stack
@@ -129,6 +135,7 @@
                 answer_limit_bytes=settings.attempts.answer_limit_bytes,
                 total_limit_bytes=settings.attempts.all_answers_limit_bytes,
             ),
+            permits=self._permits,
             pause_guard=self._pause_guard,
             settings=settings.attempts,
             metrics=self._metrics,
--- a/src/sesameknot/coordination/host_directory.py
+++ b/src/sesameknot/coordination/host_directory.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from sesameknot.clock import Clock
 from sesameknot.errors import PlatformError
 from sesameknot.platform import (
     HOST_KIND,
@@ -21,6 +22,10 @@
 # Interval of the first refresh. Hosts that start together find few others in the list
 # at first, so the interval doubles from here to its usual length.
 INITIAL_INTERVAL_S = 1.0
+# Relative jitter of the refresh interval.
+INTERVAL_JITTER = 0.2
+# A stale copy of the list may be older than the store by this.
+STALE_COPY_AGE_S = 3.0
 
 log = structlog.get_logger(__name__)
 
@@ -42,6 +47,14 @@
         This host.
     settings : StoreSettings
         Refresh interval and pauses after failures.
+    clock : Clock
+        Source of monotonic time.
+
+    Attributes
+    ----------
+    joined_s : float
+        Monotonic time at which this host was added to the list; minus infinity if it
+        was in the list before this process started.
     """
 
     def __init__(
@@ -51,12 +64,21 @@
         view: FleetView,
         own_host: HostEntry,
         settings: StoreSettings,
+        clock: Clock,
     ) -> None:
         self._store = store
         self._view = view
         self._own_host = own_host
         self._settings = settings
+        self._clock = clock
         self._registered = False
+        self.joined_s = float("-inf")
+
+    @property
+    def settle_s(self) -> float:
+        """Time in which all hosts learn of a host that was added to the list."""
+        interval_s = self._settings.host_list_interval_s
+        return (1.0 + INTERVAL_JITTER) * interval_s + STALE_COPY_AGE_S
 
     async def run(self) -> None:
         """Register this host, then refresh the list until cancelled."""
@@ -72,12 +94,14 @@
                 log.info("host_list_failed", step=error.step, reason=error.message)
                 if not self._registered:
                     pause_s = self._settings.retry_max_s
-            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
+            jitter = random.uniform(1.0 - INTERVAL_JITTER, 1.0 + INTERVAL_JITTER)
+            await asyncio.sleep(pause_s * jitter)
 
     async def _register(self) -> None:
         content = encode_host(self._own_host)
         try:
             await self._store.create(HOST_KIND, self._own_host.host_id, content)
+            self.joined_s = self._clock.monotonic_s()
         except EntryConflictError as error:
             # An earlier process of this host did not remove its entry. An unchanged one
             # is kept, which saves a call of each host after a power-off of all.
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -240,6 +240,7 @@
                 rate_per_s=metadata.rate_limit_per_s,
                 before_per_s=before_per_s,
             )
+            self._runner.permits.report_change(self.endpoint)
 
     def invalid_answer_error(self, reason: str, *, step: str) -> InvalidAnswerError:
         """Count an invalid answer against the endpoint and return its error."""
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -1,6 +1,7 @@
 """Creation of attempts with their time-outs and the components that they share."""
 
 from sesameknot.clock import Clock
+from sesameknot.coordination.endpoint_permits import EndpointPermits
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.forwarding.attempt import Attempt
 from sesameknot.forwarding.endpoint_selector import EndpointSelector, placement_request
@@ -41,6 +42,8 @@
         Time to the first data of answers, by service.
     answer_buffer : AnswerBuffer
         Bounds the answers that this host holds in memory.
+    permits : EndpointPermits
+        Receives changed limits on the request rates of endpoints.
     pause_guard : PauseGuard
         Tells whether what this host knows was confirmed since its last pause.
     settings : AttemptSettings
@@ -61,6 +64,7 @@
         attempt_counts: AttemptCounts,
         pressure_gauges: PerService[PressureGauge],
         answer_buffer: AnswerBuffer,
+        permits: EndpointPermits,
         pause_guard: PauseGuard,
         settings: AttemptSettings,
         metrics: RouterMetrics,
@@ -73,6 +77,7 @@
         self.attempt_counts = attempt_counts
         self.pressure_gauges = pressure_gauges
         self.answer_buffer = answer_buffer
+        self.permits = permits
         self.pause_guard = pause_guard
         self.settings = settings
         self.metrics = metrics
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -22,6 +22,8 @@
 
 # Lower limit of the estimated wait for endpoints whose return cannot be predicted.
 NO_ENDPOINT_WAIT_S = 1.0
+# Lower limit of the estimated wait for endpoints that limit their request rate.
+MIN_PERMIT_WAIT_S = 0.1
 
 log = structlog.get_logger(__name__)
 
@@ -75,28 +77,33 @@
         return self._view.allowed_versions(request.service, request.session_position)
 
     def pick(
-        self, request: ForwardedRequest, *, model: str
+        self, request: ForwardedRequest, *, model: str, max_wait_s: float = 0.0
     ) -> KnownEndpoint | NoEndpoint:
-        """Return the endpoint for the next attempt of ``request``."""
-        versions = self.allowed_versions(request)
-        usable = versions.narrow(self._view.usable(request.service, versions))
-        untried = [
-            endpoint
-            for endpoint in usable
-            if endpoint.endpoint_id not in request.tried_endpoint_ids
-        ]
+        """Return the endpoint for the next attempt of ``request``.
+
+        Parameters
+        ----------
+        max_wait_s : float, default=0.0
+            Longest wait for an endpoint that limits its request rate; below 0, only
+            endpoints without a limit are used.
+        """
+        usable = self._usable(request)
+        untried = _untried(request, usable)
         if not untried:
             reason = "all endpoints were tried" if usable else "no endpoint is usable"
             return NoEndpoint(reason, self._reregistration_wait_s())
         admitted = self._within_cold_limits(untried)
         if not admitted:
             return NoEndpoint("all endpoints are cold", self._cold_wait_s(untried))
+        admitted = self._within_rate_limits(admitted, max_wait_s)
+        if not admitted:
+            reason = "all endpoints are at their limits"
+            return NoEndpoint(reason, self._permit_wait_s(untried))
         # An ejected endpoint failed recently, but is better than none.
         healthy = [
             endpoint for endpoint in admitted if not endpoint.health.ejected
         ] or admitted
         chosen = self._choose(healthy, request, model)
-        self._record_cold_use(chosen)
         log.info(
             "endpoint_picked",
             request_id=request.request_id,
@@ -120,11 +127,43 @@
         """Return whether another endpoint that was not tried could be asked next."""
         usable = self._view.usable(request.service, self.allowed_versions(request))
         return any(
-            other is not endpoint
-            and other.endpoint_id not in request.tried_endpoint_ids
-            for other in usable
+            other is not endpoint and not self._limit_wait_s(other)
+            for other in _untried(request, usable)
+        )
+
+    def has_unlimited(self, request: ForwardedRequest) -> bool:
+        """Return whether an untried endpoint without a limit on its rate is usable."""
+        if not self._view.endpoint_limits.limited_count:
+            return True
+        untried = _untried(request, self._usable(request))
+        return any(
+            self._limit_wait_s(endpoint) is None
+            for endpoint in self._within_cold_limits(untried)
         )
 
+    def _usable(self, request: ForwardedRequest) -> list[KnownEndpoint]:
+        versions = self.allowed_versions(request)
+        return versions.narrow(self._view.usable(request.service, versions))
+
+    def _limit_wait_s(self, endpoint: KnownEndpoint) -> float | None:
+        """Return the wait for a permit as far as known; None without a limit."""
+        return self._view.endpoint_limits.wait_s(endpoint.incarnation_id)
+
+    def _within_rate_limits(
+        self, candidates: list[KnownEndpoint], max_wait_s: float
+    ) -> list[KnownEndpoint]:
+        admitted = []
+        for endpoint in candidates:
+            wait_s = self._limit_wait_s(endpoint)
+            if wait_s is None or wait_s <= max_wait_s:
+                admitted.append(endpoint)
+        return admitted
+
+    def _permit_wait_s(self, candidates: list[KnownEndpoint]) -> float:
+        """Return the estimated time until an endpoint takes another request."""
+        waits_s = [self._limit_wait_s(endpoint) or 0.0 for endpoint in candidates]
+        return max(MIN_PERMIT_WAIT_S, min(waits_s))
+
     def is_usable(self, request: ForwardedRequest, endpoint: KnownEndpoint) -> bool:
         """Return whether the request may be sent to the endpoint now."""
         return endpoint in self._view.usable(
@@ -162,12 +201,14 @@
                 admitted.append(endpoint)
         return admitted
 
-    def _record_cold_use(self, endpoint: KnownEndpoint) -> None:
+    def take_cold_permit(self, endpoint: KnownEndpoint) -> bool:
+        """Count a request to a cold endpoint; return False if it takes none now."""
         rate_per_s = self._cold_rate_per_s(endpoint)
-        if rate_per_s and self._is_cold(endpoint):
-            self._cold_start_limiter.take(
-                endpoint.endpoint_id, rate_per_s, self._view.hosts
-            )
+        if not rate_per_s or not self._is_cold(endpoint):
+            return True
+        return self._cold_start_limiter.take(
+            endpoint.endpoint_id, rate_per_s, self._view.hosts
+        )
 
     def _cold_wait_s(self, candidates: list[KnownEndpoint]) -> float:
         now_s = self._clock.monotonic_s()
@@ -216,6 +257,16 @@
         )
 
 
+def _untried(
+    request: ForwardedRequest, endpoints: list[KnownEndpoint]
+) -> list[KnownEndpoint]:
+    return [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.endpoint_id not in request.tried_endpoint_ids
+    ]
+
+
 def placement_request(request: ForwardedRequest, model: str) -> PlacementRequest:
     """Return the model and prompt parts that the placement strategy needs."""
     return PlacementRequest(
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -37,7 +37,7 @@
         """
         self._retry_policy.retry_budgets.get(request.service).record_request()
         while True:
-            endpoint = self._retry_policy.next_endpoint(
+            endpoint = await self._retry_policy.next_endpoint(
                 request, model=request.metadata.model
             )
             answer_timeout_s = self._answer_timeout_s(request, endpoint)
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -23,6 +23,16 @@
 # Failed connections after which a request fails.
 CONNECT_FAILURE_LIMIT_COUNT = 4
 DEFAULT_ESTIMATED_WAIT_S = 0.3
+# Endpoints that are asked for a permit before a request goes to one without a limit.
+PERMIT_TRY_COUNT = 4
+# Longest wait for a permit, as a share of the latency target. The most urgent requests
+# wait longest, so that the others are refused first.
+PERMIT_WAIT_SHARE = 0.25
+# The same for a request that an endpoint has begun, whose answer would be lost.
+REPEATED_PERMIT_WAIT_SHARE = 1.0
+PERMIT_WAIT_SHARE_OF_TIME_LEFT = 0.3
+# Wait that no endpoint with a limit is within.
+UNLIMITED_ONLY_WAIT_S = -1.0
 
 log = structlog.get_logger(__name__)
 
@@ -63,8 +73,10 @@
         self.settings = settings
         self.clock = clock
 
-    def next_endpoint(self, request: ForwardedRequest, *, model: str) -> KnownEndpoint:
-        """Return the endpoint of the next attempt.
+    async def next_endpoint(
+        self, request: ForwardedRequest, *, model: str
+    ) -> KnownEndpoint:
+        """Return the endpoint of the next attempt, which may be sent to now.
 
         Raises
         ------
@@ -74,12 +86,34 @@
         refusal_reason = self.crash_detector.refusal_reason(request)
         if refusal_reason:
             raise self.ended_error(request, refusal_reason)
-        endpoint = self.selector.pick(request, model=model)
-        if isinstance(endpoint, NoEndpoint):
-            raise self.ended_error(
-                request, endpoint.reason, estimated_wait_s=endpoint.estimated_wait_s
+        patience_s = self._permit_patience_s(request)
+        for try_number in range(PERMIT_TRY_COUNT + 1):
+            unlimited = self.selector.has_unlimited(request)
+            max_wait_s = 0.0 if unlimited else patience_s
+            if unlimited and try_number == PERMIT_TRY_COUNT:
+                max_wait_s = UNLIMITED_ONLY_WAIT_S
+            endpoint = self.selector.pick(request, model=model, max_wait_s=max_wait_s)
+            if isinstance(endpoint, NoEndpoint):
+                raise self.ended_error(
+                    request, endpoint.reason, estimated_wait_s=endpoint.estimated_wait_s
+                )
+            permitted = await self.runner.permits.acquire(
+                endpoint, request_id=request.request_id, max_wait_s=max_wait_s
             )
-        return endpoint
+            if permitted and self.selector.take_cold_permit(endpoint):
+                return endpoint
+        raise self.ended_error(request, "endpoints are at their limits")
+
+    def _permit_patience_s(self, request: ForwardedRequest) -> float:
+        """Return how long a request waits for an endpoint that limits its rate."""
+        share = REPEATED_PERMIT_WAIT_SHARE
+        if not request.run_count:
+            share = PERMIT_WAIT_SHARE / (1 + request.priority)
+        time_left_s = request.time_left_s(self.clock.monotonic_s())
+        return min(
+            share * request.route.latency_target_ms / 1000.0,
+            PERMIT_WAIT_SHARE_OF_TIME_LEFT * max(0.0, time_left_s),
+        )
 
     def ended_error(
         self,
@@ -156,6 +190,10 @@
             return False
         return self.spend_retry(request)
 
+    def retry_available(self, request: ForwardedRequest) -> bool:
+        """Return whether the budget of the request's service has a retry left."""
+        return self.retry_budgets.get(request.service).available
+
     def spend_retry(self, request: ForwardedRequest) -> bool:
         """Take one retry from the service's budget; return False if it is used up."""
         if self.retry_budgets.get(request.service).try_spend():
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -10,6 +10,7 @@
     NotSentError,
 )
 from sesameknot.forwarding.caller import CallerConnection
+from sesameknot.forwarding.error_answer import RequestEndedError
 from sesameknot.forwarding.events import (
     EVENT_LIMIT_BYTES,
     EventSplitter,
@@ -42,13 +43,15 @@
         The request.
     """
 
-    __slots__ = ("asked_models", "model", "request", "splitter")
+    __slots__ = ("asked_models", "model", "next_endpoint", "request", "splitter")
 
     def __init__(self, request: ForwardedRequest) -> None:
         self.request = request
         self.splitter = EventSplitter(request.metadata.resume_after_event_id)
         self.model = request.metadata.model
         self.asked_models: list[str] = []
+        # Endpoint that was found for a larger model before an answer was dropped.
+        self.next_endpoint: KnownEndpoint | None = None
 
 
 class StreamForwarder:
@@ -106,7 +109,11 @@
     async def _attempt(self, state: _StreamState, caller: CallerConnection) -> bool:
         """Run one attempt; return whether the request is answered."""
         request = state.request
-        endpoint = self._retry_policy.next_endpoint(request, model=state.model)
+        endpoint, state.next_endpoint = state.next_endpoint, None
+        if endpoint is None:
+            endpoint = await self._retry_policy.next_endpoint(
+                request, model=state.model
+            )
         try:
             with self._retry_policy.runner.open(
                 request,
@@ -119,7 +126,7 @@
                 await attempt.read_head()
                 if attempt.status >= SUCCESS_STATUS_LIMIT:
                     return await self._handle_error_status(state, attempt, caller)
-                if self._try_larger_model(state, attempt, caller):
+                if await self._try_larger_model(state, attempt, caller):
                     return False
                 pace = StreamPace(attempt)
                 try:
@@ -167,7 +174,7 @@
         )
         return True
 
-    def _try_larger_model(
+    async def _try_larger_model(
         self, state: _StreamState, attempt: Attempt, caller: CallerConnection
     ) -> bool:
         """Return whether this answer is dropped and a larger model asked instead."""
@@ -181,7 +188,7 @@
         time_left_s = request.time_left_s(self._retry_policy.clock.monotonic_s())
         if time_left_s < request.route.latency_target_ms / 1000.0:
             return False
-        if not self._retry_policy.spend_retry(request):
+        if not await self._find_next_endpoint(state, model):
             return False
         log.info(
             "answer_dropped_for_larger_model",
@@ -197,6 +204,24 @@
         state.model = model
         return True
 
+    async def _find_next_endpoint(self, state: _StreamState, model: str) -> bool:
+        """Find an endpoint that runs ``model`` now; return False if there is none."""
+        request = state.request
+        if not self._retry_policy.retry_available(request):
+            return self._retry_policy.spend_retry(request)
+        try:
+            endpoint = await self._retry_policy.next_endpoint(request, model=model)
+        except RequestEndedError as error:
+            log.info(
+                "answer_kept",
+                request_id=request.request_id,
+                next_model=model,
+                reason=error.error_answer.reason,
+            )
+            return False
+        state.next_endpoint = endpoint
+        return self._retry_policy.spend_retry(request)
+
     def _next_model(
         self, state: _StreamState, *, confidence: float | None
     ) -> str | None:
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -13,15 +13,16 @@
 from tornado.netutil import bind_sockets
 
 from sesameknot._front_request_path import RequestPathBuilder
+from sesameknot._front_rollouts import build_rollout_coordinator
 from sesameknot.clock import Clock, SystemClock
 from sesameknot.coordination.crash_archive import CrashArchive
 from sesameknot.coordination.crash_exchange import CrashExchange
 from sesameknot.coordination.domain_exchange import DomainExchange
+from sesameknot.coordination.endpoint_permits import EndpointPermits
 from sesameknot.coordination.fleet_sinks import SINKS
 from sesameknot.coordination.host_directory import HostDirectory
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
-from sesameknot.coordination.rollout_coordinator import RolloutCoordinator
 from sesameknot.coordination.store_follower import StoreFollower, StoreLink, WatchTiming
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.status_pages import StatusPages
@@ -32,10 +33,10 @@
 )
 from sesameknot.policy.crash_guard import CrashGuard
 from sesameknot.policy.prompt_part_guard import PromptPartGuard
-from sesameknot.policy.timed_rollout import TimedRolloutPlan, TimedRolloutPolicy
 from sesameknot.protocol.fleet_records import HostEntry
 from sesameknot.protocol.messages import (
     DomainSync,
+    EndpointPermitRequest,
     ObjectSync,
     StatsReply,
     StatsRequest,
@@ -124,7 +125,18 @@
                 domain=self.host.domain,
             ),
             settings=settings.store,
+            clock=self.clock,
         )
+        self.endpoint_permits = EndpointPermits(
+            view=self.view,
+            peers=self.peer_client,
+            host_id=self.host.host_id,
+            joined_s=lambda: self.directory.joined_s,
+            settle_s=self.directory.settle_s,
+            leaving=lambda: self.drain.draining,
+            clock=self.clock,
+        )
+        self._stack.callback(self.endpoint_permits.close)
         self.followers = [self._build_follower(kind) for kind in SINKS]
         self.peer_snapshot = PeerSnapshot(
             followers=self.followers,
@@ -142,7 +154,15 @@
             clock=self.clock,
         )
         self.domain_exchange = self._build_domain_exchange()
-        self.rollout_coordinator = self._build_rollout_coordinator()
+        self.rollout_coordinator = build_rollout_coordinator(
+            self.settings.rollouts,
+            host=self.host,
+            view=self.view,
+            store=self.store,
+            peers=self.peer_client,
+            attempt_counts=self.attempt_counts,
+            clock=self.clock,
+        )
         self.pause_guard = PauseGuard(
             clock=self.clock,
             confirmed_s=self._information_confirmed_s,
@@ -204,6 +224,7 @@
             crash_guard=self.crash_guard,
             part_guard=self.part_guard,
             metrics=self.metrics,
+            permits=self.endpoint_permits,
             pause_guard=self.pause_guard,
             clock=self.clock,
             stack=self._stack,
@@ -251,41 +272,12 @@
         leave_s = self.host.bounds.endpoint_leave_ms / 1000.0
         return self.settings.store.gather_part * leave_s
 
-    def _build_rollout_coordinator(self) -> RolloutCoordinator:
-        plan = self.settings.rollouts
-        policy = TimedRolloutPolicy(
-            TimedRolloutPlan(
-                first_share=min(plan.first_share, self._first_share_limit()),
-                first_share_at=plan.first_share_at,
-                full_share_at=plan.full_share_at,
-                decide_at=plan.decide_at,
-            )
-        )
-        return RolloutCoordinator(
-            view=self.view,
-            store=self.store,
-            peers=self.peer_client,
-            attempt_counts=self.attempt_counts,
-            rollout_policy=policy,
-            host_id=self.host.host_id,
-            interval_s=plan.step_interval_s,
-            clock=self.clock,
-        )
-
-    def _first_share_limit(self) -> float:
-        """Return the share at which the first stage uses half of the exposure limit.
-
-        The host's ``rollout_share`` limits the exposure of callers to a bad version.
-        """
-        plan = self.settings.rollouts
-        stage_time_share = max(0.01, plan.full_share_at - plan.first_share_at)
-        return min(1.0, 0.5 * self.host.bounds.rollout_share / stage_time_share)
-
     async def _listen(self) -> None:
         peer_server = PeerServer(self.host.host_id)
         peer_server.handle(StatsRequest)(self._answer_stats)
         peer_server.handle(ObjectSync)(self.peer_snapshot.answer)
         peer_server.handle(DomainSync)(self.domain_exchange.answer)
+        peer_server.handle(EndpointPermitRequest)(self.endpoint_permits.answer)
         peer_server.add_sockets(self._bind(self.host.peer_address))
         self._stack.push_async_callback(peer_server.close)
         self._caller_server = HTTPServer(
@@ -339,6 +331,7 @@
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self.view.forget_gone()
             self.view.endpoint_limits.expire()
+            self.endpoint_permits.expire()
             self.crash_guard.expire()
             self.part_guard.expire()
             self.peer_client.close_idle()
--- a/src/sesameknot/policy/cold_start_limiter.py
+++ b/src/sesameknot/policy/cold_start_limiter.py
@@ -1,25 +1,14 @@
 """Rate limit for requests to endpoints in cold start."""
 
-import functools
 from collections.abc import Collection
 
 from sesameknot.clock import Clock
-from sesameknot.policy.rendezvous import rendezvous_order
+from sesameknot.policy.rendezvous import first_in_order
 from sesameknot.policy.token_bucket import TokenBuckets
 
 # Hosts that use a cold endpoint, per request/s of its cold rate. Each host may send one
 # request at once, so the initial burst stays within half a second's worth of that rate.
 HOSTS_PER_REQUEST_RATE = 0.5
-# Cold endpoints whose assigned hosts are cached; ranking all hosts for each request
-# costs as much as the rest of the endpoint choice.
-ASSIGNED_HOSTS_CACHE_COUNT = 256
-
-
-@functools.lru_cache(maxsize=ASSIGNED_HOSTS_CACHE_COUNT)
-def _assigned_hosts(
-    endpoint_id: str, hosts: tuple[str, ...], count: int
-) -> frozenset[str]:
-    return frozenset(rendezvous_order(endpoint_id, hosts)[:count])
 
 
 class ColdStartLimiter:
@@ -51,7 +40,7 @@
         if not hosts:
             return 0.0
         host_count = max(1, int(cold_rate_per_s * HOSTS_PER_REQUEST_RATE))
-        assigned = _assigned_hosts(endpoint_id, tuple(hosts), host_count)
+        assigned = first_in_order(endpoint_id, tuple(hosts), host_count)
         return cold_rate_per_s / len(assigned) if self.host_id in assigned else 0.0
 
     def may_use(
--- a/src/sesameknot/policy/sliding_retry_budget.py
+++ b/src/sesameknot/policy/sliding_retry_budget.py
@@ -40,14 +40,19 @@
         """Count a request, retries excluded."""
         self._current_bucket()[1] += 1.0
 
-    def try_spend(self) -> bool:
-        """Take one retry from the budget; return False if the budget is exhausted."""
-        bucket = self._current_bucket()
+    @property
+    def available(self) -> bool:
+        """Whether the budget has a retry left."""
+        self._current_bucket()
         request_count = sum(entry[1] for entry in self._buckets)
         retry_count = sum(entry[2] for entry in self._buckets)
-        if retry_count + 1.0 > self.ratio * request_count + self.slack_count:
+        return retry_count + 1.0 <= self.ratio * request_count + self.slack_count
+
+    def try_spend(self) -> bool:
+        """Take one retry from the budget; return False if the budget is exhausted."""
+        if not self.available:
             return False
-        bucket[2] += 1.0
+        self._current_bucket()[2] += 1.0
         return True
 
     def _current_bucket(self) -> list[float]:
--- a/src/sesameknot/protocol/messages.py
+++ b/src/sesameknot/protocol/messages.py
@@ -16,6 +16,10 @@
     DomainSync,
     DomainSyncReply,
 )
+from sesameknot.protocol._endpoint_permits import (
+    EndpointPermitReply,
+    EndpointPermitRequest,
+)
 from sesameknot.protocol._grants import (
     EndpointNotice,
     GrantReply,
@@ -75,6 +79,8 @@
     "Done",
     "EndpointLoads",
     "EndpointNotice",
+    "EndpointPermitReply",
+    "EndpointPermitRequest",
     "EndpointReport",
     "Failure",
     "GrantReply",
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -302,6 +302,23 @@
   partCrashes @7 :List(CrashCount);
 }
 
+struct EndpointPermitRequest {
+  incarnationId @0 :Text;
+  limited @1 :Bool;
+  ratePerS @2 :Float64;
+  ageMs @3 :Float64;
+  wanted @4 :Bool;
+  maxWaitMs @5 :Float64;
+}
+
+struct EndpointPermitReply {
+  limited @0 :Bool;
+  ratePerS @1 :Float64;
+  ageMs @2 :Float64;
+  granted @3 :Bool;
+  waitMs @4 :Float64;
+}
+
 struct Envelope {
   callId @0 :UInt64;
   sender @1 :Text;
@@ -334,5 +351,7 @@
     failure @27 :Failure;
     domainSync @28 :DomainSync;
     domainSyncReply @29 :DomainSyncReply;
+    endpointPermitRequest @30 :EndpointPermitRequest;
+    endpointPermitReply @31 :EndpointPermitReply;
   }
 }
--- a/src/sesameknot/state/endpoint_limits.py
+++ b/src/sesameknot/state/endpoint_limits.py
@@ -34,11 +34,12 @@
         Source of monotonic time.
     """
 
-    __slots__ = ("_clock", "_limits")
+    __slots__ = ("_clock", "_limits", "_next_permit_s")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._limits: dict[str, NamedLimit] = {}
+        self._next_permit_s: dict[str, float] = {}
 
     @property
     def limited_count(self) -> int:
@@ -54,6 +55,20 @@
         limit = self._limits.get(incarnation_id)
         return limit.rate_per_s if limit is not None else None
 
+    def wait_s(self, incarnation_id: str) -> float | None:
+        """Return the time until it is worth asking for a permit; None without a limit.
+
+        It is 0 until a permit was denied.
+        """
+        if self.rate_per_s(incarnation_id) is None:
+            return None
+        next_s = self._next_permit_s.get(incarnation_id, 0.0)
+        return max(0.0, next_s - self._clock.monotonic_s())
+
+    def set_next_permit(self, incarnation_id: str, *, wait_s: float) -> None:
+        """Record that no permit is to be had before ``wait_s`` have passed."""
+        self._next_permit_s[incarnation_id] = self._clock.monotonic_s() + wait_s
+
     def observe_answer(
         self, incarnation_id: str, rate_per_s: float | None, *, sent_s: float
     ) -> bool:
@@ -88,3 +103,4 @@
         for incarnation_id, limit in list(self._limits.items()):
             if limit.observed_s < oldest_s:
                 del self._limits[incarnation_id]
+                self._next_permit_s.pop(incarnation_id, None)
