--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -131,18 +131,9 @@
             for other in _untried(request, usable)
         )
 
-    @property
-    def limits_known(self) -> bool:
-        """Whether any endpoint has named a limit on its request rate."""
-        return self._view.endpoint_limits.limited_count > 0
-
-    def is_limited(self, endpoint: KnownEndpoint) -> bool:
-        """Return whether the endpoint limits its request rate."""
-        return self._limit_wait_s(endpoint) is not None
-
     def has_unlimited(self, request: ForwardedRequest) -> bool:
         """Return whether an untried endpoint without a limit on its rate is usable."""
-        if not self.limits_known:
+        if not self._view.endpoint_limits.limited_count:
             return True
         untried = _untried(request, self._usable(request))
         return any(
@@ -243,18 +234,14 @@
         models = request.route.models
         if model not in models or self._view.configuration is None:
             return set(endpoint_ids)
-        self._model_partition.record_run(model, self.work(request, model))
-        return self._model_partition.preferred_endpoint_ids(model, models, endpoint_ids)
-
-    def work(self, request: ForwardedRequest, model: str) -> float:
-        """Return the work of a run of ``model``; its unit is that of model costs."""
-        costs: dict[str, float] = {}
-        if self._view.configuration is not None:
-            costs = self._view.configuration.service(request.service).model_costs
+        costs = self._view.configuration.service(request.service).model_costs
         metadata = request.metadata
         token_count = metadata.prompt_token_count + metadata.output_token_limit_count
         # The cost per token is the only measure of a model's load in the configuration.
-        return costs.get(model, 1.0) * max(1, token_count)
+        self._model_partition.record_run(
+            model, costs.get(model, 1.0) * max(1, token_count)
+        )
+        return self._model_partition.preferred_endpoint_ids(model, models, endpoint_ids)
 
     def _placement_candidate(
         self, endpoint: KnownEndpoint, preferred: set[str]
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -16,7 +16,6 @@
 )
 from sesameknot.forwarding.per_service import PerService
 from sesameknot.forwarding.request import ForwardedRequest
-from sesameknot.policy.heaviest_share import HeaviestShare
 from sesameknot.policy.sliding_retry_budget import SlidingRetryBudget
 from sesameknot.settings.front import AttemptSettings
 from sesameknot.state.fleet_view import KnownEndpoint
@@ -73,7 +72,6 @@
         self.retry_budgets = retry_budgets
         self.settings = settings
         self.clock = clock
-        self._heaviest_shares = PerService(HeaviestShare)
 
     async def next_endpoint(
         self, request: ForwardedRequest, *, model: str
@@ -89,12 +87,11 @@
         if refusal_reason:
             raise self.ended_error(request, refusal_reason)
         patience_s = self._permit_patience_s(request)
-        try_count = self._permit_try_count(request, model)
         for try_number in range(PERMIT_TRY_COUNT + 1):
-            max_wait_s = patience_s
-            if self.selector.has_unlimited(request):
-                asking = try_number < try_count
-                max_wait_s = 0.0 if asking else UNLIMITED_ONLY_WAIT_S
+            unlimited = self.selector.has_unlimited(request)
+            max_wait_s = 0.0 if unlimited else patience_s
+            if unlimited and try_number == PERMIT_TRY_COUNT:
+                max_wait_s = UNLIMITED_ONLY_WAIT_S
             endpoint = self.selector.pick(request, model=model, max_wait_s=max_wait_s)
             if isinstance(endpoint, NoEndpoint):
                 raise self.ended_error(
@@ -103,21 +100,10 @@
             permitted = await self.runner.permits.acquire(
                 endpoint, request_id=request.request_id, max_wait_s=max_wait_s
             )
-            if self.selector.is_limited(endpoint):
-                heaviest = self._heaviest_shares.get(request.service)
-                heaviest.record_permit(granted=permitted)
             if permitted and self.selector.take_cold_permit(endpoint):
                 return endpoint
         raise self.ended_error(request, "endpoints are at their limits")
 
-    def _permit_try_count(self, request: ForwardedRequest, model: str) -> int:
-        """Return how often to ask for permits while other endpoints have no limit."""
-        if not self.selector.limits_known:
-            return 0
-        work = self.selector.work(request, model)
-        heaviest = self._heaviest_shares.get(request.service)
-        return PERMIT_TRY_COUNT if heaviest.admits(work) else 0
-
     def _permit_patience_s(self, request: ForwardedRequest) -> float:
         """Return how long a request waits for an endpoint that limits its rate."""
         share = REPEATED_PERMIT_WAIT_SHARE
