--- a/src/sesameknot/platform/_store.py
+++ b/src/sesameknot/platform/_store.py
@@ -9,6 +9,7 @@
 from tornado.httpclient import HTTPResponse
 
 from sesameknot.errors import ConflictError, PlatformError
+from sesameknot.platform._store_era import ERA_HEADER, StoreEra
 from sesameknot.transport.json_http import JsonHttpClient
 
 CONFLICT_STATUS = 409
@@ -80,12 +81,16 @@
         list is needed.
     unreadable_count : int
         Entries left out because they have no valid name.
+    era : int
+        Times that the store came back from a copy; 0 if it does not tell. Revisions
+        can be compared only within an era.
     """
 
     entries: list[StoredEntry] = field(default_factory=list)
     revision: int = 0
     history_lost: bool = False
     unreadable_count: int = 0
+    era: int = 0
 
 
 class StoreClient:
@@ -107,6 +112,7 @@
 
     def __init__(self, address: str, *, timeout_s: float = 1.0) -> None:
         self.stale_call_count = 0
+        self._era = StoreEra()
         self._http = JsonHttpClient(_store_url(address), timeout_s=timeout_s)
 
     @property
@@ -114,6 +120,11 @@
         """Calls made so far."""
         return self._http.call_count
 
+    @property
+    def era(self) -> int:
+        """Times that the store came back from a copy, as its last answers say."""
+        return self._era.value
+
     def redirect(self, address: str) -> None:
         """Send later calls to another ``ip:port``."""
         self._http.url = _store_url(address)
@@ -154,6 +165,7 @@
             entries=entries,
             revision=_int_or_zero(body.get("AsOf")),
             unreadable_count=unreadable_count,
+            era=self.era,
         )
 
     async def watch(
@@ -169,7 +181,7 @@
         query = {"Watch": str(since_revision), "WaitMs": str(int(wait_s * 1000))}
         response = await self._get(kind, query, "watch", timeout_s=wait_s + margin_s)
         if response.code == GONE_STATUS:
-            return EntryBatch(revision=since_revision, history_lost=True)
+            return EntryBatch(revision=since_revision, history_lost=True, era=self.era)
         body = self._json_body(response, "watch")
         parsed = []
         for event in _list_field(body, "events"):
@@ -182,6 +194,7 @@
             entries=[entry for entry in parsed if entry is not None],
             revision=max(since_revision, _int_or_zero(body.get("AsOf"))),
             unreadable_count=parsed.count(None),
+            era=self.era,
         )
 
     async def create(self, kind: str, name: str, spec: object) -> StoredEntry:
@@ -225,16 +238,14 @@
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object if it exists."""
-        response = await self._http.fetch(
-            "DELETE", _object_path(kind, name), step="delete"
-        )
+        response = await self._fetch("DELETE", _object_path(kind, name), step="delete")
         if response.code != NOT_FOUND_STATUS:
             self._json_body(response, "delete")
 
     async def _write(
         self, method: str, kind: str, path: str, name: str, body: object, step: str
     ) -> StoredEntry:
-        response = await self._http.fetch(
+        response = await self._fetch(
             method,
             path,
             step=step,
@@ -268,7 +279,14 @@
         path = (
             f"{_object_path(kind)}?{urlencode(query)}" if query else _object_path(kind)
         )
-        return await self._http.fetch("GET", path, step=step, timeout_s=timeout_s)
+        return await self._fetch("GET", path, step=step, timeout_s=timeout_s)
+
+    async def _fetch(
+        self, method: str, path: str, *, step: str, **options: Any
+    ) -> HTTPResponse:
+        response = await self._http.fetch(method, path, step=step, **options)
+        self._era.observe(response.headers.get(ERA_HEADER))
+        return response
 
     def _json_body(self, response: HTTPResponse, step: str) -> dict[str, Any]:
         if response.error is not None:
--- a/src/sesameknot/platform/standin/_store.py
+++ b/src/sesameknot/platform/standin/_store.py
@@ -3,11 +3,14 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from sesameknot.platform._store_era import ERA_HEADER
+
 OK_STATUS = 200
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 409
@@ -18,6 +21,14 @@
 JsonObjects = list[JsonObject]
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """Content of the store at one revision; ``objects`` is JSON."""
+
+    revision: int
+    objects: str
+
+
 class FleetStore:
     """Store of objects with revisions and watches, and with switches for faults.
 
@@ -35,6 +46,8 @@
         Time before each call is handled.
     call_count : int
         Calls received.
+    era : str
+        Value of the era header in all answers; :meth:`restore` raises it by one.
     """
 
     def __init__(self) -> None:
@@ -45,6 +58,7 @@
         self.withhold_changes = False
         self.delay_s = 0.0
         self.call_count = 0
+        self.era = "1"
         self._objects: dict[tuple[str, str], JsonObject] = {}
         self._history: list[tuple[int, str, JsonObject, bool]] = []
         self._history_start_revision = 1
@@ -87,6 +101,20 @@
         self._history.clear()
         self._history_start_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(self.revision, json.dumps(list(self._objects.items())))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; later changes and their revisions are lost."""
+        items = json.loads(copy.objects)
+        self._objects = {(kind, name): item for (kind, name), item in items}
+        self.revision = copy.revision
+        self.drop_history()
+        self.era = str(int(self.era) + 1)
+        self._change_event.set()
+        self._change_event = asyncio.Event()
+
     def list(self, kind: str) -> JsonObjects:
         """Return the objects of a kind, sorted by name."""
         return [self._objects[key] for key in sorted(self._objects) if key[0] == kind]
@@ -123,7 +151,7 @@
 
     def events_after(self, kind: str, revision: int) -> JsonObjects | None:
         """Return the events of a kind after a revision; None if some were dropped."""
-        if revision < self._history_start_revision:
+        if not self._history_start_revision <= revision <= self.revision:
             return None
         return [
             {"Object": item, "Tombstone": removed}
@@ -148,6 +176,7 @@
 
     async def prepare(self) -> None:
         self._store.call_count += 1
+        self.set_header(ERA_HEADER, self._store.era)
         if self._store.silent:
             await asyncio.Event().wait()
         if self._store.delay_s:
@@ -162,6 +191,7 @@
             return
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
+        self.set_header(ERA_HEADER, self._store.era)
         self.finish(json.dumps(body if body is not None else {}))
 
     def body(self) -> JsonObject:
