--- /dev/null
+++ b/tests/coordination/test_store_restored.py
@@ -0,0 +1,120 @@
+"""Hosts whose store comes back from a copy, without what was written last."""
+
+from testtools.matchers import Equals, LessThan
+from tornado.testing import gen_test
+
+from tests.front_world import PLAIN_SERVICE, FrontWorld, configuration
+from tests.virtual_time import VirtualTimeMixin
+
+APPLY_LIMIT_S = 2.0
+HOST_COUNT = 5
+
+
+class StoreRestoredTest(VirtualTimeMixin, FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration(1))
+        self.add_endpoint("plain-1", PLAIN_SERVICE, event_count=0)
+        self.add_endpoint("plain-2", PLAIN_SERVICE, event_count=0)
+
+    async def start_hosts(self, count=HOST_COUNT):
+        """Start hosts of one failure domain; two of them relay to the others."""
+        fronts = [await self.start_front(f"host-{n}") for n in range(count)]
+        for front in fronts:
+            await front.directory.refresh()
+        await self.pause(3.0)
+        return fronts
+
+    async def restore(self, copy, *, away_s=0.5, rewrite=lambda: None):
+        """Let the store go away and come back from ``copy``."""
+        self.store.refuse_status = 503
+        await self.pause(away_s)
+        self.store.restore(copy)
+        rewrite()
+        self.store.refuse_status = 0
+
+    def versions(self, fronts):
+        return [front.view.configuration.version for front in fronts]
+
+    def spec(self, endpoint_id, **fields):
+        return {**self.store.get("servers", endpoint_id)["Spec"], **fields}
+
+    @gen_test(timeout=60)
+    async def test_change_after_a_restore_reaches_every_host(self):
+        """Guards against a change at a revision that hosts know from before the copy.
+
+        Outages of all lengths, so that hosts with relays ask the store themselves or
+        don't, and as many changes as were lost, one less, and one more.
+        """
+        fronts = await self.start_hosts()
+        version = 1
+        for away_s in (0.1, 0.4, 1.0, 2.0):
+            for lost_count in (1, 2, 3):
+                copy = self.store.copy()
+                for _ in range(lost_count):
+                    version += 1
+                    self.store.put("config", "main", configuration(version))
+                    await self.pause(1.0)
+                await self.restore(copy, away_s=away_s)
+                for _ in range(3):
+                    version += 1
+                    self.store.put("config", "main", configuration(version))
+                    await self.pause(APPLY_LIMIT_S)
+                    case = (away_s, lost_count)
+                    expected = [version] * HOST_COUNT
+                    self.assertThat(self.versions(fronts), Equals(expected), case)
+
+    @gen_test(timeout=60)
+    async def test_changes_before_a_host_calls_again_are_not_missed(self):
+        """Guards against a watch that goes on after revisions were given out again."""
+        fronts = await self.start_hosts()
+        copy = self.store.copy()
+        for version in range(2, 5):
+            self.store.put("config", "main", configuration(version))
+            await self.pause(0.5)
+
+        def rewrite():
+            self.store.put("evacuations", "b", {})
+            self.store.put("config", "main", configuration(9))
+            for number in range(6):
+                self.store.put("servers", "plain-1", self.spec("plain-1", Slots=number))
+
+        await self.restore(copy, away_s=1.0, rewrite=rewrite)
+        await self.pause(APPLY_LIMIT_S)
+        self.assertThat(self.versions(fronts), Equals([9] * HOST_COUNT))
+        evacuated = [front.view.evacuated_domains for front in fronts]
+        self.assertThat(evacuated, Equals([{"b"}] * HOST_COUNT))
+
+    @gen_test(timeout=60)
+    async def test_configuration_never_goes_back(self):
+        """Guards against the copy's older configuration that replaces a newer one."""
+        fronts = await self.start_hosts()
+        copy = self.store.copy()
+        self.store.put("config", "main", configuration(7))
+        await self.pause(2.0)
+        await self.restore(copy)
+        for _ in range(10):
+            await self.pause(0.2)
+            self.assertThat(self.versions(fronts), Equals([7] * HOST_COUNT))
+        self.store.put("config", "main", configuration(8))
+        await self.pause(APPLY_LIMIT_S)
+        self.assertThat(self.versions(fronts), Equals([8] * HOST_COUNT))
+
+    @gen_test(timeout=60)
+    async def test_nonsense_instead_of_an_era_harms_nothing(self):
+        """Guards against a malformed era that makes hosts list again or go deaf."""
+        fronts = await self.start_hosts()
+        sound_calls = await self.calls_for_changes(fronts, range(2, 8), ["1"] * 6)
+        nonsense = ("", "x", "-1", "9" * 400, "1e3", "77")
+        calls = await self.calls_for_changes(fronts, range(8, 14), nonsense)
+        self.assertThat(calls, LessThan(2 * sound_calls))
+
+    async def calls_for_changes(self, fronts, versions, eras):
+        """Return the store calls that hosts make for changes with these eras."""
+        calls_before = self.store.call_count
+        for version, era in zip(versions, eras, strict=True):
+            self.store.era = era
+            self.store.put("config", "main", configuration(version))
+            await self.pause(APPLY_LIMIT_S)
+            self.assertThat(self.versions(fronts), Equals([version] * HOST_COUNT), era)
+        return self.store.call_count - calls_before
