--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -10,12 +10,18 @@
 
 import asyncio
 import random
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Sequence
 
 import structlog
 
 from sesameknot.clock import Clock
+from sesameknot.coordination._load_reports import (
+    LoadReport,
+    Loads,
+    load_columns,
+    parse_loads,
+    sum_loads,
+)
 from sesameknot.coordination._stored_records import object_record, stored_entry
 from sesameknot.coordination.crash_exchange import CrashExchange
 from sesameknot.coordination.store_follower import StoreFollower, StoreLink
@@ -50,14 +56,6 @@
 
 log = structlog.get_logger(__name__)
 
-Loads = dict[str, tuple[int, int]]
-
-
-@dataclass(slots=True)
-class _LoadReport:
-    loads: Loads
-    received_s: float
-
 
 class DomainExchange:
     """Task that exchanges with the relays, and serves other hosts as a relay.
@@ -120,8 +118,8 @@
         self._host_id = host_id
         self._domain = domain
         self._clock = clock
-        self._host_reports: dict[str, _LoadReport] = {}
-        self._relay_reports: dict[str, _LoadReport] = {}
+        self._host_reports: dict[str, LoadReport] = {}
+        self._relay_reports: dict[str, LoadReport] = {}
 
     def relays(self, domain: str) -> list[str]:
         """Return the hosts of a failure domain that relay the store's changes to it."""
@@ -201,7 +199,7 @@
         store_ages_ms = []
         for relay, reply in replies.items():
             self._relay_reports[relay] = self._load_report(reply.loads)
-            if listed and reply.store_age_ms <= self._store_age_limit_s * 1000.0:
+            if listed and self._is_up_to_date(reply):
                 store_ages_ms.append(reply.store_age_ms)
                 self._apply_changes(reply)
         if store_ages_ms:
@@ -209,6 +207,11 @@
             self._fall_back_at_age(min(store_ages_ms))
         return len(store_ages_ms)
 
+    def _is_up_to_date(self, reply: DomainSyncReply) -> bool:
+        known_era = max(follower.era for follower in self._followers.values())
+        age_limit_ms = self._store_age_limit_s * 1000.0
+        return reply.store_era >= known_era and reply.store_age_ms <= age_limit_ms
+
     async def _exchange_with_other_domains(self) -> None:
         domains = {host.domain for host in self._view.hosts.values()} - {self._domain}
         targets = [self.relays(domain)[0] for domain in sorted(domains)]
@@ -228,7 +231,7 @@
         request = DomainSync(
             host_id=self._host_id,
             versions=list(versions),
-            loads=_columns(loads),
+            loads=load_columns(loads),
             crashes=self._crashes.counts(),
             part_crashes=self._part_crashes.counts(),
         )
@@ -268,7 +271,7 @@
 
     def _versions(self) -> list[ObjectVersion]:
         return [
-            ObjectVersion(key=kind, version=follower.revision)
+            ObjectVersion(key=kind, version=follower.revision, era=follower.era)
             for kind, follower in self._followers.items()
         ]
 
@@ -279,11 +282,12 @@
         entries = [stored_entry(record) for record in reply.objects]
         for version in reply.versions:
             follower = self._followers.get(version.key)
-            if follower is None or version.version <= follower.revision:
+            position = (version.era, version.version)
+            if follower is None or position <= follower.position:
                 continue
             kind_entries = [entry for entry in entries if entry.kind == version.key]
             if version.key in reply.whole_kinds:
-                follower.adopt(kind_entries, version.version)
+                follower.adopt(kind_entries, version.version, era=version.era)
             else:
                 follower.apply_relayed(kind_entries, version.version)
 
@@ -296,11 +300,12 @@
         self._merge_crashes(request)
         loads = self._domain_loads(without=request.host_id)
         if same_domain:
-            loads = _sum_loads([loads, self._relayed_loads()])
+            loads = sum_loads([loads, self._relayed_loads()])
         reply = DomainSyncReply(
             store_age_ms=self._store_age_ms(),
             store_failed_age_ms=self._age_ms(self._view.store_failed_s),
-            loads=_columns(loads),
+            store_era=min(follower.era for follower in self._followers.values()),
+            loads=load_columns(loads),
             crashes=self._crashes.counts(),
             part_crashes=self._part_crashes.counts(),
         )
@@ -310,13 +315,16 @@
 
     def _add_changes(self, version: ObjectVersion, reply: DomainSyncReply) -> None:
         follower = self._followers.get(version.key)
-        if follower is None or follower.revision <= version.version:
+        if follower is None or follower.position <= (version.era, version.version):
             return
-        changes = follower.changes_since(version.version)
+        same_era = version.era == follower.era
+        changes = follower.changes_since(version.version) if same_era else None
         if changes is None:
             reply.whole_kinds.append(version.key)
             changes = list(follower.entries.values())
-        reply.versions.append(ObjectVersion(key=version.key, version=follower.revision))
+        reply.versions.append(
+            ObjectVersion(key=version.key, version=follower.revision, era=follower.era)
+        )
         reply.objects += [object_record(entry) for entry in changes]
 
     def _store_age_ms(self) -> float:
@@ -338,10 +346,8 @@
     def _age_ms(self, at_s: float) -> float:
         return (self._clock.monotonic_s() - at_s) * 1000.0
 
-    def _load_report(self, columns: EndpointLoads) -> _LoadReport:
-        loads = zip(columns.in_flight_counts, columns.pending_tokens, strict=False)
-        by_endpoint = dict(zip(columns.endpoint_ids, loads, strict=False))
-        return _LoadReport(by_endpoint, self._clock.monotonic_s())
+    def _load_report(self, columns: EndpointLoads) -> LoadReport:
+        return LoadReport(parse_loads(columns), self._clock.monotonic_s())
 
     def _own_loads(self) -> Loads:
         return {
@@ -351,7 +357,7 @@
         }
 
     def _domain_loads(self, *, without: str) -> Loads:
-        return _sum_loads([self._own_loads(), *self._host_loads(without=without)])
+        return sum_loads([self._own_loads(), *self._host_loads(without=without)])
 
     def _host_loads(self, *, without: str = "") -> list[Loads]:
         return [
@@ -362,7 +368,7 @@
 
     def _relayed_loads(self) -> Loads:
         """Return the loads that relays reported, from the latest report of a domain."""
-        latest: dict[str, _LoadReport] = {}
+        latest: dict[str, LoadReport] = {}
         for host_id, report in self._relay_reports.items():
             host = self._view.hosts.get(host_id)
             if host is None or not self._is_fresh(report):
@@ -370,31 +376,14 @@
             previous = latest.get(host.domain)
             if previous is None or previous.received_s < report.received_s:
                 latest[host.domain] = report
-        return _sum_loads(report.loads for report in latest.values())
+        return sum_loads(report.loads for report in latest.values())
 
-    def _is_fresh(self, report: _LoadReport) -> bool:
+    def _is_fresh(self, report: LoadReport) -> bool:
         return self._clock.monotonic_s() - report.received_s < LOAD_LIFE_S
 
     def _apply_loads(self) -> None:
-        total = _sum_loads([self._relayed_loads(), *self._host_loads()])
+        total = sum_loads([self._relayed_loads(), *self._host_loads()])
         for endpoint in self._view.endpoints.values():
             endpoint.other_in_flight_count, endpoint.other_pending_tokens = total.get(
                 endpoint.endpoint_id, (0, 0)
             )
-
-
-def _sum_loads(all_loads: Iterable[Loads]) -> Loads:
-    total: Loads = {}
-    for loads in all_loads:
-        for endpoint_id, (in_flight, tokens) in loads.items():
-            subtotal = total.get(endpoint_id, (0, 0))
-            total[endpoint_id] = (subtotal[0] + in_flight, subtotal[1] + tokens)
-    return total
-
-
-def _columns(loads: Loads) -> EndpointLoads:
-    return EndpointLoads(
-        endpoint_ids=list(loads),
-        in_flight_counts=[in_flight for in_flight, _ in loads.values()],
-        pending_tokens=[tokens for _, tokens in loads.values()],
-    )
--- a/src/sesameknot/coordination/peer_snapshot.py
+++ b/src/sesameknot/coordination/peer_snapshot.py
@@ -53,9 +53,11 @@
         records = []
         for follower in self._followers.values():
             if follower.listed:
-                # The record without a name carries the revision to watch from.
+                # The record without a name carries the position to watch from.
                 key = f"{follower.kind}/"
-                records.append(ObjectRecord(key=key, version=follower.revision))
+                records.append(
+                    ObjectRecord(key=key, version=follower.revision, era=follower.era)
+                )
                 records += [object_record(e) for e in follower.entries.values()]
         return ObjectSyncReply(objects=records)
 
@@ -82,7 +84,7 @@
                 for snapshot in _kind_snapshots(reply, address)
             ]
             # A host that was cut off from the store may answer with older objects.
-            snapshots.sort(key=lambda snapshot: snapshot.revision, reverse=True)
+            snapshots.sort(key=lambda s: (s.era, s.revision), reverse=True)
             for snapshot in snapshots:
                 self._adopt(snapshot)
             if snapshots:
@@ -101,7 +103,7 @@
         follower = self._followers.get(snapshot.kind)
         if follower is None or follower.listed:
             return
-        follower.adopt(snapshot.entries, snapshot.revision)
+        follower.adopt(snapshot.entries, snapshot.revision, era=snapshot.era)
         log.info(
             "snapshot_adopted",
             kind=snapshot.kind,
@@ -117,6 +119,7 @@
 
     kind: str
     revision: int
+    era: int
     peer: str
     entries: list[StoredEntry] = field(default_factory=list)
 
@@ -127,7 +130,7 @@
         kind, _, name = record.key.partition("/")
         if not name:
             snapshots[kind] = _KindSnapshot(
-                kind=kind, revision=record.version, peer=address
+                kind=kind, revision=record.version, era=record.era, peer=address
             )
         elif kind in snapshots:
             snapshots[kind].entries.append(stored_entry(record))
--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -166,8 +166,8 @@
 
     Attributes
     ----------
-    revision : int
-        Revision of the store that the entries reflect.
+    revision, era : int
+        Revision of the store that the entries reflect, and the era that it belongs to.
     last_answer_s : float
         Monotonic time of the store's last answer.
     listed : bool
@@ -196,6 +196,7 @@
     ) -> None:
         self.kind = kind
         self.revision = 0
+        self.era = 0
         self.last_answer_s = float("-inf")
         self.listed = False
         self.failing_since_s = float("inf")
@@ -243,6 +244,7 @@
             await self._watch()
             return
         changes = await self._store.list(self.kind)
+        self.era = changes.era
         self._on_answer(changes)
         self._replace(changes.entries)
 
@@ -253,9 +255,15 @@
         self._sink.replace(entries)
         self.listed = True
 
-    def adopt(self, entries: Sequence[StoredEntry], revision: int) -> None:
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision, by which the states of two hosts are compared."""
+        return self.era, self.revision
+
+    def adopt(self, entries: Sequence[StoredEntry], revision: int, *, era: int) -> None:
         """Adopt another host's objects as of ``revision`` and watch from there."""
         self.revision = revision
+        self.era = era
         self.complete_as_of_s = float("inf")
         self._replace(entries)
 
@@ -282,8 +290,16 @@
         self._interrupted = self._probing and changes is None
         if changes is None:
             return
-        if changes.history_lost:
-            log.info("store_history_lost", kind=self.kind, revision=self.revision)
+        if changes.history_lost or changes.era != self.era:
+            # After a return from a copy, revisions are given out again, so a watch may
+            # go on from a revision that the store has by now and miss changes.
+            log.info(
+                "store_history_lost",
+                kind=self.kind,
+                revision=self.revision,
+                era=self.era,
+                store_era=changes.era,
+            )
             self.listed = False
             if self.complete_as_of_s == float("inf"):
                 # The watch was waiting, so it knew all changes at the last probe.
@@ -300,7 +316,7 @@
                 await asyncio.sleep(self.timing.gather_s)
 
     def apply_relayed(self, entries: Sequence[StoredEntry], revision: int) -> None:
-        """Apply changes up to ``revision`` that another host relays.
+        """Apply changes of this era up to ``revision`` that another host relays.
 
         They are ignored if this host has them already or has not listed the kind.
         """
--- a/src/sesameknot/protocol/_domain.py
+++ b/src/sesameknot/protocol/_domain.py
@@ -49,6 +49,9 @@
         watch the store itself.
     store_failed_age_ms : float
         Time since the relay's last failed call to the store.
+    store_era : int
+        Times that the store came back from a copy, as far as the relay has listed
+        everything since.
     versions : list of ObjectVersion
         Store revision that the requester reaches with the reply, per changed kind.
     whole_kinds : list of str
@@ -66,6 +69,7 @@
 
     store_age_ms: float = 0.0
     store_failed_age_ms: float = 0.0
+    store_era: int = 0
     versions: list[ObjectVersion] = field(default_factory=list)
     whole_kinds: list[str] = field(default_factory=list)
     objects: list[ObjectRecord] = field(default_factory=list)
--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -19,21 +19,30 @@
 
 @dataclass(slots=True, kw_only=True)
 class ObjectRecord:
-    """A platform object at one version; ``value`` is JSON."""
+    """A platform object at one version; ``value`` is JSON.
+
+    ``era`` counts how often the platform's store came back from a copy.
+    """
 
     key: str = ""
     version: int = 0
     value: bytes = b""
     deleted: bool = False
     write_id: str = ""
+    era: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
 class ObjectVersion:
-    """Version of an object, or revision of a kind, at a host."""
+    """Version of an object, or revision of a kind, at a host.
+
+    Versions can be compared only within an ``era``, since they are given out again
+    after the platform's store came back from a copy.
+    """
 
     key: str = ""
     version: int = 0
+    era: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -19,11 +19,13 @@
   value @2 :Data;
   deleted @3 :Bool;
   writeId @4 :Text;
+  era @5 :UInt64;
 }
 
 struct ObjectVersion {
   key @0 :Text;
   version @1 :UInt64;
+  era @2 :UInt64;
 }
 
 struct ClaimEntry {
@@ -300,6 +302,7 @@
   loads @5 :EndpointLoads;
   crashes @6 :List(CrashCount);
   partCrashes @7 :List(CrashCount);
+  storeEra @8 :UInt64;
 }
 
 struct EndpointPermitRequest {
