Do not take a leaving endpoint for ready by a copy of the store

Found while looking for the class of the restored store elsewhere: what was lost is believed. What callers would see: requests to an endpoint that has left (DRAIN), for up to three heartbeats, as its entry in the copy is ready. Change: for three heartbeats and two seconds after a return from a copy, an entry that contradicts what the host knew later of the endpoint's leaving is doubted: ready after draining, or the same revision as before its removal. An endpoint that registers again has another revision and is used. Endpoints that the copy lacks stay usable for two seconds, as after an outage. The time of a heartbeat comes from the node file. Evidence: test_leaving_endpoint_of_the_copy_gets_no_request failed before and passes now. Removals are kept in mind for 30 s (10 s before), as a copy may be older than 10 s.

--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -55,6 +55,8 @@
     ----------
     on_failure : callable
         Called after each failed call to the store.
+    on_restored : callable
+        Called before objects are applied that the store has from a copy.
 
     Attributes
     ----------
@@ -69,12 +71,16 @@
         "_direct",
         "_interrupted",
         "on_failure",
+        "on_restored",
         "probe_answered_s",
         "relayed",
     )
 
-    def __init__(self, *, on_failure: Callable[[], None]) -> None:
+    def __init__(
+        self, *, on_failure: Callable[[], None], on_restored: Callable[[], None]
+    ) -> None:
         self.on_failure = on_failure
+        self.on_restored = on_restored
         self.relayed = False
         self.probe_answered_s = float("-inf")
         self._interrupted = asyncio.Event()
@@ -244,10 +250,20 @@
             await self._watch()
             return
         changes = await self._store.list(self.kind)
-        self.era = changes.era
+        self._set_era(changes.era)
         self._on_answer(changes)
         self._replace(changes.entries)
 
+    def _set_era(self, era: int) -> None:
+        if self.listed_once and era != self.era:
+            self._link.on_restored()
+        self.era = era
+
+    @property
+    def listed_once(self) -> bool:
+        """Whether the objects were ever listed."""
+        return self.complete_as_of_s != float("-inf")
+
     def _replace(self, entries: Sequence[StoredEntry]) -> None:
         self.entries = {entry.name: entry for entry in entries}
         self._changes.clear()
@@ -263,7 +279,7 @@
     def adopt(self, entries: Sequence[StoredEntry], revision: int, *, era: int) -> None:
         """Adopt another host's objects as of ``revision`` and watch from there."""
         self.revision = revision
-        self.era = era
+        self._set_era(era)
         self.complete_as_of_s = float("inf")
         self._replace(entries)
 
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -59,6 +59,8 @@
 # Share of the grace time after which requests still in flight are aborted.
 FINISH_GRACE_SHARE = 0.9
 CLEANUP_INTERVAL_S = 1.0
+# The platform removes the entry of an endpoint that is silent for so many heartbeats.
+ENTRY_LIFE_BEATS_COUNT = 3
 # Idle timeout of callers' connections until the first configuration sets it.
 INITIAL_IDLE_TIMEOUT_S = 60.0
 # Number of crashed endpoints at which a request is refused; one of them may have
@@ -98,9 +100,14 @@
         self.drain = Drain()
         self.registry = Registry()
         self.metrics = RouterMetrics(self.registry)
-        self.view = FleetView(self.clock)
+        self.view = FleetView(
+            self.clock, entry_life_s=ENTRY_LIFE_BEATS_COUNT * host.heartbeat_s
+        )
         self.attempt_counts = AttemptCounts()
-        self.store_link = StoreLink(on_failure=self.view.note_store_failure)
+        self.store_link = StoreLink(
+            on_failure=self.view.note_store_failure,
+            on_restored=self.view.note_store_restored,
+        )
         self._stack = contextlib.AsyncExitStack()
         self._caller_server: HTTPServer | None = None
         self._caller_connections = CallerConnections(self._accept)
--- a/src/sesameknot/platform/_node_file.py
+++ b/src/sesameknot/platform/_node_file.py
@@ -50,6 +50,7 @@
     # Control addresses of some hosts; they may be out of date, and the hosts down.
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    heartbeat_ms: float = 1200.0
 
 
 def load_host_settings(path: Path) -> HostSettings:
@@ -79,6 +80,7 @@
         seeds=tuple(node_file.seeds),
         store_address=node_file.platform.address,
         bounds=_host_bounds(node_file.bounds),
+        heartbeat_s=node_file.heartbeat_ms / 1000.0,
     )
 
 
--- a/src/sesameknot/platform/_objects.py
+++ b/src/sesameknot/platform/_objects.py
@@ -251,6 +251,7 @@
         state=state,
         cold_remaining_s=max(0.0, spec.cold_remaining_ms / 1000.0),
         started_ms=spec.born,
+        revision=entry.revision,
     )
 
 
--- a/src/sesameknot/protocol/fleet_records.py
+++ b/src/sesameknot/protocol/fleet_records.py
@@ -29,6 +29,8 @@
         Remaining time in which it is cold, as of the entry's last change.
     started_ms : int
         Unix time of its start in milliseconds; 0 if unknown.
+    revision : int
+        Revision of the store at the entry's last change.
     """
 
     endpoint_id: str
@@ -40,6 +42,7 @@
     state: EndpointState = EndpointState.READY
     cold_remaining_s: float = 0.0
     started_ms: int = 0
+    revision: int = 0
 
 
 class RolloutOutcome(StrEnum):
--- a/src/sesameknot/settings/host.py
+++ b/src/sesameknot/settings/host.py
@@ -70,6 +70,8 @@
         ``ip:port`` of the platform's store.
     bounds : HostBounds
         Limits that the deployment sets.
+    heartbeat_s : float
+        Time between two heartbeats of an endpoint.
     """
 
     host_id: str
@@ -83,3 +85,4 @@
     store_address: str
     seeds: tuple[str, ...] = ()
     bounds: HostBounds = field(default_factory=HostBounds)
+    heartbeat_s: float = 1.2
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -20,8 +20,9 @@
 # An endpoint of a new version may belong to a roll-out whose order this host has not
 # received yet.
 NEW_VERSION_DEFER_S = 4.0
-# The entry of an endpoint whose address was reused may stay in the store for a while.
-GONE_RETENTION_S = 10.0
+# The entry of an endpoint whose address was reused may stay in the store for a while,
+# and one that was removed may come back with a copy of the store that is seconds old.
+GONE_RETENTION_S = 30.0
 # Entries may have expired during a store failure that is not older than this.
 RECENT_STORE_FAILURE_S = 3.0
 
@@ -44,6 +45,9 @@
     deferred_until_s : float
         Monotonic time until which the endpoint gets requests only if no other endpoint
         can serve them.
+    doubted_until_s : float
+        Monotonic time until which the endpoint gets no request, because its entry comes
+        from a copy of the store that is older than its leaving.
     in_flight_count : int
         Attempts of this host that run on the endpoint.
     pending_tokens : int
@@ -57,6 +61,7 @@
     cold_until_s: float = 0.0
     gone_at_s: float | None = None
     deferred_until_s: float = 0.0
+    doubted_until_s: float = 0.0
     in_flight_count: int = 0
     pending_tokens: int = 0
     other_in_flight_count: int = 0
@@ -82,6 +87,8 @@
     ----------
     clock : Clock
         Source of monotonic time.
+    entry_life_s : float
+        Time after which the store removes the entry of a silent endpoint.
 
     Attributes
     ----------
@@ -103,11 +110,14 @@
         Front hosts by name.
     store_failed_s : float
         Monotonic time of the last failed call to the store.
+    store_restored_s : float
+        Monotonic time at which this host noticed that the store came from a copy.
     endpoint_limits : EndpointLimits
         Request rates that endpoints named in their answers.
     """
 
     clock: Clock
+    entry_life_s: float = 3.6
     configuration: Configuration | None = None
     configuration_applied_s: float = 0.0
     endpoints_listed: bool = False
@@ -118,6 +128,7 @@
     rollouts: dict[str, RolloutOrder] = field(default_factory=dict)
     hosts: dict[str, HostEntry] = field(default_factory=dict)
     store_failed_s: float = float("-inf")
+    store_restored_s: float = float("-inf")
     endpoint_limits: EndpointLimits = field(init=False)
 
     def __post_init__(self) -> None:
@@ -145,6 +156,18 @@
         """Record that a call to the store failed now."""
         self.store_failed_s = self.clock.monotonic_s()
 
+    def note_store_restored(self) -> None:
+        """Record that the store came back from a copy.
+
+        Its operators and endpoints write again what the copy lacks.
+        """
+        self.store_restored_s = self.clock.monotonic_s()
+
+    @property
+    def rewritten_by_s(self) -> float:
+        """Monotonic time by which the store holds again what its copy lacked."""
+        return self.store_restored_s + self.entry_life_s + LAPSE_GRACE_S
+
     def replace_endpoints(self, entries: Iterable[EndpointEntry]) -> None:
         """Apply a complete list of endpoints."""
         listed = {entry.endpoint_id: entry for entry in entries}
@@ -187,10 +210,27 @@
             if not in_first_list and self._is_new_version(entry):
                 endpoint.deferred_until_s = now_s + NEW_VERSION_DEFER_S
             self.endpoints[entry.endpoint_id] = endpoint
+        doubted = self._contradicts_leaving(endpoint, entry)
+        endpoint.doubted_until_s = self.rewritten_by_s if doubted else 0.0
         endpoint.entry = entry
         endpoint.gone_at_s = None
         endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
 
+    def _contradicts_leaving(
+        self, endpoint: KnownEndpoint, entry: EndpointEntry
+    ) -> bool:
+        """Return whether an entry may be older than the endpoint's known leaving."""
+        now_s = self.clock.monotonic_s()
+        if now_s >= self.rewritten_by_s or entry.state is not EndpointState.READY:
+            return False
+        if endpoint.entry.state is not EndpointState.READY:
+            return True
+        if endpoint.doubted_until_s > now_s:
+            return endpoint.entry.revision == entry.revision
+        # An endpoint that has registered again has an entry of another revision.
+        gone = endpoint.gone_at_s is not None and endpoint.gone_at_s <= now_s
+        return gone and endpoint.entry.revision == entry.revision
+
     def _is_new_version(self, entry: EndpointEntry) -> bool:
         now_s = self.clock.monotonic_s()
         return not any(
@@ -210,9 +250,10 @@
         if endpoint is None or endpoint.gone_at_s is not None:
             return
         now_s = self.clock.monotonic_s()
+        unavailable_s = max(self.store_failed_s, self.store_restored_s)
         expired_in_outage = (
             endpoint.entry.state is EndpointState.READY
-            and now_s - self.store_failed_s < RECENT_STORE_FAILURE_S
+            and now_s - unavailable_s < RECENT_STORE_FAILURE_S
         )
         endpoint.gone_at_s = now_s + LAPSE_GRACE_S if expired_in_outage else now_s
 
@@ -255,8 +296,10 @@
             return False
         if entry.domain in self.evacuated_domains:
             return False
-        gone_at_s = endpoint.gone_at_s
-        return gone_at_s is None or self.clock.monotonic_s() < gone_at_s
+        now_s = self.clock.monotonic_s()
+        if now_s < endpoint.doubted_until_s:
+            return False
+        return endpoint.gone_at_s is None or now_s < endpoint.gone_at_s
 
     def allowed_versions(
         self, service: str, session_position: float
--- a/tests/coordination/test_store_restored.py
+++ b/tests/coordination/test_store_restored.py
@@ -118,3 +118,58 @@
             await self.pause(APPLY_LIMIT_S)
             self.assertThat(self.versions(fronts), Equals([version] * HOST_COUNT), era)
         return self.store.call_count - calls_before
+
+    @gen_test(timeout=300)
+    async def test_leaving_endpoint_of_the_copy_gets_no_request(self):
+        """Guards against an endpoint that is ready in the copy, but has left since."""
+        fronts = await self.start_hosts()
+        copy = self.store.copy()
+        self.store.put(
+            "servers", "plain-1", self.spec("plain-1", State="draining", Slots=3)
+        )
+        self.store.remove("servers", "plain-2")
+        await self.pause(2.0)
+        await self.restore(copy)
+        for _ in range(15):
+            await self.pause(0.2)
+            for endpoint_id in ("plain-1", "plain-2"):
+                used = [
+                    front.view.may_send(front.view.endpoints[endpoint_id])
+                    for front in fronts
+                ]
+                self.assertThat(any(used), Equals(False), endpoint_id)
+
+    @gen_test(timeout=300)
+    async def test_endpoint_that_registers_again_is_used(self):
+        """Guards against a live endpoint taken for one that has left."""
+        fronts = await self.start_hosts()
+        copy = self.store.copy()
+        spec = self.spec("plain-2")
+        self.store.remove("servers", "plain-2")
+        await self.pause(2.0)
+        await self.restore(copy)
+        self.store.remove("servers", "plain-2")
+        self.store.put("servers", "plain-2", spec)
+        await self.pause(APPLY_LIMIT_S)
+        used = [
+            front.view.may_send(front.view.endpoints["plain-2"]) for front in fronts
+        ]
+        self.assertThat(all(used), Equals(True), used)
+
+    @gen_test(timeout=300)
+    async def test_endpoint_that_the_copy_lacks_stays_usable(self):
+        """Guards against live endpoints that hosts drop until they register again."""
+        fronts = await self.start_hosts()
+        copy = self.store.copy()
+        self.add_endpoint("plain-3", PLAIN_SERVICE, event_count=0)
+        spec = self.spec("plain-3")
+        await self.pause(2.0)
+        await self.restore(copy, away_s=0.05)
+        for step in range(10):
+            await self.pause(0.2)
+            used = [
+                front.view.may_send(front.view.endpoints["plain-3"]) for front in fronts
+            ]
+            self.assertThat(all(used), Equals(True), step)
+            if step == 5:
+                self.store.put("servers", "plain-3", spec)
