Keep in force what the store's copy lacks until it is written again

Found while looking for the class of the restored store elsewhere. What callers would see: work for an evacuated failure domain (EVAC), and a version in use again that was rolled back (EXPOSURE), between the store's return and the operator's next write; the outcome of a roll-out, which hosts write, would be written by nobody. Change: for three heartbeats and two seconds after a return, evacuations and orders that the copy lacks stay in force, and progress of a roll-out does not go back. The host that coordinates the roll-out writes its progress again. After that time the store's word counts.

--- a/src/sesameknot/coordination/fleet_sinks.py
+++ b/src/sesameknot/coordination/fleet_sinks.py
@@ -1,6 +1,7 @@
 """Sinks that apply the store's objects to the fleet view, one for each kind."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace as replace_fields
 
 import structlog
 
@@ -94,11 +95,15 @@
     """Return the sink that updates the evacuated failure domains."""
 
     def replace(entries: Sequence[StoredEntry]) -> None:
-        apply({entry.name for entry in entries if not entry.deleted})
+        listed = {entry.name for entry in entries if not entry.deleted}
+        if view.restored_recently:
+            view.unlisted_domains = view.evacuated_domains - listed
+        apply(listed | view.unlisted_domains)
 
     def change(entries: Sequence[StoredEntry]) -> None:
         domains = set(view.evacuated_domains)
         for entry in entries:
+            view.unlisted_domains.discard(entry.name)
             if entry.deleted:
                 domains.discard(entry.name)
             else:
@@ -119,13 +124,17 @@
 
     def replace(entries: Sequence[StoredEntry]) -> None:
         listed = {entry.name for entry in entries if not entry.deleted}
-        for service in set(view.rollouts) - listed:
+        unlisted = set(view.rollouts) - listed
+        if view.restored_recently:
+            view.unlisted_rollouts = unlisted
+        for service in unlisted - view.unlisted_rollouts:
             del view.rollouts[service]
         change(entries)
         view.rollouts_listed = True
 
     def change(entries: Sequence[StoredEntry]) -> None:
         for entry in entries:
+            view.unlisted_rollouts.discard(entry.name)
             if entry.deleted:
                 view.rollouts.pop(entry.name, None)
                 log.info("rollout_removed", service=entry.name)
@@ -135,6 +144,15 @@
             except EntryError as error:
                 _log_rejected(error)
                 continue
+            known = view.rollouts.get(order.service)
+            view.unsaved_rollouts.discard(order.service)
+            if (
+                view.restored_recently
+                and known is not None
+                and known.is_ahead_of(order)
+            ):
+                order = replace_fields(known, revision=order.revision)
+                view.unsaved_rollouts.add(order.service)
             view.rollouts[order.service] = order
             log.info(
                 "rollout_changed",
@@ -143,6 +161,7 @@
                 outcome=str(order.outcome),
                 share=order.share,
                 revision=order.revision,
+                unsaved=order.service in view.unsaved_rollouts,
             )
 
     return ObjectSink(replace=replace, change=change)
--- a/src/sesameknot/coordination/rollout_coordinator.py
+++ b/src/sesameknot/coordination/rollout_coordinator.py
@@ -119,10 +119,13 @@
         while True:
             await asyncio.sleep(self._interval_s)
             self._drop_closed()
-            for order in self._open_orders():
-                self._update_timing(order)
+            for order in self._open_or_unsaved_orders():
                 try:
-                    await self._advance(order)
+                    if order.service in self._view.unsaved_rollouts:
+                        await self._save(order)
+                    else:
+                        self._update_timing(order)
+                        await self._advance(order)
                 except RouterError as error:
                     log.warning(
                         "rollout_step_failed",
@@ -151,6 +154,31 @@
         orders = self._view.rollouts.values()
         return [order for order in orders if order.outcome in OPEN_OUTCOMES]
 
+    def _open_or_unsaved_orders(self) -> list[RolloutOrder]:
+        unsaved = self._view.unsaved_rollouts
+        return [
+            order
+            for order in self._view.rollouts.values()
+            if order.outcome in OPEN_OUTCOMES or order.service in unsaved
+        ]
+
+    async def _save(self, order: RolloutOrder) -> None:
+        """Write again the progress that the store lost when it came from a copy."""
+        if not await self._is_coordinator(order.service):
+            return
+        saved = await self._write_status(order)
+        # After a conflict, the watch tells what another writer has stored.
+        self._view.unsaved_rollouts.discard(order.service)
+        if not saved:
+            return
+        log.info(
+            "rollout_saved_again",
+            service=order.service,
+            target=order.target_version,
+            outcome=str(order.outcome),
+            share=order.share,
+        )
+
     def _drop_closed(self) -> None:
         """Drop the times of closed orders; the same version may be ordered again."""
         still_open = {order.service for order in self._open_orders()}
@@ -236,27 +264,32 @@
             share=share,
             started_ms=order.started_ms or self._clock.wall_ms() - elapsed_ms,
         )
+        await self._write_status(updated)
+
+    async def _write_status(self, order: RolloutOrder) -> bool:
+        """Write the progress of an order; return False if its revision has changed."""
         try:
             entry = await self._store.write_status(
                 ROLLOUT_KIND,
                 order.service,
-                encode_rollout_progress(updated),
+                encode_rollout_progress(order),
                 expected_revision=order.revision,
             )
         except ConflictError as error:
             log.info("rollout_update_conflict", service=error.peer)
-            return
+            return False
         except PlatformError:
             # The watch shows whether the update took effect.
             log.info(
-                "rollout_update_unconfirmed", service=order.service, decision=action
+                "rollout_update_unconfirmed",
+                service=order.service,
+                outcome=str(order.outcome),
             )
             raise
         current = self._view.rollouts.get(order.service)
         if current is not None and current.revision <= order.revision:
-            self._view.rollouts[order.service] = replace(
-                updated, revision=entry.revision
-            )
+            self._view.rollouts[order.service] = replace(order, revision=entry.revision)
+        return True
 
     async def _is_coordinator(self, service: str) -> bool:
         for host_id in rendezvous_order(service, self._view.hosts):
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -17,8 +17,8 @@
     LAPSE_GRACE_S,
     FleetView,
     KnownEndpoint,
-    VersionFilter,
 )
+from sesameknot.state.version_filter import VersionFilter
 
 # Lower limit of the estimated wait for endpoints whose return cannot be predicted.
 NO_ENDPOINT_WAIT_S = 1.0
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -337,6 +337,7 @@
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             self.view.forget_gone()
+            self.view.forget_unlisted()
             self.view.endpoint_limits.expire()
             self.endpoint_permits.expire()
             self.crash_guard.expire()
--- a/src/sesameknot/protocol/fleet_records.py
+++ b/src/sesameknot/protocol/fleet_records.py
@@ -83,6 +83,18 @@
     share: float = 0.0
     started_ms: int = 0
 
+    def is_ahead_of(self, other: "RolloutOrder") -> bool:
+        """Return whether this progress of the same order has come further."""
+        if self.target_version != other.target_version:
+            return False
+        return self._stage > other._stage
+
+    @property
+    def _stage(self) -> tuple[bool, bool, float]:
+        ended = self.outcome in (RolloutOutcome.SUCCEEDED, RolloutOutcome.ROLLED_BACK)
+        started = self.outcome is not RolloutOutcome.REQUESTED
+        return ended, started, 0.0 if ended else self.share
+
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class HostEntry:
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -14,6 +14,7 @@
 )
 from sesameknot.state.endpoint_health import EndpointHealth
 from sesameknot.state.endpoint_limits import EndpointLimits
+from sesameknot.state.version_filter import VersionFilter
 
 # Endpoints whose entries expired during a store outage register again within this time.
 LAPSE_GRACE_S = 2.0
@@ -106,6 +107,11 @@
         Failure domains that operators have evacuated.
     rollouts : dict
         Roll-out orders by service.
+    unsaved_rollouts : set of str
+        Services whose roll-out has gone on further than the store's copy says.
+    unlisted_domains, unlisted_rollouts : set of str
+        Evacuations and orders that the store's copy lacks. They stay in force until
+        they have been written again, or had time to be.
     hosts : dict
         Front hosts by name.
     store_failed_s : float
@@ -126,6 +132,9 @@
     evacuated_domains: set[str] = field(default_factory=set)
     rollouts_listed: bool = False
     rollouts: dict[str, RolloutOrder] = field(default_factory=dict)
+    unsaved_rollouts: set[str] = field(default_factory=set)
+    unlisted_domains: set[str] = field(default_factory=set)
+    unlisted_rollouts: set[str] = field(default_factory=set)
     hosts: dict[str, HostEntry] = field(default_factory=dict)
     store_failed_s: float = float("-inf")
     store_restored_s: float = float("-inf")
@@ -168,6 +177,22 @@
         """Monotonic time by which the store holds again what its copy lacked."""
         return self.store_restored_s + self.entry_life_s + LAPSE_GRACE_S
 
+    @property
+    def restored_recently(self) -> bool:
+        """Whether the store may still lack what was written before it came back."""
+        return self.clock.monotonic_s() < self.rewritten_by_s
+
+    def forget_unlisted(self) -> None:
+        """Drop what the store's copy lacks once it had time to be written again."""
+        if self.restored_recently:
+            return
+        if self.unlisted_domains:
+            self.set_evacuated(self.evacuated_domains - self.unlisted_domains)
+            self.unlisted_domains = set()
+        for service in self.unlisted_rollouts:
+            self.rollouts.pop(service, None)
+        self.unlisted_rollouts = set()
+
     def replace_endpoints(self, entries: Iterable[EndpointEntry]) -> None:
         """Apply a complete list of endpoints."""
         listed = {entry.endpoint_id: entry for entry in entries}
@@ -221,7 +246,7 @@
     ) -> bool:
         """Return whether an entry may be older than the endpoint's known leaving."""
         now_s = self.clock.monotonic_s()
-        if now_s >= self.rewritten_by_s or entry.state is not EndpointState.READY:
+        if not self.restored_recently or entry.state is not EndpointState.READY:
             return False
         if endpoint.entry.state is not EndpointState.READY:
             return True
@@ -301,9 +326,7 @@
             return False
         return endpoint.gone_at_s is None or now_s < endpoint.gone_at_s
 
-    def allowed_versions(
-        self, service: str, session_position: float
-    ) -> "VersionFilter":
+    def allowed_versions(self, service: str, session_position: float) -> VersionFilter:
         """Return the versions of ``service`` that a session may use now.
 
         Parameters
@@ -326,7 +349,7 @@
             return VersionFilter(prefer=order.target_version)
         return VersionFilter(exclude=order.target_version)
 
-    def usable(self, service: str, versions: "VersionFilter") -> list[KnownEndpoint]:
+    def usable(self, service: str, versions: VersionFilter) -> list[KnownEndpoint]:
         """Return the endpoints of ``service`` that a request may use now.
 
         Endpoints of an excluded version are used if there are no others, which happens
@@ -348,35 +371,3 @@
                 endpoint for endpoint in allowed if endpoint.deferred_until_s <= now_s
             ]
         return allowed or ([] if versions.only else available)
-
-
-@dataclass(slots=True, frozen=True)
-class VersionFilter:
-    """Versions that a request may use.
-
-    Parameters
-    ----------
-    only : str
-        The only version allowed; empty for no such limit.
-    prefer : str
-        Version that is used if an endpoint serves it; empty for none.
-    exclude : str
-        Version that is used only if no other is served; empty for none.
-    """
-
-    only: str = ""
-    prefer: str = ""
-    exclude: str = ""
-
-    def allows(self, version: str) -> bool:
-        """Return whether an endpoint of ``version`` may be used."""
-        if self.only:
-            return version == self.only
-        return version != self.exclude if self.exclude else True
-
-    def narrow(self, candidates: list[KnownEndpoint]) -> list[KnownEndpoint]:
-        """Return the candidates of the preferred version, or all if there is none."""
-        if not self.prefer:
-            return candidates
-        preferred = [c for c in candidates if c.entry.version == self.prefer]
-        return preferred or candidates
--- /dev/null
+++ b/src/sesameknot/state/version_filter.py
@@ -0,0 +1,39 @@
+"""Versions of a service that a request may use."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sesameknot.state.fleet_view import KnownEndpoint
+
+
+@dataclass(slots=True, frozen=True)
+class VersionFilter:
+    """Versions that a request may use.
+
+    Parameters
+    ----------
+    only : str
+        The only version allowed; empty for no such limit.
+    prefer : str
+        Version that is used if an endpoint serves it; empty for none.
+    exclude : str
+        Version that is used only if no other is served; empty for none.
+    """
+
+    only: str = ""
+    prefer: str = ""
+    exclude: str = ""
+
+    def allows(self, version: str) -> bool:
+        """Return whether an endpoint of ``version`` may be used."""
+        if self.only:
+            return version == self.only
+        return version != self.exclude if self.exclude else True
+
+    def narrow(self, candidates: "list[KnownEndpoint]") -> "list[KnownEndpoint]":
+        """Return the candidates of the preferred version, or all if there is none."""
+        if not self.prefer:
+            return candidates
+        preferred = [c for c in candidates if c.entry.version == self.prefer]
+        return preferred or candidates
--- a/tests/coordination/test_store_restored.py
+++ b/tests/coordination/test_store_restored.py
@@ -3,6 +3,7 @@
 from testtools.matchers import Equals, LessThan
 from tornado.testing import gen_test
 
+from sesameknot.protocol.fleet_records import RolloutOutcome
 from tests.front_world import PLAIN_SERVICE, FrontWorld, configuration
 from tests.virtual_time import VirtualTimeMixin
 
@@ -173,3 +174,78 @@
             self.assertThat(all(used), Equals(True), step)
             if step == 5:
                 self.store.put("servers", "plain-3", spec)
+
+    @gen_test(timeout=300)
+    async def test_evacuation_that_the_copy_lacks_holds_until_it_is_written_again(self):
+        """Guards against work for an evacuated failure domain (EVAC)."""
+        fronts = await self.start_hosts()
+        copy = self.store.copy()
+        self.store.put("evacuations", "b", {})
+        await self.pause(2.0)
+        await self.restore(copy)
+        for step in range(30):
+            await self.pause(0.1)
+            if step == 15:
+                self.store.put("evacuations", "b", {})
+            evacuated = [front.view.evacuated_domains for front in fronts]
+            self.assertThat(evacuated, Equals([{"b"}] * HOST_COUNT), step)
+        await self.pause(10.0)
+        evacuated = [front.view.evacuated_domains for front in fronts]
+        self.assertThat(evacuated, Equals([{"b"}] * HOST_COUNT))
+        self.store.remove("evacuations", "b")
+        await self.pause(APPLY_LIMIT_S)
+        self.assertThat(any(f.view.evacuated_domains for f in fronts), Equals(False))
+
+    @gen_test(timeout=300)
+    async def test_evacuation_that_nobody_writes_again_ends(self):
+        """Guards against a failure domain that stays out of use for good."""
+        fronts = await self.start_hosts()
+        copy = self.store.copy()
+        self.store.put("evacuations", "b", {})
+        await self.pause(2.0)
+        await self.restore(copy)
+        await self.pause(10.0)
+        self.assertThat(any(f.view.evacuated_domains for f in fronts), Equals(False))
+
+    def outcomes(self, fronts):
+        return [front.view.rollouts[PLAIN_SERVICE].outcome for front in fronts]
+
+    @gen_test(timeout=300)
+    async def test_outcome_of_a_roll_out_is_written_again(self):
+        """Guards against a version in use again that was rolled back (EXPOSURE)."""
+        fronts = await self.start_hosts()
+        order = {"Service": PLAIN_SERVICE, "Target": "v2", "DurationS": 600}
+        self.store.put("rollouts", PLAIN_SERVICE, order)
+        status = {"Target": "v2", "Share": 0.25, "StartedMs": 1}
+        self.store.put_status("rollouts", PLAIN_SERVICE, {**status, "State": "running"})
+        await self.pause(2.0)
+        running_copy = self.store.copy()
+        ended = {**status, "State": "rolled_back"}
+        self.store.put_status("rollouts", PLAIN_SERVICE, ended)
+        await self.pause(2.0)
+        await self.restore(running_copy)
+        for _ in range(20):
+            await self.pause(0.2)
+            expected = [RolloutOutcome.ROLLED_BACK] * HOST_COUNT
+            self.assertThat(self.outcomes(fronts), Equals(expected))
+        stored = self.store.get("rollouts", PLAIN_SERVICE)["Status"]
+        self.assertThat(stored["State"], Equals("rolled_back"))
+
+    @gen_test(timeout=300)
+    async def test_roll_out_that_is_ordered_again_keeps_its_outcome(self):
+        """Guards against a second roll-out of a version that was rolled back."""
+        fronts = await self.start_hosts()
+        copy = self.store.copy()
+        order = {"Service": PLAIN_SERVICE, "Target": "v2", "DurationS": 600}
+        ended = {"Target": "v2", "Share": 0.25, "StartedMs": 1, "State": "rolled_back"}
+        self.store.put("rollouts", PLAIN_SERVICE, order)
+        self.store.put_status("rollouts", PLAIN_SERVICE, ended)
+        await self.pause(2.0)
+        await self.restore(copy)
+        await self.pause(1.0)
+        self.store.put("rollouts", PLAIN_SERVICE, order)
+        await self.pause(3.0)
+        expected = [RolloutOutcome.ROLLED_BACK] * HOST_COUNT
+        self.assertThat(self.outcomes(fronts), Equals(expected))
+        stored = self.store.get("rollouts", PLAIN_SERVICE)["Status"]
+        self.assertThat(stored["State"], Equals("rolled_back"))
