Write again what hosts had stored and the store's copy lacks

Found while looking for the class of the restored store elsewhere: a host that joined shortly before the store came back from a copy was in nobody's list from then on, and reports of requests that crash endpoints were gone for hosts that start later. Change: a host whose entry is missing from the list registers again, unless it has left; reports are written again when the era rises. Both are created only if the store has none, so a second write does no harm.

--- a/src/sesameknot/coordination/crash_archive.py
+++ b/src/sesameknot/coordination/crash_archive.py
@@ -86,6 +86,7 @@
         self._clock = clock
         self._stored_names: set[str] = set()
         self._own_names: set[str] = set()
+        self._store_era = store.era
         # Times at which reports are read, the next one last.
         self._read_due_s: list[float] = []
 
@@ -156,6 +157,10 @@
         PlatformError
             If the store does not answer.
         """
+        if self._store_era and self._store.era != self._store_era:
+            # The store came back from a copy that may lack the reports.
+            self._stored_names.clear()
+        self._store_era = self._store.era
         reports = {report.name: report for report in self._reports()}
         for name in self._own_names - set(reports):
             await self._store.delete(CRASH_KIND, name)
--- a/src/sesameknot/coordination/host_directory.py
+++ b/src/sesameknot/coordination/host_directory.py
@@ -9,6 +9,7 @@
 from sesameknot.errors import PlatformError
 from sesameknot.platform import (
     HOST_KIND,
+    EntryBatch,
     EntryConflictError,
     EntryError,
     StoreClient,
@@ -71,7 +72,8 @@
         self._own_host = own_host
         self._settings = settings
         self._clock = clock
-        self._registered = False
+        self._registered_s: float | None = None
+        self._deregistered = False
         self.joined_s = float("-inf")
 
     @property
@@ -87,12 +89,12 @@
             pause_s = interval_s
             interval_s = min(self._settings.host_list_interval_s, 2.0 * interval_s)
             try:
-                if not self._registered:
+                if self._registered_s is None and not self._deregistered:
                     await self._register()
                 await self.refresh()
             except PlatformError as error:
                 log.info("host_list_failed", step=error.step, reason=error.message)
-                if not self._registered:
+                if self._registered_s is None:
                     pause_s = self._settings.retry_max_s
             jitter = random.uniform(1.0 - INTERVAL_JITTER, 1.0 + INTERVAL_JITTER)
             await asyncio.sleep(pause_s * jitter)
@@ -107,7 +109,7 @@
             # is kept, which saves a call of each host after a power-off of all.
             if error.entry is None or error.entry.spec != content:
                 await self._store.replace(HOST_KIND, self._own_host.host_id, content)
-        self._registered = True
+        self._registered_s = self._clock.monotonic_s()
 
     async def refresh(self) -> None:
         """Read the list once.
@@ -127,12 +129,27 @@
                 log.warning("entry_rejected", entry=error.peer, reason=error.message)
                 continue
             hosts[host.host_id] = host
+        self._check_registration(changes)
         if set(hosts) != set(self._view.hosts):
             log.info("hosts_changed", count=len(hosts), before=previous_count)
         self._view.hosts = hosts
 
+    def _check_registration(self, changes: EntryBatch) -> None:
+        """Register again next time if the store has lost this host's entry.
+
+        It loses what was written last when it comes back from a copy.
+        """
+        if self._registered_s is None or self._deregistered:
+            return
+        if any(entry.name == self._own_host.host_id for entry in changes.entries):
+            return
+        if self._clock.monotonic_s() - self._registered_s > STALE_COPY_AGE_S:
+            log.warning("host_entry_lost", host=self._own_host.host_id)
+            self._registered_s = None
+
     async def deregister(self) -> None:
         """Remove this host's entry; a failure is only logged."""
+        self._deregistered = True
         try:
             await self._store.delete(HOST_KIND, self._own_host.host_id)
         except PlatformError as error:
--- a/tests/coordination/test_store_restored.py
+++ b/tests/coordination/test_store_restored.py
@@ -3,6 +3,7 @@
 from testtools.matchers import Equals, LessThan
 from tornado.testing import gen_test
 
+from sesameknot.platform import CRASH_KIND, HOST_KIND
 from sesameknot.protocol.fleet_records import RolloutOutcome
 from tests.front_world import PLAIN_SERVICE, FrontWorld, configuration
 from tests.virtual_time import VirtualTimeMixin
@@ -249,3 +250,32 @@
         self.assertThat(self.outcomes(fronts), Equals(expected))
         stored = self.store.get("rollouts", PLAIN_SERVICE)["Status"]
         self.assertThat(stored["State"], Equals("rolled_back"))
+
+    @gen_test(timeout=300)
+    async def test_host_that_the_copy_lacks_registers_again(self):
+        """Guards against a host that others never learn of, and that shares no rate."""
+        await self.start_hosts(2)
+        copy = self.store.copy()
+        late_front = await self.start_front("host-late")
+        await self.pause(3.0)
+        await self.restore(copy)
+        await self.pause(30.0)
+        self.assertThat(self.store.get(HOST_KIND, "host-late") is None, Equals(False))
+        await late_front.directory.deregister()
+        await self.pause(30.0)
+        self.assertThat(self.store.get(HOST_KIND, "host-late"), Equals(None))
+
+    @gen_test(timeout=300)
+    async def test_crash_reports_that_the_copy_lacks_are_written_again(self):
+        """Guards against a request that crashes endpoints again after a kill of all."""
+        fronts = await self.start_hosts(2)
+        copy = self.store.copy()
+        for number in range(3):
+            fronts[0].crash_guard.record(17, f"e-{number}")
+        await self.pause(3.0)
+        reports = [item["Metadata"]["Name"] for item in self.store.list(CRASH_KIND)]
+        self.assertThat(len(reports), Equals(1))
+        await self.restore(copy)
+        await self.pause(5.0)
+        restored = [item["Metadata"]["Name"] for item in self.store.list(CRASH_KIND)]
+        self.assertThat(restored, Equals(reports))
