--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -208,6 +208,7 @@
         return len(store_ages_ms)
 
     def _is_up_to_date(self, reply: DomainSyncReply) -> bool:
+        """Return whether the store answered the relay lately, in the latest era."""
         known_era = max(follower.era for follower in self._followers.values())
         age_limit_ms = self._store_age_limit_s * 1000.0
         return reply.store_era >= known_era and reply.store_age_ms <= age_limit_ms
--- a/src/sesameknot/coordination/endpoint_permits.py
+++ b/src/sesameknot/coordination/endpoint_permits.py
@@ -187,6 +187,7 @@
         self._background.spawn(self._report(endpoint.incarnation_id))
 
     async def _report(self, incarnation_id: str) -> None:
+        """Send what this host knows of the limit to the first owner that answers."""
         for owner in self._owners(incarnation_id):
             if owner == self._host_id:
                 return
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -208,6 +208,7 @@
         """Find an endpoint that runs ``model`` now; return False if there is none."""
         request = state.request
         if not self._retry_policy.retry_available(request):
+            # A permit would be lost if the budget turned out to be spent afterwards.
             return self._retry_policy.spend_retry(request)
         try:
             endpoint = await self._retry_policy.next_endpoint(request, model=model)
--- a/src/sesameknot/policy/permit_schedule.py
+++ b/src/sesameknot/policy/permit_schedule.py
@@ -35,6 +35,8 @@
 
 @dataclass(slots=True)
 class _Schedule:
+    """Next free time of an endpoint, and hosts that were told to ask again."""
+
     rate_per_s: float
     next_s: float
     denied_count: int = 0
@@ -95,10 +97,9 @@
     def _denied(self, schedule: _Schedule, wait_s: float) -> Permit:
         """Return when to ask again; hosts that were denied one are spread in time."""
         wait_s += schedule.denied_count / schedule.rate_per_s
-        schedule.denied_count += 1
         if wait_s > DENIED_WAIT_LIMIT_S:
-            wait_s = DENIED_WAIT_LIMIT_S
-            schedule.denied_count -= 1
+            return Permit(granted=False, wait_s=DENIED_WAIT_LIMIT_S)
+        schedule.denied_count += 1
         return Permit(granted=False, wait_s=max(DENIED_WAIT_MIN_S, wait_s))
 
     def expire(self) -> None:
