--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -64,6 +64,12 @@
         Whether the connection is closed in the middle of a plain answer.
     rate_limit : str, default=""
         Request rate that its answers name; empty for none.
+    leaving : str, default=""
+        Value with which its answers say that it leaves; empty if they don't.
+    retry_after : str, default=""
+        Value of ``Retry-After`` in its refusals; empty for none.
+    crash_silently : bool, default=False
+        Whether a crash leaves open connections without an end.
     """
 
     endpoint_id: str
@@ -82,9 +88,12 @@
     crash_after_head_s: float | None = None
     cut_body: bool = False
     rate_limit: str = ""
+    leaving: str = ""
+    retry_after: str = ""
+    crash_silently: bool = False
     body: bytes = b"answer"
     runs: list[RecordedRun] = field(default_factory=list)
-    refused_count: int = 0
+    refused_s: list[float] = field(default_factory=list)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _server: HTTPServer | None = None
 
@@ -120,8 +129,11 @@
         status: int,
         headers: dict[str, str] | None = None,
     ) -> None:
-        self.refused_count += 1
+        self.refused_s.append(asyncio.get_running_loop().time())
         all_headers = HTTPHeaders({"Content-Length": "0", **(headers or {})})
+        self._describe(all_headers)
+        if self.retry_after:
+            all_headers["Retry-After"] = self.retry_after
         request.connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, ""), all_headers
         )
@@ -171,7 +183,8 @@
             await self._write_head(request, self._answer_headers(request, run))
             await asyncio.sleep(self.crash_after_head_s)
         self._server.stop()
-        await self._server.close_all_connections()
+        if not self.crash_silently:
+            await self._server.close_all_connections()
 
     def _answer_headers(
         self, request: HTTPServerRequest, run: RecordedRun
@@ -186,13 +199,24 @@
             headers[platform_headers.RECEIPT_HEADER] = (
                 f"{self.endpoint_id}.{len(self.runs)}"
             )
-        if self.rate_limit:
-            headers[platform_headers.RATE_LIMIT_HEADER] = self.rate_limit
+        self._describe(headers)
         model = request.headers.get(platform_headers.MODEL_HEADER, "")
         if model in self.confidences:
             headers[platform_headers.CONFIDENCE_HEADER] = str(self.confidences[model])
         return headers
 
+    def _describe(self, headers: HTTPHeaders) -> None:
+        """Add what all answers say of the endpoint itself."""
+        if self.rate_limit:
+            headers[platform_headers.RATE_LIMIT_HEADER] = self.rate_limit
+        if self.leaving:
+            headers["Server-Leaving"] = self.leaving
+
+    @property
+    def refused_count(self) -> int:
+        """Number of requests refused."""
+        return len(self.refused_s)
+
     async def _write_head(
         self, request: HTTPServerRequest, headers: HTTPHeaders, data: bytes = b""
     ) -> None:
--- a/tests/coordination/test_domain_exchange.py
+++ b/tests/coordination/test_domain_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from examples.local_deployment import reserve_port
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 from tornado.testing import gen_test
 
@@ -114,6 +115,26 @@
             lambda: sum(not f.store_link.relayed for f in fronts) == 2, limit_s=3.0
         )
 
+    @gen_test(timeout=30)
+    async def test_endpoint_removed_while_relays_lose_the_store_is_gone_in_time(self):
+        """Guards against a relay's failure that passes for an outage of the store.
+
+        Entries may expire in an outage, so their endpoints stay usable for a while. The
+        store answers the relayed hosts all the time, so this entry has not expired.
+        """
+        self.add_endpoint("e1", PLAIN_SERVICE)
+        direct, relayed = await self.start_hosts()
+        await eventually(lambda: all("e1" in f.view.endpoints for f in relayed))
+        await self.pause(4.0)
+        for relay in direct:
+            relay.store.redirect(f"127.0.0.1:{reserve_port()}")
+            relay.store_link.interrupt()
+        await self.pause(0.3)
+        self.store.remove("servers", "e1")
+        await self.pause(self.leave_limit_s - SEND_TIME_S)
+        usable = [may_use(front, "e1") for front in relayed]
+        self.assertThat(usable, Equals([False] * len(relayed)))
+
     @gen_test(timeout=30)
     async def test_hosts_watch_the_store_when_their_relays_stop(self):
         """Guards against hosts without changes because their relays have stopped."""
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -77,6 +77,32 @@
         counted = [entry.endpoint_ids for entry in front.crash_guard.entries()]
         self.assertThat(counted, Equals([frozenset({"e0"})]))
 
+    @gen_test(timeout=60)
+    async def test_endpoints_that_crash_silently_are_counted(self):
+        """Guards against a request that silences one endpoint after the other.
+
+        The connections of a silent endpoint stay open, so that its runs end at a
+        time-out, or with their callers.
+        """
+        self.add_engines(8, crash_silently=True)
+        front = await self.start_front()
+        for _ in range(6):
+            await self.ask(front, STREAM_PATH, body=CRASHING_BODY, headers=PROMPT)
+            await self.pause(1.0)
+        self.assertThat(self.crashed(), HasLength(CRASH_LIMIT_COUNT))
+
+    @gen_test(timeout=60)
+    async def test_silent_crash_before_the_head_counts_when_the_caller_leaves(self):
+        """Guards against a crash that no one counts because its caller gave up."""
+        self.add_engines(1, crash_silently=True)
+        front = await self.start_front()
+        await self.ask(
+            front, STREAM_PATH, body=CRASHING_BODY, headers=PROMPT, deadline_ms=400
+        )
+        await self.pause(1.5)
+        counted = [entry.endpoint_ids for entry in front.crash_guard.entries()]
+        self.assertThat(counted, Equals([frozenset({"e0"})]))
+
     @gen_test(timeout=30)
     async def test_endpoint_that_restarts_under_its_id_is_counted_again(self):
         """Guards against one endpoint that a request crashes over and over."""
