--- a/src/sesameknot/coordination/endpoint_permits.py
+++ b/src/sesameknot/coordination/endpoint_permits.py
@@ -22,7 +22,8 @@
     EndpointPermitRequest,
 )
 from sesameknot.state.endpoint_limits import NamedLimit
-from sesameknot.state.fleet_view import FleetView, KnownEndpoint
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.transport.peer_client import PeerClient
 
 # Hosts that are asked in turn until one answers; many may be down at the same time.
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -14,7 +14,7 @@
     parse_answer_metadata,
 )
 from sesameknot.state.attempt_counts import SLOW_SHARE_OF_TARGET
-from sesameknot.state.fleet_view import KnownEndpoint
+from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.transport.endpoint_client import CallLimits
 
 if TYPE_CHECKING:
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -14,7 +14,8 @@
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import AttemptSettings
 from sesameknot.state.attempt_counts import AttemptCounts
-from sesameknot.state.fleet_view import FleetView, KnownEndpoint
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.transport.endpoint_client import (
     CallLimits,
     EndpointCall,
--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -11,7 +11,7 @@
 from sesameknot.forwarding.request import AbandonedRun, ForwardedRequest
 from sesameknot.policy.crash_guard import CrashGuard, request_fingerprint
 from sesameknot.policy.prompt_part_guard import PromptPartGuard, part_fingerprint
-from sesameknot.state.fleet_view import KnownEndpoint
+from sesameknot.state.known_endpoint import KnownEndpoint
 
 # A running endpoint accepts a connection well within this time.
 PROBE_TIMEOUT_S = 0.2
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -13,11 +13,8 @@
     PlacementCandidate,
     PlacementRequest,
 )
-from sesameknot.state.fleet_view import (
-    LAPSE_GRACE_S,
-    FleetView,
-    KnownEndpoint,
-)
+from sesameknot.state.fleet_view import LAPSE_GRACE_S, FleetView
+from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.state.version_filter import VersionFilter
 
 # Lower limit of the estimated wait for endpoints whose return cannot be predicted.
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -10,7 +10,7 @@
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.forwarding.retry_policy import RetryPolicy
 from sesameknot.platform import headers_for_caller
-from sesameknot.state.fleet_view import KnownEndpoint
+from sesameknot.state.known_endpoint import KnownEndpoint
 
 
 class PlainForwarder:
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -6,7 +6,7 @@
 
 from sesameknot.platform import RequestMetadata
 from sesameknot.protocol.configuration import Customer, Route
-from sesameknot.state.fleet_view import KnownEndpoint
+from sesameknot.state.known_endpoint import KnownEndpoint
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -18,7 +18,7 @@
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.policy.sliding_retry_budget import SlidingRetryBudget
 from sesameknot.settings.front import AttemptSettings
-from sesameknot.state.fleet_view import KnownEndpoint
+from sesameknot.state.known_endpoint import KnownEndpoint
 
 # Failed connections after which a request fails.
 CONNECT_FAILURE_LIMIT_COUNT = 4
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -25,7 +25,7 @@
 from sesameknot.policy.pressure import PressureGauge
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import CascadeStrategySettings
-from sesameknot.state.fleet_view import KnownEndpoint
+from sesameknot.state.known_endpoint import KnownEndpoint
 
 # Largest share of the time left that one attempt may wait, so that a retry still has
 # time to answer.
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -14,6 +14,7 @@
 )
 from sesameknot.state.endpoint_health import EndpointHealth
 from sesameknot.state.endpoint_limits import EndpointLimits
+from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.state.version_filter import VersionFilter
 
 # Endpoints whose entries expired during a store outage register again within this time.
@@ -28,58 +29,6 @@
 RECENT_STORE_FAILURE_S = 3.0
 
 
-@dataclass(slots=True, eq=False)
-class KnownEndpoint:
-    """An endpoint and this host's state for it.
-
-    Parameters
-    ----------
-    entry : EndpointEntry
-        Last registration of the endpoint.
-    health : EndpointHealth
-        Results of this host's attempts.
-    cold_until_s : float
-        Monotonic time until which the endpoint is cold.
-    gone_at_s : float or None
-        Monotonic time from which the endpoint counts as gone; set when its entry was
-        removed.
-    deferred_until_s : float
-        Monotonic time until which the endpoint gets requests only if no other endpoint
-        can serve them.
-    doubted_until_s : float
-        Monotonic time until which the endpoint gets no request, because its entry comes
-        from a copy of the store that is older than its leaving.
-    in_flight_count : int
-        Attempts of this host that run on the endpoint.
-    pending_tokens : int
-        Prompt tokens of those attempts that have not produced their first event.
-    other_in_flight_count, other_pending_tokens : int
-        The same counts of all other hosts, from their last reports.
-    """
-
-    entry: EndpointEntry
-    health: EndpointHealth
-    cold_until_s: float = 0.0
-    gone_at_s: float | None = None
-    deferred_until_s: float = 0.0
-    doubted_until_s: float = 0.0
-    in_flight_count: int = 0
-    pending_tokens: int = 0
-    other_in_flight_count: int = 0
-    other_pending_tokens: int = 0
-
-    @property
-    def endpoint_id(self) -> str:
-        """Identifier of the endpoint."""
-        return self.entry.endpoint_id
-
-    @property
-    def incarnation_id(self) -> str:
-        """Identifier that changes when the endpoint starts again under its own."""
-        started_ms = self.entry.started_ms
-        return f"{self.endpoint_id}@{started_ms}" if started_ms else self.endpoint_id
-
-
 @dataclass(slots=True)
 class FleetView:
     """Local view of one host, updated by the tasks that follow the store.
--- /dev/null
+++ b/src/sesameknot/state/known_endpoint.py
@@ -0,0 +1,58 @@
+"""An endpoint as one host knows it."""
+
+from dataclasses import dataclass
+
+from sesameknot.protocol.fleet_records import EndpointEntry
+from sesameknot.state.endpoint_health import EndpointHealth
+
+
+@dataclass(slots=True, eq=False)
+class KnownEndpoint:
+    """An endpoint and this host's state for it.
+
+    Parameters
+    ----------
+    entry : EndpointEntry
+        Last registration of the endpoint.
+    health : EndpointHealth
+        Results of this host's attempts.
+    cold_until_s : float
+        Monotonic time until which the endpoint is cold.
+    gone_at_s : float or None
+        Monotonic time from which the endpoint counts as gone; set when its entry was
+        removed.
+    deferred_until_s : float
+        Monotonic time until which the endpoint gets requests only if no other endpoint
+        can serve them.
+    doubted_until_s : float
+        Monotonic time until which the endpoint gets no request, because its entry comes
+        from a copy of the store that is older than its leaving.
+    in_flight_count : int
+        Attempts of this host that run on the endpoint.
+    pending_tokens : int
+        Prompt tokens of those attempts that have not produced their first event.
+    other_in_flight_count, other_pending_tokens : int
+        The same counts of all other hosts, from their last reports.
+    """
+
+    entry: EndpointEntry
+    health: EndpointHealth
+    cold_until_s: float = 0.0
+    gone_at_s: float | None = None
+    deferred_until_s: float = 0.0
+    doubted_until_s: float = 0.0
+    in_flight_count: int = 0
+    pending_tokens: int = 0
+    other_in_flight_count: int = 0
+    other_pending_tokens: int = 0
+
+    @property
+    def endpoint_id(self) -> str:
+        """Identifier of the endpoint."""
+        return self.entry.endpoint_id
+
+    @property
+    def incarnation_id(self) -> str:
+        """Identifier that changes when the endpoint starts again under its own."""
+        started_ms = self.entry.started_ms
+        return f"{self.endpoint_id}@{started_ms}" if started_ms else self.endpoint_id
--- a/src/sesameknot/state/version_filter.py
+++ b/src/sesameknot/state/version_filter.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sesameknot.state.fleet_view import KnownEndpoint
+    from sesameknot.state.known_endpoint import KnownEndpoint
 
 
 @dataclass(slots=True, frozen=True)
