Take a removed endpoint for gone although a relay lost the store (DRAIN)

Cause: an entry that was removed within 3 s of any failure of the store counted as expired in an outage, so its endpoint stayed usable for 2 s more. A relayed host took the failure of its relay's connection for one of the store. Ruled out by the log: late news, as the host heard of the removal after 0.6 s. Change: an outage is what this host's own calls show, from the first failure to the next answer; after a time-out it counts from the last answer. Only an outage of two heartbeats or more lets entries expire. endpoint_changed says whether an entry may have expired. The tests of expired entries had an outage of no length, in which no entry can expire; it lasts 2.5 s now, with the same checks.

--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -201,6 +201,7 @@
             self._relay_reports[relay] = self._load_report(reply.loads)
             if listed and self._is_up_to_date(reply):
                 store_ages_ms.append(reply.store_age_ms)
+                self._view.store.note_answer(age_s=reply.store_age_ms / 1000.0)
                 self._apply_changes(reply)
         if store_ages_ms:
             self.relay_answered_s = self._clock.monotonic_s()
--- a/src/sesameknot/coordination/fleet_sinks.py
+++ b/src/sesameknot/coordination/fleet_sinks.py
@@ -66,8 +66,9 @@
     def change(entries: Sequence[StoredEntry]) -> None:
         for entry in entries:
             endpoint = None if entry.deleted else _decoded_endpoint(entry)
+            may_have_expired = False
             if endpoint is None:
-                view.remove_endpoint(entry.name)
+                may_have_expired = view.remove_endpoint(entry.name)
             else:
                 view.put_endpoint(endpoint)
             log.info(
@@ -75,6 +76,7 @@
                 endpoint=entry.name,
                 revision=entry.revision,
                 state=str(endpoint.state) if endpoint else "gone",
+                may_have_expired=may_have_expired,
                 cold_s=endpoint.cold_remaining_s if endpoint else None,
                 version=endpoint.version if endpoint else None,
             )
--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -10,7 +10,7 @@
 import structlog
 
 from sesameknot.clock import Clock
-from sesameknot.errors import PlatformError, RouterError
+from sesameknot.errors import PlatformError, PlatformTimeoutError, RouterError
 from sesameknot.platform import EntryBatch, StoreClient, StoredEntry
 from sesameknot.settings.front import StoreSettings
 
@@ -54,7 +54,9 @@
     Parameters
     ----------
     on_failure : callable
-        Called after each failed call to the store.
+        Called after each failed call to the store, with whether it timed out.
+    on_answer : callable
+        Called after each answer of the store, before its objects are applied.
     on_restored : callable
         Called before objects are applied that the store has from a copy.
 
@@ -70,6 +72,7 @@
         "_answering",
         "_direct",
         "_interrupted",
+        "on_answer",
         "on_failure",
         "on_restored",
         "probe_answered_s",
@@ -77,9 +80,14 @@
     )
 
     def __init__(
-        self, *, on_failure: Callable[[], None], on_restored: Callable[[], None]
+        self,
+        *,
+        on_failure: Callable[[bool], None],
+        on_answer: Callable[[], None],
+        on_restored: Callable[[], None],
     ) -> None:
         self.on_failure = on_failure
+        self.on_answer = on_answer
         self.on_restored = on_restored
         self.relayed = False
         self.probe_answered_s = float("-inf")
@@ -360,6 +368,7 @@
                 self.entries[entry.name] = entry
 
     def _on_answer(self, changes: EntryBatch) -> None:
+        self._link.on_answer()
         self.last_answer_s = self._clock.monotonic_s()
         self.revision = changes.revision
         self.complete_as_of_s = float("inf")
@@ -377,7 +386,7 @@
             )
 
     def _on_failure(self, error: RouterError) -> None:
-        self._link.on_failure()
+        self._link.on_failure(isinstance(error, PlatformTimeoutError))
         if self._probing:
             self._link.set_answering(answering=False)
         if self.failing:
--- a/src/sesameknot/errors.py
+++ b/src/sesameknot/errors.py
@@ -49,6 +49,10 @@
     """A call to the platform failed; a write may still have taken effect."""
 
 
+class PlatformTimeoutError(PlatformError):
+    """The platform did not answer in time."""
+
+
 class ConflictError(PlatformError):
     """A conditional update expected another version than the current one.
 
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -105,7 +105,10 @@
         )
         self.attempt_counts = AttemptCounts()
         self.store_link = StoreLink(
-            on_failure=self.view.note_store_failure,
+            on_failure=lambda timed_out: self.view.note_store_failure(
+                timed_out=timed_out
+            ),
+            on_answer=self.view.store.note_answer,
             on_restored=self.view.note_store_restored,
         )
         self._stack = contextlib.AsyncExitStack()
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -15,6 +15,7 @@
 from sesameknot.state.endpoint_health import EndpointHealth
 from sesameknot.state.endpoint_limits import EndpointLimits
 from sesameknot.state.known_endpoint import KnownEndpoint
+from sesameknot.state.store_availability import RECENT_OUTAGE_S, StoreAvailability
 from sesameknot.state.version_filter import VersionFilter
 
 # Endpoints whose entries expired during a store outage register again within this time.
@@ -25,8 +26,6 @@
 # The entry of an endpoint whose address was reused may stay in the store for a while,
 # and one that was removed may come back with a copy of the store that is seconds old.
 GONE_RETENTION_S = 30.0
-# Entries may have expired during a store failure that is not older than this.
-RECENT_STORE_FAILURE_S = 3.0
 
 
 @dataclass(slots=True)
@@ -64,7 +63,9 @@
     hosts : dict
         Front hosts by name.
     store_failed_s : float
-        Monotonic time of the last failed call to the store.
+        Monotonic time of the last failed call to the store, of this host or a relay.
+    store : StoreAvailability
+        Outages of the store.
     store_restored_s : float
         Monotonic time at which this host noticed that the store came from a copy.
     endpoint_limits : EndpointLimits
@@ -88,8 +89,10 @@
     store_failed_s: float = float("-inf")
     store_restored_s: float = float("-inf")
     endpoint_limits: EndpointLimits = field(init=False)
+    store: StoreAvailability = field(init=False)
 
     def __post_init__(self) -> None:
+        self.store = StoreAvailability(self.clock, self.entry_life_s)
         self.endpoint_limits = EndpointLimits(self.clock)
 
     @property
@@ -110,9 +113,10 @@
         self.configuration_applied_s = self.clock.monotonic_s()
         return True
 
-    def note_store_failure(self) -> None:
+    def note_store_failure(self, *, timed_out: bool) -> None:
         """Record that a call to the store failed now."""
         self.store_failed_s = self.clock.monotonic_s()
+        self.store.note_failure(timed_out=timed_out)
 
     def note_store_restored(self) -> None:
         """Record that the store came back from a copy.
@@ -214,22 +218,30 @@
             for other in self.endpoints.values()
         )
 
-    def remove_endpoint(self, endpoint_id: str) -> None:
+    def remove_endpoint(self, endpoint_id: str) -> bool:
         """Record that an entry no longer exists.
 
         After an outage of the store, endpoints that still run register again within
         ``LAPSE_GRACE_S`` and stay usable until then.
+
+        Returns
+        -------
+        bool
+            Whether the endpoint stays usable for that time.
         """
         endpoint = self.endpoints.get(endpoint_id)
         if endpoint is None or endpoint.gone_at_s is not None:
-            return
+            return False
         now_s = self.clock.monotonic_s()
-        unavailable_s = max(self.store_failed_s, self.store_restored_s)
-        expired_in_outage = (
-            endpoint.entry.state is EndpointState.READY
-            and now_s - unavailable_s < RECENT_STORE_FAILURE_S
+        may_be_lost = (
+            self.store.entries_may_have_expired
+            or now_s - self.store_restored_s < RECENT_OUTAGE_S
         )
-        endpoint.gone_at_s = now_s + LAPSE_GRACE_S if expired_in_outage else now_s
+        if endpoint.entry.state is EndpointState.READY and may_be_lost:
+            endpoint.gone_at_s = now_s + LAPSE_GRACE_S
+            return True
+        endpoint.gone_at_s = now_s
+        return False
 
     def remove_misdirected(self, endpoint: KnownEndpoint) -> None:
         """Record that another endpoint answers at this endpoint's address."""
--- /dev/null
+++ b/src/sesameknot/state/store_availability.py
@@ -0,0 +1,80 @@
+"""When the store was unavailable, as far as one host can tell."""
+
+from dataclasses import dataclass
+
+from sesameknot.clock import Clock
+
+# Entries may have expired in an outage that ended not longer ago than this.
+RECENT_OUTAGE_S = 3.0
+# An entry lives for three heartbeats, the last of which may be one interval older than
+# the outage. A shorter outage lets no entry expire.
+EXPIRING_OUTAGE_SHARE = 2.0 / 3.0
+
+
+@dataclass(slots=True)
+class StoreAvailability:
+    """Outages of the store, by this host's own calls.
+
+    The failure of another host's calls tells nothing: the store may reject that host
+    alone. Its answers tell that the store was available.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    entry_life_s : float
+        Time after which the store removes the entry of a silent endpoint.
+
+    Attributes
+    ----------
+    answered_s : float
+        Monotonic time of the last answer to this host or to its relays.
+    unavailable_since_s : float or None
+        Monotonic time since which the store does not answer; None if it does.
+    expired_until_s : float
+        Monotonic time until which a removed entry may have expired in the last outage.
+    """
+
+    clock: Clock
+    entry_life_s: float
+    answered_s: float = float("-inf")
+    unavailable_since_s: float | None = None
+    expired_until_s: float = float("-inf")
+
+    def note_failure(self, *, timed_out: bool) -> None:
+        """Record a failed call of this host.
+
+        Parameters
+        ----------
+        timed_out : bool
+            Whether the call got no answer in time. The store may then have been
+            unavailable ever since its last answer.
+        """
+        if self.unavailable_since_s is not None:
+            return
+        now_s = self.clock.monotonic_s()
+        known = timed_out and self.answered_s != float("-inf")
+        self.unavailable_since_s = self.answered_s if known else now_s
+
+    def note_answer(self, *, age_s: float = 0.0) -> None:
+        """Record that the store answered this host or a relay ``age_s`` ago."""
+        answered_s = self.clock.monotonic_s() - age_s
+        if self.unavailable_since_s is not None:
+            if answered_s <= self.unavailable_since_s:
+                return
+            if self._may_expire_entries(answered_s):
+                self.expired_until_s = answered_s + RECENT_OUTAGE_S
+            self.unavailable_since_s = None
+        self.answered_s = max(self.answered_s, answered_s)
+
+    @property
+    def entries_may_have_expired(self) -> bool:
+        """Whether an entry that is removed now may have expired in an outage."""
+        now_s = self.clock.monotonic_s()
+        return now_s < self.expired_until_s or self._may_expire_entries(now_s)
+
+    def _may_expire_entries(self, until_s: float) -> bool:
+        if self.unavailable_since_s is None:
+            return False
+        duration_s = until_s - self.unavailable_since_s
+        return duration_s >= EXPIRING_OUTAGE_SHARE * self.entry_life_s
--- a/src/sesameknot/state/version_filter.py
+++ b/src/sesameknot/state/version_filter.py
@@ -1,10 +1,8 @@
 """Versions of a service that a request may use."""
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from sesameknot.state.known_endpoint import KnownEndpoint
+from sesameknot.state.known_endpoint import KnownEndpoint
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,7 +29,7 @@
             return version == self.only
         return version != self.exclude if self.exclude else True
 
-    def narrow(self, candidates: "list[KnownEndpoint]") -> "list[KnownEndpoint]":
+    def narrow(self, candidates: list[KnownEndpoint]) -> list[KnownEndpoint]:
         """Return the candidates of the preferred version, or all if there is none."""
         if not self.prefer:
             return candidates
--- a/src/sesameknot/transport/json_http.py
+++ b/src/sesameknot/transport/json_http.py
@@ -3,9 +3,9 @@
 from typing import Any
 
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
 
-from sesameknot.errors import PlatformError
+from sesameknot.errors import PlatformError, PlatformTimeoutError
 from sesameknot.transport._keepalive import KeepaliveTCPClient
 
 # Each long-polling watch holds a connection, in addition to the calls of other tasks.
@@ -61,8 +61,10 @@
 
         Raises
         ------
+        PlatformTimeoutError
+            If no response was received in time; the call may have taken effect.
         PlatformError
-            If no response was received; the call may have taken effect.
+            If no response was received for another reason; as above.
         """
         self.call_count += 1
         call_timeout_s = timeout_s if timeout_s is not None else self.timeout_s
@@ -80,6 +82,9 @@
         )
         try:
             return await self._http.fetch(request, raise_error=False)
+        except (HTTPTimeoutError, TimeoutError) as error:
+            # The kernel's keep-alive probes end a connection with a TimeoutError.
+            raise PlatformTimeoutError(str(error), step=step, peer=self.url) from error
         except (HTTPClientError, OSError) as error:
             raise PlatformError(str(error), step=step, peer=self.url) from error
 
--- a/tests/state/test_fleet_view.py
+++ b/tests/state/test_fleet_view.py
@@ -47,9 +47,15 @@
         known_endpoint = self.view.endpoints[endpoint_id]
         return self.clock.monotonic_s() < known_endpoint.cold_until_s
 
+    def fail_for(self, duration_s, *, timed_out=False):
+        """Let the store fail this host's calls and then answer again."""
+        self.view.note_store_failure(timed_out=timed_out)
+        self.clock.advance(duration_s)
+        self.view.store.note_answer()
+
     def test_entry_that_lapsed_in_an_outage_stays_usable_for_two_seconds(self):
         """Guards against refusals after an outage in which all entries expired."""
-        self.view.note_store_failure()
+        self.fail_for(2.5)
         self.view.replace_endpoints([])
         self.assertThat(self.usable(), Equals(["e1", "e2"]))
         self.view.put_endpoint(endpoint("e1"))
@@ -63,10 +69,27 @@
         self.view.remove_endpoint("e1")
         self.assertThat(self.usable(), Equals(["e2"]))
 
+    def test_entry_removed_after_a_short_failure_is_gone_at_once(self):
+        """Guards against requests to an endpoint that left beside a lost connection.
+
+        No entry can expire in a failure that is shorter than two heartbeats.
+        """
+        self.fail_for(2.3)
+        self.view.remove_endpoint("e1")
+        self.assertThat(self.usable(), Equals(["e2"]))
+
+    def test_time_out_counts_from_the_last_answer(self):
+        """Guards against an outage that looks short because a watch noticed it late."""
+        self.view.store.note_answer()
+        self.clock.advance(2.0)
+        self.fail_for(0.5, timed_out=True)
+        self.view.remove_endpoint("e1")
+        self.assertThat(self.usable(), Equals(["e1", "e2"]))
+
     def test_leaving_binds_while_the_store_is_away(self):
         """Guards against an outage that makes a leaving endpoint usable again."""
         self.view.put_endpoint(endpoint("e1", state=EndpointState.LEAVING))
-        self.view.note_store_failure()
+        self.fail_for(2.5)
         self.view.remove_endpoint("e1")
         self.assertThat(self.usable(), Equals(["e2"]))
 
