--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -24,7 +24,8 @@
 )
 from sesameknot.coordination._stored_records import object_record, stored_entry
 from sesameknot.coordination.crash_exchange import CrashExchange
-from sesameknot.coordination.store_follower import StoreFollower, StoreLink
+from sesameknot.coordination.store_follower import StoreFollower
+from sesameknot.coordination.store_link import StoreLink
 from sesameknot.errors import RouterError
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.messages import (
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -23,7 +23,8 @@
 from sesameknot.coordination.host_directory import HostDirectory
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
-from sesameknot.coordination.store_follower import StoreFollower, StoreLink, WatchTiming
+from sesameknot.coordination.store_follower import StoreFollower, WatchTiming
+from sesameknot.coordination.store_link import StoreLink
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.status_pages import StatusPages
 from sesameknot.platform import (
@@ -105,9 +106,7 @@
         )
         self.attempt_counts = AttemptCounts()
         self.store_link = StoreLink(
-            on_failure=lambda timed_out: self.view.note_store_failure(
-                timed_out=timed_out
-            ),
+            on_failure=self.view.note_store_failure,
             on_answer=self.view.store.note_answer,
             on_restored=self.view.note_store_restored,
         )
