--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -10,6 +10,7 @@
 from sesameknot.forwarding.crash_detector import CrashDetector
 from sesameknot.forwarding.endpoint_selector import EndpointSelector
 from sesameknot.forwarding.ingress import Ingress
+from sesameknot.forwarding.notice_observer import NoticeObserver
 from sesameknot.forwarding.per_service import PerService
 from sesameknot.forwarding.plain import PlainForwarder
 from sesameknot.forwarding.retry_policy import RetryPolicy
@@ -136,6 +137,7 @@
                 total_limit_bytes=settings.attempts.all_answers_limit_bytes,
             ),
             permits=self._permits,
+            notices=NoticeObserver(view=self._view, permits=self._permits),
             pause_guard=self._pause_guard,
             settings=settings.attempts,
             metrics=self._metrics,
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -180,7 +180,12 @@
         self.status = self._exchange.status
         self.metadata = parse_answer_metadata(self.status, self.headers)
         self._check_answer()
-        self._observe_rate_limit()
+        self._runner.notices.observe(
+            self.endpoint,
+            self.metadata,
+            request_id=self.request.request_id,
+            sent_s=self._sent_s,
+        )
         if self.metadata.not_run:
             # The endpoint declares that it did not run the request.
             self.request.run_count -= 1
@@ -212,36 +217,6 @@
         if reason:
             raise self.invalid_answer_error(reason, step="answer")
 
-    def _observe_rate_limit(self) -> None:
-        """Learn from the answer which request rate the endpoint takes."""
-        metadata = self.metadata
-        if metadata.malformed_rate_limit:
-            log.warning(
-                "endpoint_limit_malformed",
-                request_id=self.request.request_id,
-                endpoint=self.endpoint.endpoint_id,
-                value=metadata.malformed_rate_limit,
-            )
-            return
-        # Another endpoint answered, or a refusal that need not tell of a limit.
-        unknown = metadata.rate_limit_per_s is None and not metadata.receipt
-        if metadata.misdirected or unknown:
-            return
-        limits = self._runner.view.endpoint_limits
-        incarnation_id = self.endpoint.incarnation_id
-        before_per_s = limits.rate_per_s(incarnation_id)
-        if limits.observe_answer(
-            incarnation_id, metadata.rate_limit_per_s, sent_s=self._sent_s
-        ):
-            log.info(
-                "endpoint_limit_changed",
-                request_id=self.request.request_id,
-                endpoint=self.endpoint.endpoint_id,
-                rate_per_s=metadata.rate_limit_per_s,
-                before_per_s=before_per_s,
-            )
-            self._runner.permits.report_change(self.endpoint)
-
     def invalid_answer_error(self, reason: str, *, step: str) -> InvalidAnswerError:
         """Count an invalid answer against the endpoint and return its error."""
         self.endpoint.health.failed()
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -5,6 +5,7 @@
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.forwarding.attempt import Attempt
 from sesameknot.forwarding.endpoint_selector import EndpointSelector, placement_request
+from sesameknot.forwarding.notice_observer import NoticeObserver
 from sesameknot.forwarding.per_service import PerService
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.platform import headers_for_endpoint
@@ -44,7 +45,9 @@
     answer_buffer : AnswerBuffer
         Bounds the answers that this host holds in memory.
     permits : EndpointPermits
-        Receives changed limits on the request rates of endpoints.
+        Permits for endpoints that limit their request rate.
+    notices : NoticeObserver
+        Receives what endpoints say of themselves.
     pause_guard : PauseGuard
         Tells whether what this host knows was confirmed since its last pause.
     settings : AttemptSettings
@@ -66,6 +69,7 @@
         pressure_gauges: PerService[PressureGauge],
         answer_buffer: AnswerBuffer,
         permits: EndpointPermits,
+        notices: NoticeObserver,
         pause_guard: PauseGuard,
         settings: AttemptSettings,
         metrics: RouterMetrics,
@@ -79,6 +83,7 @@
         self.pressure_gauges = pressure_gauges
         self.answer_buffer = answer_buffer
         self.permits = permits
+        self.notices = notices
         self.pause_guard = pause_guard
         self.settings = settings
         self.metrics = metrics
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -102,7 +102,9 @@
         self.registry = Registry()
         self.metrics = RouterMetrics(self.registry)
         self.view = FleetView(
-            self.clock, entry_life_s=ENTRY_LIFE_BEATS_COUNT * host.heartbeat_s
+            self.clock,
+            entry_life_s=ENTRY_LIFE_BEATS_COUNT * host.heartbeat_s,
+            endpoint_leave_s=host.bounds.endpoint_leave_ms / 1000.0,
         )
         self.attempt_counts = AttemptCounts()
         self.store_link = StoreLink(
--- a/src/sesameknot/platform/__init__.py
+++ b/src/sesameknot/platform/__init__.py
@@ -4,6 +4,7 @@
 no other package uses them.
 """
 
+from sesameknot.platform._endpoint_notices import EndpointNotices
 from sesameknot.platform._headers import (
     AnswerMetadata,
     AttemptMetadata,
@@ -52,6 +53,7 @@
     "ROLLOUT_KIND",
     "AnswerMetadata",
     "AttemptMetadata",
+    "EndpointNotices",
     "EntryBatch",
     "EntryConflictError",
     "EntryError",
--- a/src/sesameknot/platform/_headers.py
+++ b/src/sesameknot/platform/_headers.py
@@ -1,10 +1,14 @@
 """Parsing and construction of the HTTP headers that the platform defines."""
 
-import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders
 
+from sesameknot.platform._endpoint_notices import (
+    EndpointNotices,
+    parse_endpoint_notices,
+)
+
 REQUEST_ID_HEADER = "X-Request-Id"
 DEADLINE_HEADER = "X-Deadline-Ms"
 # ID:TOKENS entries in prompt order; the last part belongs to this request alone.
@@ -19,11 +23,6 @@
 RECEIPT_HEADER = "X-Server-Stamp"
 NOT_RUN_HEADER = "X-Not-Executed"
 CONFIDENCE_HEADER = "X-Confidence"
-# Requests per second that the endpoint takes from all hosts together.
-RATE_LIMIT_HEADER = "Server-Limit"
-DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
-# Longest part of a malformed value that is kept for the log.
-MALFORMED_VALUE_LIMIT_CHARS = 40
 ANY_MODEL = "*"
 MISDIRECTED_STATUS = 421
 BEARER_PREFIX = "bearer "
@@ -144,11 +143,8 @@
         Whether the endpoint that answered is not the expected one.
     confidence : float or None
         The model's confidence in its answer, from 0 to 100; None if not given.
-    rate_limit_per_s : float or None
-        Request rate that the endpoint takes from all hosts together; None if not given
-        or malformed.
-    malformed_rate_limit : str
-        Beginning of the value if it is no decimal number; empty otherwise.
+    notices : EndpointNotices
+        What the endpoint says of itself.
     """
 
     request_id: str = ""
@@ -156,8 +152,7 @@
     not_run: bool = False
     misdirected: bool = False
     confidence: float | None = None
-    rate_limit_per_s: float | None = None
-    malformed_rate_limit: str = ""
+    notices: EndpointNotices = field(default_factory=EndpointNotices)
 
 
 def parse_request_metadata(headers: HTTPHeaders) -> RequestMetadata:
@@ -249,23 +244,11 @@
         confidence = float(headers[CONFIDENCE_HEADER])
     except (KeyError, ValueError):
         confidence = None
-    rate_limit = headers.get(RATE_LIMIT_HEADER)
-    rate_limit_per_s = _parse_decimal(rate_limit)
-    malformed = rate_limit is not None and rate_limit_per_s is None
     return AnswerMetadata(
         request_id=headers.get(REQUEST_ID_HEADER, ""),
         receipt=headers.get(RECEIPT_HEADER, ""),
         not_run=NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS,
         misdirected=status == MISDIRECTED_STATUS,
         confidence=confidence,
-        rate_limit_per_s=rate_limit_per_s,
-        malformed_rate_limit=repr(rate_limit[:MALFORMED_VALUE_LIMIT_CHARS])
-        if malformed
-        else "",
+        notices=parse_endpoint_notices(status, headers),
     )
-
-
-def _parse_decimal(value: str | None) -> float | None:
-    if value is None or not DECIMAL_PATTERN.fullmatch(value.strip()):
-        return None
-    return float(value)
--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from sesameknot.platform import _endpoint_notices as endpoint_notices
 from sesameknot.platform import _headers as platform_headers
 
 OK_STATUS = 200
@@ -133,7 +134,7 @@
         all_headers = HTTPHeaders({"Content-Length": "0", **(headers or {})})
         self._describe(all_headers)
         if self.retry_after:
-            all_headers["Retry-After"] = self.retry_after
+            all_headers[endpoint_notices.RETRY_AFTER_HEADER] = self.retry_after
         request.connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, ""), all_headers
         )
@@ -208,9 +209,9 @@
     def _describe(self, headers: HTTPHeaders) -> None:
         """Add what all answers say of the endpoint itself."""
         if self.rate_limit:
-            headers[platform_headers.RATE_LIMIT_HEADER] = self.rate_limit
+            headers[endpoint_notices.RATE_LIMIT_HEADER] = self.rate_limit
         if self.leaving:
-            headers["Server-Leaving"] = self.leaving
+            headers[endpoint_notices.LEAVING_HEADER] = self.leaving
 
     @property
     def refused_count(self) -> int:
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -23,6 +23,8 @@
 # An endpoint of a new version may belong to a roll-out whose order this host has not
 # received yet.
 NEW_VERSION_DEFER_S = 4.0
+# A request that is sent within this share of the time for leaving arrives within it.
+LEAVE_SEND_SHARE = 0.8
 # The entry of an endpoint whose address was reused may stay in the store for a while,
 # and one that was removed may come back with a copy of the store that is seconds old.
 GONE_RETENTION_S = 30.0
@@ -38,6 +40,8 @@
         Source of monotonic time.
     entry_life_s : float
         Time after which the store removes the entry of a silent endpoint.
+    endpoint_leave_s : float
+        Time within which hosts must stop sending requests to a leaving endpoint.
 
     Attributes
     ----------
@@ -74,6 +78,7 @@
 
     clock: Clock
     entry_life_s: float = 3.6
+    endpoint_leave_s: float = 2.0
     configuration: Configuration | None = None
     configuration_applied_s: float = 0.0
     endpoints_listed: bool = False
@@ -243,6 +248,22 @@
         endpoint.gone_at_s = now_s
         return False
 
+    def note_leaving(self, endpoint: KnownEndpoint) -> bool:
+        """Record that an endpoint's answer says that it leaves.
+
+        It holds until another process registers as the endpoint, whatever the store
+        says meanwhile.
+
+        Returns
+        -------
+        bool
+            Whether this is news.
+        """
+        if endpoint.leaving_since_s is not None:
+            return False
+        endpoint.leaving_since_s = self.clock.monotonic_s()
+        return True
+
     def remove_misdirected(self, endpoint: KnownEndpoint) -> None:
         """Record that another endpoint answers at this endpoint's address."""
         endpoint.gone_at_s = self.clock.monotonic_s()
@@ -277,6 +298,10 @@
 
     def may_send(self, endpoint: KnownEndpoint) -> bool:
         """Return whether an endpoint may receive a new request now."""
+        return endpoint.leaving_since_s is None and self._is_registered(endpoint)
+
+    def _is_registered(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether the store's objects let an endpoint be used."""
         entry = endpoint.entry
         if entry.state is not EndpointState.READY:
             return False
@@ -287,6 +312,13 @@
             return False
         return endpoint.gone_at_s is None or now_s < endpoint.gone_at_s
 
+    def _still_serves(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether an endpoint that leaves may get requests if need be."""
+        if endpoint.leaving_since_s is None or not self._is_registered(endpoint):
+            return False
+        elapsed_s = self.clock.monotonic_s() - endpoint.leaving_since_s
+        return elapsed_s < LEAVE_SEND_SHARE * self.endpoint_leave_s
+
     def allowed_versions(self, service: str, session_position: float) -> VersionFilter:
         """Return the versions of ``service`` that a session may use now.
 
@@ -331,4 +363,21 @@
             allowed = [
                 endpoint for endpoint in allowed if endpoint.deferred_until_s <= now_s
             ]
+        if not allowed:
+            allowed = self._last_resort(service, versions)
         return allowed or ([] if versions.only else available)
+
+    def _last_resort(
+        self, service: str, versions: VersionFilter
+    ) -> list[KnownEndpoint]:
+        """Return the endpoints that leave but still serve.
+
+        They are better than a refusal, and than an excluded version.
+        """
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.entry.service == service
+            and versions.allows(endpoint.entry.version)
+            and self._still_serves(endpoint)
+        ]
--- a/src/sesameknot/state/known_endpoint.py
+++ b/src/sesameknot/state/known_endpoint.py
@@ -27,6 +27,8 @@
     doubted_until_s : float
         Monotonic time until which the endpoint gets no request, because its entry comes
         from a copy of the store that is older than its leaving.
+    leaving_since_s : float or None
+        Monotonic time at which an answer first said that the endpoint leaves.
     in_flight_count : int
         Attempts of this host that run on the endpoint.
     pending_tokens : int
@@ -41,6 +43,7 @@
     gone_at_s: float | None = None
     deferred_until_s: float = 0.0
     doubted_until_s: float = 0.0
+    leaving_since_s: float | None = None
     in_flight_count: int = 0
     pending_tokens: int = 0
     other_in_flight_count: int = 0
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -151,9 +151,9 @@
         answer = parse_answer_metadata(200, HTTPHeaders({"Server-Limit": value}))
         is_decimal = value.strip().replace(".", "", 1).isdecimal() and len(value) < 19
         if not is_decimal:
-            self.assertThat(answer.rate_limit_per_s, Is(None))
-        if answer.rate_limit_per_s is None:
-            self.assertThat(len(answer.malformed_rate_limit) > 0, Equals(True))
+            self.assertThat(answer.notices.rate_limit_per_s, Is(None))
+        if answer.notices.rate_limit_per_s is None:
+            self.assertThat(len(answer.notices.malformed) > 0, Equals(True))
 
     def test_limit_of_an_endpoint_is_a_decimal_number(self):
         """Guards against a limit that is not understood."""
@@ -161,9 +161,11 @@
             parse_answer_metadata(200, HTTPHeaders({"Server-Limit": value}))
             for value in ("2.25", "0", " 12 ")
         ]
-        self.assertThat([r.rate_limit_per_s for r in rates], Equals([2.25, 0.0, 12.0]))
+        self.assertThat(
+            [r.notices.rate_limit_per_s for r in rates], Equals([2.25, 0.0, 12.0])
+        )
         absent = parse_answer_metadata(200, HTTPHeaders())
-        self.assertThat(absent.malformed_rate_limit, Equals(""))
+        self.assertThat(absent.notices.malformed, Equals(()))
 
     def test_session_is_the_last_shared_part(self):
         """Guards against a session key that differs between a session's requests."""
