--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -137,7 +137,9 @@
                 total_limit_bytes=settings.attempts.all_answers_limit_bytes,
             ),
             permits=self._permits,
-            notices=NoticeObserver(view=self._view, permits=self._permits),
+            notices=NoticeObserver(
+                view=self._view, permits=self._permits, clock=self._clock
+            ),
             pause_guard=self._pause_guard,
             settings=settings.attempts,
             metrics=self._metrics,
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -89,13 +89,17 @@
         if not untried:
             reason = "all endpoints were tried" if usable else "no endpoint is usable"
             return NoEndpoint(reason, self._reregistration_wait_s())
-        admitted = self._within_cold_limits(untried)
+        wanting = self._not_paused(untried)
+        if not wanting:
+            wait_s = self._pause_left_s(untried)
+            return NoEndpoint("all endpoints asked for a pause", wait_s)
+        admitted = self._within_cold_limits(wanting)
         if not admitted:
-            return NoEndpoint("all endpoints are cold", self._cold_wait_s(untried))
+            return NoEndpoint("all endpoints are cold", self._cold_wait_s(wanting))
         admitted = self._within_rate_limits(admitted, max_wait_s)
         if not admitted:
             reason = "all endpoints are at their limits"
-            return NoEndpoint(reason, self._permit_wait_s(untried))
+            return NoEndpoint(reason, self._permit_wait_s(wanting))
         # An ejected endpoint failed recently, but is better than none.
         healthy = [
             endpoint for endpoint in admitted if not endpoint.health.ejected
@@ -125,19 +129,28 @@
         usable = self._view.usable(request.service, self.allowed_versions(request))
         return any(
             other is not endpoint and not self._limit_wait_s(other)
-            for other in _untried(request, usable)
+            for other in self._not_paused(_untried(request, usable))
         )
 
     def has_unlimited(self, request: ForwardedRequest) -> bool:
         """Return whether an untried endpoint without a limit on its rate is usable."""
         if not self._view.endpoint_limits.limited_count:
             return True
-        untried = _untried(request, self._usable(request))
+        untried = self._not_paused(_untried(request, self._usable(request)))
         return any(
             self._limit_wait_s(endpoint) is None
             for endpoint in self._within_cold_limits(untried)
         )
 
+    def _not_paused(self, candidates: list[KnownEndpoint]) -> list[KnownEndpoint]:
+        """Return the endpoints that did not ask this host for a pause."""
+        now_s = self._clock.monotonic_s()
+        return [e for e in candidates if e.paused_until_s <= now_s]
+
+    def _pause_left_s(self, candidates: list[KnownEndpoint]) -> float:
+        now_s = self._clock.monotonic_s()
+        return min(endpoint.paused_until_s for endpoint in candidates) - now_s
+
     def _usable(self, request: ForwardedRequest) -> list[KnownEndpoint]:
         versions = self.allowed_versions(request)
         return versions.narrow(self._view.usable(request.service, versions))
@@ -163,9 +176,8 @@
 
     def is_usable(self, request: ForwardedRequest, endpoint: KnownEndpoint) -> bool:
         """Return whether the request may be sent to the endpoint now."""
-        return endpoint in self._view.usable(
-            request.service, self.allowed_versions(request)
-        )
+        usable = self._view.usable(request.service, self.allowed_versions(request))
+        return endpoint in self._not_paused(usable)
 
     def _reregistration_wait_s(self) -> float:
         """Return the estimated time until endpoints have registered again."""
--- a/src/sesameknot/forwarding/notice_observer.py
+++ b/src/sesameknot/forwarding/notice_observer.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from sesameknot.clock import Clock
 from sesameknot.coordination.endpoint_permits import EndpointPermits
 from sesameknot.platform import AnswerMetadata
 from sesameknot.state.fleet_view import FleetView
@@ -19,11 +20,16 @@
         Receives the notices.
     permits : EndpointPermits
         Receives changed limits on the request rates of endpoints.
+    clock : Clock
+        Source of monotonic time.
     """
 
-    __slots__ = ("_permits", "_view")
+    __slots__ = ("_clock", "_permits", "_view")
 
-    def __init__(self, *, view: FleetView, permits: EndpointPermits) -> None:
+    def __init__(
+        self, *, view: FleetView, permits: EndpointPermits, clock: Clock
+    ) -> None:
+        self._clock = clock
         self._view = view
         self._permits = permits
 
@@ -54,10 +60,25 @@
                 endpoint=endpoint.endpoint_id,
                 state=str(endpoint.entry.state),
             )
+        if metadata.notices.pause_s:
+            self._observe_pause(endpoint, metadata.notices.pause_s, request_id)
         self._observe_rate_limit(
             endpoint, metadata, request_id=request_id, sent_s=sent_s
         )
 
+    def _observe_pause(
+        self, endpoint: KnownEndpoint, pause_s: float, request_id: str
+    ) -> None:
+        """Leave the endpoint alone for the time that its refusal names."""
+        until_s = self._clock.monotonic_s() + pause_s
+        endpoint.paused_until_s = max(endpoint.paused_until_s, until_s)
+        log.info(
+            "endpoint_paused",
+            request_id=request_id,
+            endpoint=endpoint.endpoint_id,
+            pause_s=pause_s,
+        )
+
     def _observe_rate_limit(
         self,
         endpoint: KnownEndpoint,
--- a/src/sesameknot/state/known_endpoint.py
+++ b/src/sesameknot/state/known_endpoint.py
@@ -29,6 +29,8 @@
         from a copy of the store that is older than its leaving.
     leaving_since_s : float or None
         Monotonic time at which an answer first said that the endpoint leaves.
+    paused_until_s : float
+        Monotonic time until which the endpoint wants no request from this host.
     in_flight_count : int
         Attempts of this host that run on the endpoint.
     pending_tokens : int
@@ -44,6 +46,7 @@
     deferred_until_s: float = 0.0
     doubted_until_s: float = 0.0
     leaving_since_s: float | None = None
+    paused_until_s: float = 0.0
     in_flight_count: int = 0
     pending_tokens: int = 0
     other_in_flight_count: int = 0
