Count endpoints that go silent under a request, or before its caller's end (BUDGET)

What callers would see: one request silences an endpoint after the other, and its callers get time-outs, as the users' record shows for endpoints that close. Change: after a time-out the endpoint is asked for a connection, beside the retry. Runs without a head are asked later, like those that had just begun to answer. Requests that end together at an endpoint share the check.

--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -288,7 +288,7 @@
         """Keep the endpoint of a run that this host ended for a check of crashes."""
         if self._result not in ABANDONED_RESULTS or self.metadata.not_run:
             return
-        if self._head_s is not None:
+        if self._sent:
             self.request.abandoned_runs.append(
                 AbandonedRun(self.endpoint, self._head_s)
             )
--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -1,6 +1,8 @@
 """Detection of requests and prompt parts that crash endpoints."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 import structlog
 from tornado.iostream import StreamClosedError
@@ -42,6 +44,7 @@
         self._clock = clock
         self._tcp_client = TCPClient()
         self._checks: set[asyncio.Task[None]] = set()
+        self._probes: dict[str, asyncio.Future[bool]] = {}
 
     def refusal_reason(self, request: ForwardedRequest) -> str:
         """Return why the request must not run; empty if it may."""
@@ -67,26 +70,39 @@
         The endpoints of the request's abandoned runs are then checked as well: they may
         have crashed after the run was ended.
         """
-        if isinstance(error, ConnectError | DeadlineError):
+        if isinstance(error, ConnectError) or not isinstance(error, TransportError):
             return
-        if not isinstance(error, TransportError) or await self._accepts_connections(
-            endpoint
-        ):
+        if isinstance(error, DeadlineError):
+            # The retry need not wait: a silent endpoint takes long to check.
+            self._spawn(self._record_silent(request, endpoint, error.message))
+            return
+        if await self._accepts_connections(endpoint):
             return
         self._record(request, endpoint, reason=error.message)
         await self._record_abandoned(request, request.abandoned_runs)
 
+    async def _record_silent(
+        self, request: ForwardedRequest, endpoint: KnownEndpoint, reason: str
+    ) -> None:
+        if not await self._accepts_connections(endpoint):
+            self._record(request, endpoint, reason=reason)
+
     def check_abandoned_runs(self, request: ForwardedRequest) -> None:
-        """Check later whether runs of a request without an answer crashed endpoints."""
+        """Check later whether runs of a request without an answer crashed endpoints.
+
+        A run that had begun to answer a while before its end was going well.
+        """
         now_s = self._clock.monotonic_s()
-        recent_runs = [
+        suspect_runs = [
             run
             for run in request.abandoned_runs
-            if now_s - run.began_s < CRASH_DELAY_LIMIT_S
+            if run.began_s is None or now_s - run.began_s < CRASH_DELAY_LIMIT_S
         ]
-        if not recent_runs:
-            return
-        check = asyncio.create_task(self._check_after_delay(request, recent_runs))
+        if suspect_runs:
+            self._spawn(self._check_after_delay(request, suspect_runs))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        check = asyncio.create_task(coroutine)
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
@@ -125,6 +141,19 @@
         )
 
     async def _accepts_connections(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether the endpoint accepts a connection now.
+
+        Requests that end together at one endpoint share a check.
+        """
+        incarnation_id = endpoint.incarnation_id
+        probe = self._probes.get(incarnation_id)
+        if probe is None:
+            probe = asyncio.ensure_future(self._probe(endpoint))
+            self._probes[incarnation_id] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(incarnation_id, None))
+        return await asyncio.shield(probe)
+
+    async def _probe(self, endpoint: KnownEndpoint) -> bool:
         ip, _, port = endpoint.entry.address.rpartition(":")
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
@@ -143,6 +172,8 @@
         """Cancel pending checks and close the TCP client."""
         for check in self._checks:
             check.cancel()
+        for probe in list(self._probes.values()):
+            probe.cancel()
         self._tcp_client.close()
 
 
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -16,13 +16,13 @@
     Parameters
     ----------
     endpoint : KnownEndpoint
-        Endpoint that had begun to answer.
-    began_s : float
-        Monotonic time at which the head of its answer arrived.
+        Endpoint of the run.
+    began_s : float or None
+        Monotonic time at which the head of its answer arrived; None if none did.
     """
 
     endpoint: KnownEndpoint
-    began_s: float
+    began_s: float | None
 
 
 @dataclass(slots=True, kw_only=True)
