--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -148,6 +148,7 @@
         crash_detector = CrashDetector(
             crash_guard=self._crash_guard,
             part_guard=self._part_guard,
+            client=self._client,
             clock=self._clock,
         )
         self._stack.callback(crash_detector.close)
--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -5,8 +5,6 @@
 from typing import Any
 
 import structlog
-from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from sesameknot.clock import Clock
 from sesameknot.errors import ConnectError, DeadlineError, RouterError, TransportError
@@ -14,6 +12,7 @@
 from sesameknot.policy.crash_guard import CrashGuard, request_fingerprint
 from sesameknot.policy.prompt_part_guard import PromptPartGuard, part_fingerprint
 from sesameknot.state.known_endpoint import KnownEndpoint
+from sesameknot.transport.endpoint_client import EndpointClient
 
 # A running endpoint accepts a connection well within this time.
 PROBE_TIMEOUT_S = 0.2
@@ -32,17 +31,24 @@
         Crash counts by request, shared between hosts.
     part_guard : PromptPartGuard
         Crash counts by prompt part, shared between hosts.
+    client : EndpointClient
+        Checks whether endpoints accept connections.
     clock : Clock
         Source of monotonic time.
     """
 
     def __init__(
-        self, *, crash_guard: CrashGuard, part_guard: PromptPartGuard, clock: Clock
+        self,
+        *,
+        crash_guard: CrashGuard,
+        part_guard: PromptPartGuard,
+        client: EndpointClient,
+        clock: Clock,
     ) -> None:
         self._crash_guard = crash_guard
         self._part_guard = part_guard
         self._clock = clock
-        self._tcp_client = TCPClient()
+        self._client = client
         self._checks: set[asyncio.Task[None]] = set()
         self._probes: dict[str, asyncio.Future[bool]] = {}
 
@@ -154,27 +160,25 @@
         return await asyncio.shield(probe)
 
     async def _probe(self, endpoint: KnownEndpoint) -> bool:
-        ip, _, port = endpoint.entry.address.rpartition(":")
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                stream = await self._tcp_client.connect(ip, int(port))
-        except (OSError, StreamClosedError, TimeoutError) as error:
+            await self._client.check_connection(
+                endpoint.entry.address, timeout_s=PROBE_TIMEOUT_S
+            )
+        except ConnectError as error:
             log.info(
                 "endpoint_unreachable",
                 endpoint=endpoint.endpoint_id,
-                reason=repr(error),
+                reason=error.message,
             )
             return False
-        stream.close()
         return True
 
     def close(self) -> None:
-        """Cancel pending checks and close the TCP client."""
+        """Cancel pending checks."""
         for check in self._checks:
             check.cancel()
         for probe in list(self._probes.values()):
             probe.cancel()
-        self._tcp_client.close()
 
 
 def _fingerprint(request: ForwardedRequest) -> int:
--- a/src/sesameknot/transport/endpoint_client.py
+++ b/src/sesameknot/transport/endpoint_client.py
@@ -3,15 +3,18 @@
 Each attempt opens a new connection, so none is reused after an idle period.
 """
 
+import asyncio
 import functools
 from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 from urllib.parse import quote
 
 from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
 
 from sesameknot.clock import Clock
-from sesameknot.errors import FrameError, RouterError, TransportError
+from sesameknot.errors import ConnectError, FrameError, RouterError, TransportError
 from sesameknot.protocol.chat import ChatChunk, SseParser, parse_chunk
 from sesameknot.protocol.messages import EndpointReport
 from sesameknot.protocol.orders import (
@@ -190,6 +193,23 @@
             max_clients=CONCURRENT_LIMIT_COUNT,
             max_body_size=ANSWER_LIMIT_BYTES,
         )
+        self._probe_client = TCPClient()
+
+    async def check_connection(self, address: str, *, timeout_s: float) -> None:
+        """Open a connection to ``ip:port`` and close it again.
+
+        Raises
+        ------
+        ConnectError
+            If it cannot be opened in time.
+        """
+        ip, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = await self._probe_client.connect(ip, int(port))
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            raise ConnectError(repr(error), step="check", peer=address) from error
+        stream.close()
 
     def start_exchange(self, call: EndpointCall) -> Exchange:
         """Start a request and return its exchange, which must be read and closed."""
@@ -310,3 +330,4 @@
     def close(self) -> None:
         """Close the HTTP client; running attempts fail."""
         self._http.close()
+        self._probe_client.close()
