--- a/soak/_fronts.py
+++ b/soak/_fronts.py
@@ -40,11 +40,12 @@
         self.freeze_count = 0
         self.restart_lock = asyncio.Lock()
         self._directory = directory
-        ports = [reserve_port() for _ in range(4)]
+        ports = [reserve_port() for _ in range(5)]
         self.caller_address, self.ready_address, self.peer_address = (
             f"127.0.0.1:{port}" for port in ports[:3]
         )
         self._metrics_port = ports[3]
+        self._handover_port = ports[4]
         self._process: asyncio.subprocess.Process | None = None
         self._started_s = 0.0
 
@@ -96,6 +97,7 @@
                 "Ready": self.ready_address,
                 "Control": self.peer_address,
             },
+            "InternalPorts": [self._handover_port, self._handover_port],
             "Seeds": seed_addresses,
             "Platform": {"Address": self.store_proxy.address},
             "Bounds": {"GraceS": GRACE_S, "RetryBudgetRatio": 0.9, "BudgetSlack": 500},
--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -11,6 +11,7 @@
 from sesameknot.forwarding.endpoint_selector import EndpointSelector
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.notice_observer import NoticeObserver
+from sesameknot.forwarding.peer_handover import PeerHandover
 from sesameknot.forwarding.per_service import PerService
 from sesameknot.forwarding.plain import PlainForwarder
 from sesameknot.forwarding.retry_policy import RetryPolicy
@@ -33,6 +34,7 @@
 from sesameknot.settings.front import FrontSettings
 from sesameknot.settings.host import HostSettings
 from sesameknot.state.attempt_counts import AttemptCounts
+from sesameknot.state.endpoint_reachability import EndpointReachability
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.transport.endpoint_client import EndpointClient
 
@@ -66,6 +68,8 @@
         Counters and latency histograms.
     permits : EndpointPermits
         Permits for endpoints that limit their request rate.
+    reachability : EndpointReachability
+        Whether this host reaches the endpoints of each service.
     pause_guard : PauseGuard
         Detects pauses of this process.
     clock : Clock
@@ -84,6 +88,7 @@
         "_part_guard",
         "_pause_guard",
         "_permits",
+        "_reachability",
         "_settings",
         "_stack",
         "_view",
@@ -101,6 +106,7 @@
         part_guard: PromptPartGuard,
         metrics: RouterMetrics,
         permits: EndpointPermits,
+        reachability: EndpointReachability,
         pause_guard: PauseGuard,
         clock: Clock,
         stack: contextlib.AsyncExitStack,
@@ -114,6 +120,7 @@
         self._part_guard = part_guard
         self._metrics = metrics
         self._permits = permits
+        self._reachability = reachability
         self._pause_guard = pause_guard
         self._clock = clock
         self._stack = stack
@@ -137,6 +144,7 @@
                 total_limit_bytes=settings.attempts.all_answers_limit_bytes,
             ),
             permits=self._permits,
+            reachability=self._reachability,
             notices=NoticeObserver(
                 view=self._view, permits=self._permits, clock=self._clock
             ),
@@ -167,11 +175,21 @@
             patience_factor=settings.pressure.patience_factor,
             metrics=self._metrics,
         )
+        handover = PeerHandover(
+            view=self._view,
+            reachability=self._reachability,
+            client=self._client,
+            answer_buffer=runner.answer_buffer,
+            host_id=self._host.host_id,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
         return Ingress(
             view=self._view,
             pause_guard=self._pause_guard,
             plain_forwarder=PlainForwarder(retry_policy),
             stream_forwarder=stream_forwarder,
+            handover=handover,
             crash_detector=crash_detector,
             drain=drain,
             metrics=self._metrics,
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -138,6 +138,9 @@
             raise NotSentError(
                 "endpoint became unusable", step="send", peer=self.endpoint.endpoint_id
             )
+        self._runner.reachability.record_connected(
+            self.endpoint.entry.service, endpoint_id=self.endpoint.endpoint_id
+        )
         self._sent = True
         self._sent_s = self._runner.clock.monotonic_s()
         self.request.run_count += 1
@@ -169,7 +172,7 @@
             await self._exchange.read_headers()
         except ConnectError as error:
             if not self._sent:
-                self.endpoint.health.unreachable()
+                self._record_unreachable()
             self.record_failure(error)
             raise
         except TransportError as error:
@@ -204,6 +207,19 @@
                 slots=self.endpoint.entry.slot_count,
             )
 
+    def _record_unreachable(self) -> None:
+        """Record that the endpoint accepted no connection."""
+        self.endpoint.health.unreachable()
+        if self._limits.deadline_s <= self._limits.connect_timeout_s:
+            # The caller's deadline passed first.
+            return
+        service = self.endpoint.entry.service
+        self._runner.reachability.record_failure(
+            service,
+            endpoint_id=self.endpoint.endpoint_id,
+            usable_count=self._runner.view.usable_count(service),
+        )
+
     def _check_answer(self) -> None:
         metadata = self.metadata
         expected_id = self.request.request_id
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -15,6 +15,7 @@
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import AttemptSettings
 from sesameknot.state.attempt_counts import AttemptCounts
+from sesameknot.state.endpoint_reachability import EndpointReachability
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.transport.endpoint_client import (
@@ -48,6 +49,8 @@
         Permits for endpoints that limit their request rate.
     notices : NoticeObserver
         Receives what endpoints say of themselves.
+    reachability : EndpointReachability
+        Receives which endpoints accept connections.
     pause_guard : PauseGuard
         Tells whether what this host knows was confirmed since its last pause.
     settings : AttemptSettings
@@ -70,6 +73,7 @@
         answer_buffer: AnswerBuffer,
         permits: EndpointPermits,
         notices: NoticeObserver,
+        reachability: EndpointReachability,
         pause_guard: PauseGuard,
         settings: AttemptSettings,
         metrics: RouterMetrics,
@@ -84,6 +88,7 @@
         self.answer_buffer = answer_buffer
         self.permits = permits
         self.notices = notices
+        self.reachability = reachability
         self.pause_guard = pause_guard
         self.settings = settings
         self.metrics = metrics
--- a/src/sesameknot/forwarding/caller.py
+++ b/src/sesameknot/forwarding/caller.py
@@ -7,6 +7,7 @@
 
 from sesameknot.errors import TransportError
 from sesameknot.forwarding.error_answer import ErrorAnswer
+from sesameknot.platform import UNREACHABLE_HEADER
 
 
 class CallerConnection:
@@ -94,6 +95,8 @@
         headers = HTTPHeaders({"Content-Type": "text/plain"})
         if error_answer.retry_after_s:
             headers["Retry-After"] = f"{error_answer.retry_after_s:.3f}"
+        if error_answer.unreachable:
+            headers[UNREACHABLE_HEADER] = "1"
         await self.send_complete(error_answer.status, headers, body)
 
     def abort(self) -> None:
--- a/src/sesameknot/forwarding/error_answer.py
+++ b/src/sesameknot/forwarding/error_answer.py
@@ -40,11 +40,14 @@
         Reason, sent to the caller and logged.
     retry_after_s : float, default=0.0
         Value of Retry-After; 0 sends none.
+    unreachable : bool, default=False
+        Whether this host reaches no endpoint, which it tells to other hosts.
     """
 
     status: int
     reason: str
     retry_after_s: float = 0.0
+    unreachable: bool = False
 
 
 def not_run_answer(
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -1,6 +1,8 @@
 """Entry point for requests: routing, authentication, forwarding and logging."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 import structlog
 from tornado.httputil import HTTPServerRequest
@@ -16,10 +18,15 @@
     not_run_answer,
     timeout_answer,
 )
+from sesameknot.forwarding.peer_handover import PeerHandover
 from sesameknot.forwarding.plain import PlainForwarder
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.forwarding.stream import StreamForwarder
-from sesameknot.platform import RequestMetadata, parse_request_metadata
+from sesameknot.platform import (
+    RequestMetadata,
+    parse_request_metadata,
+    parse_run_count,
+)
 from sesameknot.policy.rendezvous import unit_hash
 from sesameknot.protocol.configuration import Configuration, RequestKind, Route
 from sesameknot.router.drain import Drain
@@ -54,6 +61,8 @@
         Forwards requests whose answer is a single body.
     stream_forwarder : StreamForwarder
         Forwards requests whose answer is a stream of events.
+    handover : PeerHandover
+        Hands requests over to other hosts while this one reaches no endpoint.
     crash_detector : CrashDetector
         Checks endpoints whose runs ended without an answer.
     drain : Drain
@@ -72,6 +81,7 @@
         view: FleetView,
         plain_forwarder: PlainForwarder,
         stream_forwarder: StreamForwarder,
+        handover: PeerHandover,
         crash_detector: CrashDetector,
         drain: Drain,
         metrics: RouterMetrics,
@@ -82,6 +92,7 @@
         self._pause_guard = pause_guard
         self._plain_forwarder = plain_forwarder
         self._stream_forwarder = stream_forwarder
+        self._handover = handover
         self._crash_detector = crash_detector
         self._drain = drain
         self._metrics = metrics
@@ -91,11 +102,20 @@
 
     def accept(self, http_request: HTTPServerRequest) -> None:
         """Start handling a request whose body has been read completely."""
-        task = asyncio.create_task(self._handle(http_request))
+        self._start(self._handle(http_request, handed_over=False))
+
+    def accept_handed_over(self, http_request: HTTPServerRequest) -> None:
+        """Start handling a request that another host hands over."""
+        self._start(self._handle(http_request, handed_over=True))
+
+    def _start(self, handling: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(handling)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _handle(self, http_request: HTTPServerRequest) -> None:
+    async def _handle(
+        self, http_request: HTTPServerRequest, *, handed_over: bool
+    ) -> None:
         caller = CallerConnection(http_request)
         caller.close_after_answer = self._drain.draining
         current_task = asyncio.current_task()
@@ -106,7 +126,12 @@
         outcome, reason = "answered", ""
         with self._drain.track_request():
             try:
-                await self._forward(http_request, metadata, caller, arrived_s)
+                await self._wait_until_informed(metadata)
+                request = self._admit(http_request, metadata, arrived_s)
+                if handed_over:
+                    request.handed_over = True
+                    request.prior_run_count = parse_run_count(http_request.headers)
+                await self._forward(request, caller)
             except RequestEndedError as error:
                 outcome, reason = "ended", error.error_answer.reason
                 await self._send_error(caller, error.error_answer)
@@ -142,16 +167,14 @@
         except (TransportError, OSError) as error:
             log.info("error_answer_not_sent", reason=str(error))
 
-    async def _forward(
-        self,
-        http_request: HTTPServerRequest,
-        metadata: RequestMetadata,
-        caller: CallerConnection,
-        arrived_s: float,
-    ) -> None:
+    async def _wait_until_informed(self, metadata: RequestMetadata) -> None:
         await self._wait_for_configuration(metadata)
         await self._pause_guard.wait_until_confirmed()
-        request = self._admit(http_request, metadata, arrived_s)
+
+    async def _forward(
+        self, request: ForwardedRequest, caller: CallerConnection
+    ) -> None:
+        metadata = request.metadata
         log.info(
             "request_accepted",
             request_id=request.request_id,
@@ -159,8 +182,9 @@
             service=request.service,
             customer=request.customer.name if request.customer else "",
             configuration=self._configuration(metadata).version,
-            time_left_ms=round((request.deadline_s - arrived_s) * 1000),
+            time_left_ms=round((request.deadline_s - request.arrived_s) * 1000),
             resume_after=metadata.resume_after_event_id,
+            handed_over=request.handed_over,
         )
         try:
             await self._forward_until_deadline(request, caller)
@@ -171,12 +195,9 @@
     async def _forward_until_deadline(
         self, request: ForwardedRequest, caller: CallerConnection
     ) -> None:
-        forward = self._plain_forwarder.forward
-        if request.route.kind is RequestKind.STREAM:
-            forward = self._stream_forwarder.forward
         try:
             async with asyncio.timeout_at(self._event_loop_time(request.deadline_s)):
-                await forward(request, caller)
+                await self._forward_or_hand_over(request, caller)
         except TimeoutError as error:
             if request.run_count:
                 raise RequestEndedError(timeout_answer()) from error
@@ -185,6 +206,24 @@
             )
             raise RequestEndedError(error_answer) from error
 
+    async def _forward_or_hand_over(
+        self, request: ForwardedRequest, caller: CallerConnection
+    ) -> None:
+        if self._handover.prefers(request):
+            if not await self._handover.forward(request, caller):
+                raise self._handover.refusal(request)
+            return
+        forward = self._plain_forwarder.forward
+        if request.route.kind is RequestKind.STREAM:
+            forward = self._stream_forwarder.forward
+        try:
+            await forward(request, caller)
+        except RequestEndedError:
+            if not self._handover.may_take(request):
+                raise
+            if not await self._handover.forward(request, caller):
+                raise
+
     async def _wait_for_configuration(self, metadata: RequestMetadata) -> None:
         """Wait shortly after the start until the host knows where to send requests."""
         if self._view.ready:
@@ -243,6 +282,7 @@
             arrived_s=arrived_s,
             deadline_s=arrived_s + time_limit_s,
             session_position=unit_hash("session", session),
+            last_event_id=metadata.resume_after_event_id,
         )
 
     def _configuration(self, metadata: RequestMetadata) -> Configuration:
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -58,6 +58,12 @@
         Attempts that an endpoint declared as not run.
     connect_failure_count : int
         Attempts whose connection could not be opened.
+    handed_over : bool
+        Whether another host handed the request over, which is not done again.
+    prior_run_count : int
+        Attempts before that which an endpoint may have run.
+    last_event_id : str
+        ID of the last event that was sent to the caller; empty before the first.
     abandoned_runs : list of AbandonedRun
         Runs that this host ended before their end.
     """
@@ -77,6 +83,9 @@
     run_count: int = 0
     not_run_count: int = 0
     connect_failure_count: int = 0
+    handed_over: bool = False
+    prior_run_count: int = 0
+    last_event_id: str = ""
     abandoned_runs: list[AbandonedRun] = field(default_factory=list)
 
     @property
@@ -94,7 +103,8 @@
     @property
     def has_attempts_left(self) -> bool:
         """Whether the attempt limit of the route allows another attempt."""
-        return self.run_count < self.route.attempt_limit_count
+        run_count = self.prior_run_count + self.run_count
+        return run_count < self.route.attempt_limit_count
 
     def time_left_s(self, now_s: float) -> float:
         """Return the time until the deadline."""
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -1,5 +1,7 @@
 """Retry rules of all requests: the next endpoint, limits and time-outs."""
 
+from dataclasses import replace
+
 import structlog
 
 from sesameknot.clock import Clock
@@ -86,6 +88,9 @@
         refusal_reason = self.crash_detector.refusal_reason(request)
         if refusal_reason:
             raise self.ended_error(request, refusal_reason)
+        if request.handed_over and self._others_may_serve(request):
+            # The host that handed the request over asks another one.
+            raise self.ended_error(request, "no endpoint is reachable")
         patience_s = self._permit_patience_s(request)
         for try_number in range(PERMIT_TRY_COUNT + 1):
             unlimited = self.selector.has_unlimited(request)
@@ -125,13 +130,14 @@
         """Return the error that ends a request; it states whether it may have run."""
         time_left_s = request.time_left_s(self.clock.monotonic_s())
         if request.run_count == 0:
-            return RequestEndedError(
-                not_run_answer(
-                    reason,
-                    estimated_wait_s=estimated_wait_s,
-                    time_left_s=max(0.0, time_left_s),
-                )
+            error_answer = not_run_answer(
+                reason,
+                estimated_wait_s=estimated_wait_s,
+                time_left_s=max(0.0, time_left_s),
             )
+            if request.handed_over and self._others_may_serve(request):
+                error_answer = replace(error_answer, unreachable=True)
+            return RequestEndedError(error_answer)
         return RequestEndedError(
             timeout_answer() if time_left_s <= 0.0 else unknown_outcome_answer(reason)
         )
@@ -148,11 +154,19 @@
             return True
         if isinstance(error, ConnectError):
             request.connect_failure_count += 1
+            if self._others_may_serve(request):
+                return False
             return request.connect_failure_count < CONNECT_FAILURE_LIMIT_COUNT
         if not request.route.repeatable or not request.has_attempts_left:
             return False
         return self.spend_retry(request)
 
+    def _others_may_serve(self, request: ForwardedRequest) -> bool:
+        """Return whether this host reaches no endpoint, but another one may."""
+        view = self.runner.view
+        unreachable = self.runner.reachability.is_unreachable(request.service)
+        return unreachable and len(view.hosts) > 1
+
     def attempt_timeout_s(
         self,
         request: ForwardedRequest,
@@ -175,7 +189,8 @@
             Upper limit as a share of the time left, while a retry is possible.
         """
         time_left_s = request.time_left_s(self.clock.monotonic_s())
-        is_last_attempt = request.run_count + 1 >= request.route.attempt_limit_count
+        run_count = request.prior_run_count + request.run_count
+        is_last_attempt = run_count + 1 >= request.route.attempt_limit_count
         if is_last_attempt or not request.route.repeatable:
             return time_left_s
         if not self.selector.has_alternative(request, endpoint):
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -278,6 +278,7 @@
                 self._metrics.first_token_s.observe({}, now_s - request.arrived_s)
                 headers = headers_for_caller(attempt.headers)
                 await caller.send_head(attempt.status, headers, data=comments + block)
+            request.last_event_id = state.splitter.last_event_id
             last_event_s = now_s
         if state.splitter.incomplete:
             raise attempt.broken_stream_error("stream ended inside an event")
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.netutil import bind_sockets
 
+from sesameknot._front_followers import build_followers
 from sesameknot._front_request_path import RequestPathBuilder
 from sesameknot._front_rollouts import build_rollout_coordinator
 from sesameknot.clock import Clock, SystemClock
@@ -19,17 +20,15 @@
 from sesameknot.coordination.crash_exchange import CrashExchange
 from sesameknot.coordination.domain_exchange import DomainExchange
 from sesameknot.coordination.endpoint_permits import EndpointPermits
-from sesameknot.coordination.fleet_sinks import SINKS
 from sesameknot.coordination.host_directory import HostDirectory
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
-from sesameknot.coordination.store_follower import StoreFollower, WatchTiming
+from sesameknot.coordination.reachability_check import ReachabilityCheck
 from sesameknot.coordination.store_link import StoreLink
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.status_pages import StatusPages
 from sesameknot.platform import (
     CONFIGURATION_KIND,
-    ENDPOINT_KIND,
     StoreClient,
 )
 from sesameknot.policy.crash_guard import CrashGuard
@@ -47,6 +46,7 @@
 from sesameknot.settings.front import FrontSettings
 from sesameknot.settings.host import HostSettings
 from sesameknot.state.attempt_counts import AttemptCounts
+from sesameknot.state.endpoint_reachability import EndpointReachability
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.transport.caller_server import CallerConnections
 from sesameknot.transport.early_listeners import EarlyListeners
@@ -107,6 +107,7 @@
             endpoint_leave_s=host.bounds.endpoint_leave_ms / 1000.0,
         )
         self.attempt_counts = AttemptCounts()
+        self.reachability = EndpointReachability()
         self.store_link = StoreLink(
             on_failure=self.view.note_store_failure,
             on_answer=self.view.store.note_answer,
@@ -125,6 +126,9 @@
         self._stack.callback(self.store.close)
         self.endpoint_client = EndpointClient(clock=self.clock)
         self._stack.callback(self.endpoint_client.close)
+        self.reachability_check = ReachabilityCheck(
+            reachability=self.reachability, view=self.view, client=self.endpoint_client
+        )
         self.peer_client = PeerClient(self.host.host_id, clock=self.clock)
         self._stack.callback(self.peer_client.close)
         self.directory = HostDirectory(
@@ -134,6 +138,7 @@
                 host_id=self.host.host_id,
                 peer_address=self.host.peer_address,
                 domain=self.host.domain,
+                handover_address=self.host.handover_address,
             ),
             settings=settings.store,
             clock=self.clock,
@@ -148,7 +153,14 @@
             clock=self.clock,
         )
         self._stack.callback(self.endpoint_permits.close)
-        self.followers = [self._build_follower(kind) for kind in SINKS]
+        self.followers = build_followers(
+            settings.store,
+            host=self.host,
+            view=self.view,
+            store=self.store,
+            link=self.store_link,
+            clock=self.clock,
+        )
         self.peer_snapshot = PeerSnapshot(
             followers=self.followers,
             peers=self.peer_client,
@@ -236,6 +248,7 @@
             part_guard=self.part_guard,
             metrics=self.metrics,
             permits=self.endpoint_permits,
+            reachability=self.reachability,
             pause_guard=self.pause_guard,
             clock=self.clock,
             stack=self._stack,
@@ -253,6 +266,7 @@
         self._spawn("rollouts", self.rollout_coordinator.run())
         self._spawn("pauses", self.pause_guard.run())
         self._spawn("forget", self._cleanup_loop())
+        self._spawn("reachability", self.reachability_check.run())
         log.info(
             "front_started",
             host=self.host.host_id,
@@ -261,28 +275,6 @@
             store=self.host.store_address,
         )
 
-    def _build_follower(self, kind: str) -> StoreFollower:
-        settings = self.settings.store
-        probing = kind == CONFIGURATION_KIND
-        return StoreFollower(
-            kind,
-            store=self.store,
-            sink=SINKS.get(kind)(self.view),
-            link=self.store_link,
-            timing=WatchTiming(
-                wait_s=settings.probe_wait_s if probing else settings.watch_wait_s,
-                gather_s=self._gather_s() if kind == ENDPOINT_KIND else 0.0,
-            ),
-            settings=settings,
-            clock=self.clock,
-            probing=probing,
-        )
-
-    def _gather_s(self) -> float:
-        """Return the time over which changes of endpoints are batched."""
-        leave_s = self.host.bounds.endpoint_leave_ms / 1000.0
-        return self.settings.store.gather_part * leave_s
-
     async def _listen(self) -> None:
         peer_server = PeerServer(self.host.host_id)
         peer_server.handle(StatsRequest)(self._answer_stats)
@@ -296,6 +288,9 @@
             idle_connection_timeout=INITIAL_IDLE_TIMEOUT_S,
         )
         self._serve(self._caller_server, self.host.caller_address)
+        if self.host.handover_address:
+            handed_over = CallerConnections(self.ingress.accept_handed_over)
+            self._serve(HTTPServer(handed_over), self.host.handover_address)
         self._serve(
             HTTPServer(self._status_pages.answer_ready), self.host.ready_address
         )
--- a/src/sesameknot/platform/__init__.py
+++ b/src/sesameknot/platform/__init__.py
@@ -5,6 +5,12 @@
 """
 
 from sesameknot.platform._endpoint_notices import EndpointNotices
+from sesameknot.platform._handover_headers import (
+    UNREACHABLE_HEADER,
+    handover_refused_as_unreachable,
+    headers_for_host,
+    parse_run_count,
+)
 from sesameknot.platform._headers import (
     AnswerMetadata,
     AttemptMetadata,
@@ -51,6 +57,7 @@
     "NODE_FILE_VARIABLE",
     "READY_PATH",
     "ROLLOUT_KIND",
+    "UNREACHABLE_HEADER",
     "AnswerMetadata",
     "AttemptMetadata",
     "EndpointNotices",
@@ -69,9 +76,12 @@
     "encode_crash_report",
     "encode_host",
     "encode_rollout_progress",
+    "handover_refused_as_unreachable",
     "headers_for_caller",
     "headers_for_endpoint",
+    "headers_for_host",
     "load_host_settings",
     "parse_answer_metadata",
     "parse_request_metadata",
+    "parse_run_count",
 ]
--- a/src/sesameknot/platform/_headers.py
+++ b/src/sesameknot/platform/_headers.py
@@ -23,6 +23,8 @@
 RECEIPT_HEADER = "X-Server-Stamp"
 NOT_RUN_HEADER = "X-Not-Executed"
 CONFIDENCE_HEADER = "X-Confidence"
+# Runs of a request before another host handed it over.
+RUN_COUNT_HEADER = "Sesameknot-Run-Count"
 ANY_MODEL = "*"
 MISDIRECTED_STATUS = 421
 BEARER_PREFIX = "bearer "
@@ -39,6 +41,7 @@
         "X-Kv-Backup",
         "Kv-From",
         "Kv-Fetch",
+        RUN_COUNT_HEADER,
         "Authorization",
     }
 )
--- a/src/sesameknot/platform/_node_file.py
+++ b/src/sesameknot/platform/_node_file.py
@@ -67,6 +67,9 @@
         raise SettingsError(str(error), step=str(path)) from error
     except msgspec.MsgspecError as error:
         raise SettingsError(str(error), step=str(path)) from error
+    first_port, last_port = node_file.internal_ports
+    peer_address = node_file.listen.control or f"{node_file.ip}:{first_port}"
+    handover_address = f"{node_file.ip}:{last_port}"
     return HostSettings(
         host_id=node_file.node,
         ip=node_file.ip,
@@ -75,8 +78,8 @@
         domains=node_file.zones,
         caller_address=node_file.listen.front,
         ready_address=node_file.listen.ready,
-        peer_address=node_file.listen.control
-        or f"{node_file.ip}:{node_file.internal_ports[0]}",
+        peer_address=peer_address,
+        handover_address=handover_address if handover_address != peer_address else "",
         seeds=tuple(node_file.seeds),
         store_address=node_file.platform.address,
         bounds=_host_bounds(node_file.bounds),
--- a/src/sesameknot/platform/_objects.py
+++ b/src/sesameknot/platform/_objects.py
@@ -147,6 +147,7 @@
 class _Host(msgspec.Struct, rename="pascal"):
     address: str
     zone: str
+    handover_address: str = ""
 
 
 def _decode_spec(entry: StoredEntry, spec_type: type[T]) -> T:
@@ -302,12 +303,21 @@
         If a field is missing or has a wrong type.
     """
     spec = _decode_spec(entry, _Host)
-    return HostEntry(host_id=entry.name, peer_address=spec.address, domain=spec.zone)
+    return HostEntry(
+        host_id=entry.name,
+        peer_address=spec.address,
+        domain=spec.zone,
+        handover_address=spec.handover_address,
+    )
 
 
 def encode_host(host: HostEntry) -> dict[str, object]:
     """Return the ``Spec`` under which ``host`` registers itself."""
-    return {"Address": host.peer_address, "Zone": host.domain}
+    return {
+        "Address": host.peer_address,
+        "Zone": host.domain,
+        "HandoverAddress": host.handover_address,
+    }
 
 
 def decode_crash_report(entry: StoredEntry) -> CrashReport:
--- a/src/sesameknot/protocol/fleet_records.py
+++ b/src/sesameknot/protocol/fleet_records.py
@@ -98,11 +98,24 @@
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class HostEntry:
-    """Registration of a front host, by which the other hosts find it."""
+    """Registration of a front host, by which the other hosts find it.
+
+    Parameters
+    ----------
+    host_id : str
+        Name of the host.
+    peer_address : str
+        ``ip:port`` for messages between hosts.
+    domain : str
+        Failure domain of the host.
+    handover_address : str, default=""
+        ``ip:port`` for requests that other hosts hand over; empty if it takes none.
+    """
 
     host_id: str
     peer_address: str
     domain: str
+    handover_address: str = ""
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/src/sesameknot/router/metrics.py
+++ b/src/sesameknot/router/metrics.py
@@ -24,6 +24,11 @@
         self.attempts = Counter(
             "sesameknot_attempts_total", "Attempts by result", registry=registry
         )
+        self.handovers = Counter(
+            "sesameknot_handovers_total",
+            "Requests offered to other hosts.",
+            registry=registry,
+        )
         self.request_duration_s = Histogram(
             "sesameknot_request_seconds",
             "Time to the whole answer",
--- a/src/sesameknot/settings/host.py
+++ b/src/sesameknot/settings/host.py
@@ -64,6 +64,8 @@
         ``ip:port`` of the readiness check.
     peer_address : str
         ``ip:port`` for messages between the system's own processes.
+    handover_address : str
+        ``ip:port`` on which other hosts hand requests over; empty to take none.
     seeds : tuple of str
         Peer addresses of some hosts, which may be outdated or down.
     store_address : str
@@ -83,6 +85,7 @@
     ready_address: str
     peer_address: str
     store_address: str
+    handover_address: str = ""
     seeds: tuple[str, ...] = ()
     bounds: HostBounds = field(default_factory=HostBounds)
     heartbeat_s: float = 1.2
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -367,6 +367,13 @@
             allowed = self._last_resort(service, versions)
         return allowed or ([] if versions.only else available)
 
+    def usable_count(self, service: str) -> int:
+        """Return the number of endpoints of ``service`` that may get requests."""
+        return sum(
+            endpoint.entry.service == service and self.may_send(endpoint)
+            for endpoint in self.endpoints.values()
+        )
+
     def _last_resort(
         self, service: str, versions: VersionFilter
     ) -> list[KnownEndpoint]:
--- a/tests/forwarding/test_cut_off_hosts.py
+++ b/tests/forwarding/test_cut_off_hosts.py
@@ -60,10 +60,11 @@
     def _intercept_client(self, front, tcp_client):
         connect = tcp_client.connect
 
-        async def connect_or_fail(host, port, *args, **options):
+        async def connect_or_fail(host, port, *args, timeout=60.0, **options):
             if front in self.cut_off and port in self.endpoint_ports():
                 if self.hang:
-                    await asyncio.sleep(60.0)
+                    await asyncio.sleep(timeout)
+                    raise TimeoutError
                 raise ConnectionRefusedError(111, "Connection refused")
             return await connect(host, port, *args, **options)
 
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -109,7 +109,7 @@
 
     def host_settings(self, host_id="host-1", *, domain="a", seeds=(), **bounds):
         """Return settings with unused ports."""
-        ports = [reserve_port() for _ in range(3)]
+        ports = [reserve_port() for _ in range(4)]
         return HostSettings(
             host_id=host_id,
             ip="127.0.0.1",
@@ -119,6 +119,7 @@
             caller_address=f"127.0.0.1:{ports[0]}",
             ready_address=f"127.0.0.1:{ports[1]}",
             peer_address=f"127.0.0.1:{ports[2]}",
+            handover_address=f"127.0.0.1:{ports[3]}",
             seeds=tuple(seeds),
             store_address=self.store_address,
             bounds=HostBounds(
