--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -156,6 +156,7 @@
         crash_detector = CrashDetector(
             crash_guard=self._crash_guard,
             part_guard=self._part_guard,
+            view=self._view,
             client=self._client,
             clock=self._clock,
         )
--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -1,6 +1,7 @@
 """Detection of requests and prompt parts that crash endpoints."""
 
 import asyncio
+import random
 from collections.abc import Coroutine
 from typing import Any
 
@@ -11,11 +12,14 @@
 from sesameknot.forwarding.request import AbandonedRun, ForwardedRequest
 from sesameknot.policy.crash_guard import CrashGuard, request_fingerprint
 from sesameknot.policy.prompt_part_guard import PromptPartGuard, part_fingerprint
+from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.transport.endpoint_client import EndpointClient
 
 # A running endpoint accepts a connection well within this time.
 PROBE_TIMEOUT_S = 0.2
+# Other endpoints that are asked for a connection before a crash is counted.
+LINK_CHECK_COUNT = 4
 # A request that crashes endpoints does so this soon after its run has begun.
 CRASH_DELAY_LIMIT_S = 0.5
 
@@ -31,6 +35,8 @@
         Crash counts by request, shared between hosts.
     part_guard : PromptPartGuard
         Crash counts by prompt part, shared between hosts.
+    view : FleetView
+        Other endpoints, by which this host checks its own link.
     client : EndpointClient
         Checks whether endpoints accept connections.
     clock : Clock
@@ -42,12 +48,14 @@
         *,
         crash_guard: CrashGuard,
         part_guard: PromptPartGuard,
+        view: FleetView,
         client: EndpointClient,
         clock: Clock,
     ) -> None:
         self._crash_guard = crash_guard
         self._part_guard = part_guard
         self._clock = clock
+        self._view = view
         self._client = client
         self._checks: set[asyncio.Task[None]] = set()
         self._probes: dict[str, asyncio.Future[bool]] = {}
@@ -82,7 +90,7 @@
             # The retry need not wait: a silent endpoint takes long to check.
             self._spawn(self._record_silent(request, endpoint, error.message))
             return
-        if await self._accepts_connections(endpoint):
+        if not await self._is_down(endpoint):
             return
         self._record(request, endpoint, reason=error.message)
         await self._record_abandoned(request, request.abandoned_runs)
@@ -90,7 +98,7 @@
     async def _record_silent(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, reason: str
     ) -> None:
-        if not await self._accepts_connections(endpoint):
+        if await self._is_down(endpoint):
             self._record(request, endpoint, reason=reason)
 
     def check_abandoned_runs(self, request: ForwardedRequest) -> None:
@@ -121,11 +129,9 @@
     async def _record_abandoned(
         self, request: ForwardedRequest, runs: list[AbandonedRun]
     ) -> None:
-        accepts = await asyncio.gather(
-            *(self._accepts_connections(run.endpoint) for run in runs)
-        )
-        for run, accepted in zip(runs, accepts, strict=True):
-            if not accepted:
+        downs = await asyncio.gather(*(self._is_down(run.endpoint) for run in runs))
+        for run, down in zip(runs, downs, strict=True):
+            if down:
                 self._record(request, run.endpoint, reason="run was ended before")
 
     def _record(
@@ -146,6 +152,33 @@
             reason=reason,
         )
 
+    async def _is_down(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether the endpoint accepts no connection, but others do.
+
+        If no endpoint accepts one, the link of this host is to blame.
+        """
+        if await self._accepts_connections(endpoint):
+            return False
+        others = self._sample_others(endpoint)
+        if not others:
+            return True
+        if any(await asyncio.gather(*map(self._accepts_connections, others))):
+            return True
+        log.info("crash_not_counted", endpoint=endpoint.endpoint_id, checks=len(others))
+        return False
+
+    def _sample_others(self, endpoint: KnownEndpoint) -> list[KnownEndpoint]:
+        """Return other endpoints, of several services if there are some."""
+        others = [
+            other
+            for other in self._view.endpoints.values()
+            if other is not endpoint and self._view.may_send(other)
+        ]
+        random.shuffle(others)
+        by_service = {other.entry.service: other for other in others}
+        rest = [other for other in others if other not in by_service.values()]
+        return [*by_service.values(), *rest][:LINK_CHECK_COUNT]
+
     async def _accepts_connections(self, endpoint: KnownEndpoint) -> bool:
         """Return whether the endpoint accepts a connection now.
 
