Ask a silent endpoint twice before it counts as crashed

Cause: after a time-out one check of 0.2 s decided. Change: an endpoint that only went silent is asked again 1.5 s later. One that closed its connections still counts at once.

--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -18,6 +18,8 @@
 
 # A running endpoint accepts a connection well within this time.
 PROBE_TIMEOUT_S = 0.2
+# A sound endpoint may neither answer nor accept connections for up to this time.
+SOUND_SILENCE_S = 1.5
 # Other endpoints that are asked for a connection before a crash is counted.
 LINK_CHECK_COUNT = 4
 # A request that crashes endpoints does so this soon after its run has begun.
@@ -98,7 +100,7 @@
     async def _record_silent(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, reason: str
     ) -> None:
-        if await self._is_down(endpoint):
+        if await self._stays_down(endpoint):
             self._record(request, endpoint, reason=reason)
 
     def check_abandoned_runs(self, request: ForwardedRequest) -> None:
@@ -129,7 +131,14 @@
     async def _record_abandoned(
         self, request: ForwardedRequest, runs: list[AbandonedRun]
     ) -> None:
-        downs = await asyncio.gather(*(self._is_down(run.endpoint) for run in runs))
+        downs = await asyncio.gather(
+            *(
+                self._stays_down(run.endpoint)
+                if run.began_s is None
+                else self._is_down(run.endpoint)
+                for run in runs
+            )
+        )
         for run, down in zip(runs, downs, strict=True):
             if down:
                 self._record(request, run.endpoint, reason="run was ended before")
@@ -152,6 +161,17 @@
             reason=reason,
         )
 
+    async def _stays_down(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether a silent endpoint is down for longer than a sound one may be.
+
+        An endpoint that has crashed closes its connections; one that has not may be
+        silent for other reasons.
+        """
+        if not await self._is_down(endpoint):
+            return False
+        await asyncio.sleep(SOUND_SILENCE_S)
+        return await self._is_down(endpoint)
+
     async def _is_down(self, endpoint: KnownEndpoint) -> bool:
         """Return whether the endpoint accepts no connection, but others do.
 
