--- a/src/sesameknot/platform/_endpoint_notices.py
+++ b/src/sesameknot/platform/_endpoint_notices.py
@@ -11,6 +11,8 @@
 LEAVING_VALUE = "1"
 # A refusal with this header asks this host alone to pause.
 RETRY_AFTER_HEADER = "Retry-After"
+# Refusals in a second for want of room beyond which the endpoint falls over.
+BRITTLE_HEADER = "Server-Brittle"
 REFUSAL_STATUSES = frozenset({429, 503})
 # A longer time would take the endpoint out of use, for which the platform has its list.
 PAUSE_LIMIT_S = 600.0
--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -12,6 +12,8 @@
 
 OK_STATUS = 200
 MISDIRECTED_STATUS = 421
+# Time for which a fallen endpoint closes all connections.
+FALL_DURATION_S = 3.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -69,6 +71,10 @@
         Value with which its answers say that it leaves; empty if they don't.
     retry_after : str, default=""
         Value of ``Retry-After`` in its refusals; empty for none.
+    room_count : int or None, default=None
+        Requests that it runs at once; more are refused as not run. None for no limit.
+    brittle : str, default=""
+        Refusals per second that it bears, as its answers say; empty for any number.
     crash_silently : bool, default=False
         Whether a crash leaves open connections without an end.
     """
@@ -91,10 +97,14 @@
     rate_limit: str = ""
     leaving: str = ""
     retry_after: str = ""
+    room_count: int | None = None
+    brittle: str = ""
     crash_silently: bool = False
     body: bytes = b"answer"
     runs: list[RecordedRun] = field(default_factory=list)
     refused_s: list[float] = field(default_factory=list)
+    fallen_s: list[float] = field(default_factory=list)
+    _running_count: int = 0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _server: HTTPServer | None = None
 
@@ -109,21 +119,47 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve_request(self, request: HTTPServerRequest) -> None:
+        if self._is_down:
+            request.connection.close()
+            return
         expected = request.headers.get(
             platform_headers.EXPECTED_ENDPOINT_HEADER, self.endpoint_id
         )
         try:
             if expected != self.endpoint_id:
                 self._refuse_request(request, MISDIRECTED_STATUS)
-            elif self.not_run:
+            elif self.not_run or not self._has_room:
                 self._refuse_request(
                     request, 503, {platform_headers.NOT_RUN_HEADER: "1"}
                 )
+                self._fall_if_overloaded()
             else:
-                await self._run_request(request)
+                self._running_count += 1
+                try:
+                    await self._run_request(request)
+                finally:
+                    self._running_count -= 1
         except StreamClosedError:
             pass
 
+    @property
+    def _has_room(self) -> bool:
+        return self.room_count is None or self._running_count < self.room_count
+
+    @property
+    def _is_down(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return any(now_s - fallen_s < FALL_DURATION_S for fallen_s in self.fallen_s)
+
+    def _fall_if_overloaded(self) -> None:
+        """Answer nothing for a while after too many refusals within a second."""
+        if not self.brittle:
+            return
+        now_s = asyncio.get_running_loop().time()
+        recent_count = sum(now_s - refused_s < 1.0 for refused_s in self.refused_s)
+        if recent_count > float(self.brittle) and not self._is_down:
+            self.fallen_s.append(now_s)
+
     def _refuse_request(
         self,
         request: HTTPServerRequest,
@@ -210,6 +246,8 @@
         """Add what all answers say of the endpoint itself."""
         if self.rate_limit:
             headers[endpoint_notices.RATE_LIMIT_HEADER] = self.rate_limit
+        if self.brittle:
+            headers[endpoint_notices.BRITTLE_HEADER] = self.brittle
         if self.leaving:
             headers[endpoint_notices.LEAVING_HEADER] = self.leaving
 
