Count the requests at endpoints that fall over if they refuse too many (LIMIT)

What callers would see: under a burst, endpoints that say how few refusals they bear fall over one after the other, and what they carry goes to the others. Cause: nothing read Server-Brittle. Hosts know each other's loads to half a second, so all of them send to an endpoint that is full by then. Change: while an endpoint says so, one host counts the requests that run there and grants its slots to the others, as the owner of a limit grants permits. A request gets a slot before it is sent, or is refused at once. After a refusal in spite of a slot, the owner grants none for as long as two in N need. If no owner answers, a host uses its equal part.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -5,6 +5,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination.endpoint_permits import EndpointPermits
+from sesameknot.coordination.endpoint_slots import EndpointSlots
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.forwarding.attempt_runner import AttemptRunner
 from sesameknot.forwarding.crash_detector import CrashDetector
@@ -68,6 +69,8 @@
         Counters and latency histograms.
     permits : EndpointPermits
         Permits for endpoints that limit their request rate.
+    slots : EndpointSlots
+        Slots of endpoints that must not be asked in vain.
     reachability : EndpointReachability
         Whether this host reaches the endpoints of each service.
     pause_guard : PauseGuard
@@ -90,6 +93,7 @@
         "_permits",
         "_reachability",
         "_settings",
+        "_slots",
         "_stack",
         "_view",
     )
@@ -106,6 +110,7 @@
         part_guard: PromptPartGuard,
         metrics: RouterMetrics,
         permits: EndpointPermits,
+        slots: EndpointSlots,
         reachability: EndpointReachability,
         pause_guard: PauseGuard,
         clock: Clock,
@@ -120,6 +125,7 @@
         self._part_guard = part_guard
         self._metrics = metrics
         self._permits = permits
+        self._slots = slots
         self._reachability = reachability
         self._pause_guard = pause_guard
         self._clock = clock
@@ -145,6 +151,7 @@
             ),
             permits=self._permits,
             reachability=self._reachability,
+            slots=self._slots,
             notices=NoticeObserver(
                 view=self._view, permits=self._permits, clock=self._clock
             ),
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -100,6 +100,9 @@
         traceback: TracebackType | None,
     ) -> None:
         self._exchange.close()
+        self._runner.release_slot(
+            self.request, self.endpoint, refused=self.metadata.not_run
+        )
         self._record_abandoned_run()
         self._record_version_result()
         self.mark_prompt_processed()
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -2,6 +2,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination.endpoint_permits import EndpointPermits
+from sesameknot.coordination.endpoint_slots import EndpointSlots
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.forwarding.attempt import Attempt
 from sesameknot.forwarding.endpoint_selector import EndpointSelector, placement_request
@@ -47,6 +48,8 @@
         Bounds the answers that this host holds in memory.
     permits : EndpointPermits
         Permits for endpoints that limit their request rate.
+    slots : EndpointSlots
+        Slots of endpoints that must not be asked in vain.
     notices : NoticeObserver
         Receives what endpoints say of themselves.
     reachability : EndpointReachability
@@ -72,6 +75,7 @@
         pressure_gauges: PerService[PressureGauge],
         answer_buffer: AnswerBuffer,
         permits: EndpointPermits,
+        slots: EndpointSlots,
         notices: NoticeObserver,
         reachability: EndpointReachability,
         pause_guard: PauseGuard,
@@ -87,6 +91,7 @@
         self.pressure_gauges = pressure_gauges
         self.answer_buffer = answer_buffer
         self.permits = permits
+        self.slots = slots
         self.notices = notices
         self.reachability = reachability
         self.pause_guard = pause_guard
@@ -122,6 +127,24 @@
             limits=limits,
         )
 
+    def release_slot(
+        self,
+        request: ForwardedRequest,
+        endpoint: KnownEndpoint,
+        *,
+        refused: bool = False,
+    ) -> None:
+        """Give back the slot of an endpoint that a request holds, if it does."""
+        slot = request.slots.pop(endpoint.endpoint_id, None)
+        if slot is not None:
+            self.slots.release(slot, refused=refused)
+
+    def release_slots(self, request: ForwardedRequest) -> None:
+        """Give back all slots that a request still holds."""
+        for slot in request.slots.values():
+            self.slots.release(slot, refused=False)
+        request.slots.clear()
+
     def start_exchange(self, attempt: Attempt) -> Exchange:
         """Start the HTTP exchange of ``attempt``."""
         request = attempt.request
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -19,6 +19,8 @@
 
 # Lower limit of the estimated wait for endpoints whose return cannot be predicted.
 NO_ENDPOINT_WAIT_S = 1.0
+# Estimated time until a full endpoint has room again.
+FULL_ENDPOINT_WAIT_S = 0.3
 # Lower limit of the estimated wait for endpoints that limit their request rate.
 MIN_PERMIT_WAIT_S = 0.1
 
@@ -93,6 +95,9 @@
         if not wanting:
             wait_s = self._pause_left_s(untried)
             return NoEndpoint("all endpoints asked for a pause", wait_s)
+        wanting = self._with_room(wanting)
+        if not wanting:
+            return NoEndpoint("all endpoints are full", FULL_ENDPOINT_WAIT_S)
         admitted = self._within_cold_limits(wanting)
         if not admitted:
             return NoEndpoint("all endpoints are cold", self._cold_wait_s(wanting))
@@ -129,14 +134,16 @@
         usable = self._view.usable(request.service, self.allowed_versions(request))
         return any(
             other is not endpoint and not self._limit_wait_s(other)
-            for other in self._not_paused(_untried(request, usable))
+            for other in self._with_room(self._not_paused(_untried(request, usable)))
         )
 
     def has_unlimited(self, request: ForwardedRequest) -> bool:
         """Return whether an untried endpoint without a limit on its rate is usable."""
         if not self._view.endpoint_limits.limited_count:
             return True
-        untried = self._not_paused(_untried(request, self._usable(request)))
+        untried = self._with_room(
+            self._not_paused(_untried(request, self._usable(request)))
+        )
         return any(
             self._limit_wait_s(endpoint) is None
             for endpoint in self._within_cold_limits(untried)
@@ -147,6 +154,11 @@
         now_s = self._clock.monotonic_s()
         return [e for e in candidates if e.paused_until_s <= now_s]
 
+    def _with_room(self, candidates: list[KnownEndpoint]) -> list[KnownEndpoint]:
+        """Return the endpoints but those that are known to have no room."""
+        now_s = self._clock.monotonic_s()
+        return [e for e in candidates if e.full_until_s <= now_s]
+
     def _pause_left_s(self, candidates: list[KnownEndpoint]) -> float:
         now_s = self._clock.monotonic_s()
         return min(endpoint.paused_until_s for endpoint in candidates) - now_s
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -191,6 +191,8 @@
         except BaseException:
             self._crash_detector.check_abandoned_runs(request)
             raise
+        finally:
+            self._plain_forwarder.runner.release_slots(request)
 
     async def _forward_until_deadline(
         self, request: ForwardedRequest, caller: CallerConnection
--- a/src/sesameknot/forwarding/notice_observer.py
+++ b/src/sesameknot/forwarding/notice_observer.py
@@ -62,10 +62,26 @@
             )
         if metadata.notices.pause_s:
             self._observe_pause(endpoint, metadata.notices.pause_s, request_id)
+        self._observe_overload_limit(endpoint, metadata, request_id)
         self._observe_rate_limit(
             endpoint, metadata, request_id=request_id, sent_s=sent_s
         )
 
+    def _observe_overload_limit(
+        self, endpoint: KnownEndpoint, metadata: AnswerMetadata, request_id: str
+    ) -> None:
+        limit_per_s = metadata.notices.overload_limit_per_s
+        if limit_per_s is None and metadata.notices.malformed:
+            return
+        if limit_per_s != endpoint.overload_limit_per_s:
+            log.info(
+                "endpoint_overload_limit_changed",
+                request_id=request_id,
+                endpoint=endpoint.endpoint_id,
+                limit_per_s=limit_per_s,
+            )
+            endpoint.overload_limit_per_s = limit_per_s
+
     def _observe_pause(
         self, endpoint: KnownEndpoint, pause_s: float, request_id: str
     ) -> None:
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -6,7 +6,7 @@
 
 from sesameknot.platform import RequestMetadata
 from sesameknot.protocol.configuration import Customer, Route
-from sesameknot.state.known_endpoint import KnownEndpoint
+from sesameknot.state.known_endpoint import HeldSlot, KnownEndpoint
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,6 +64,8 @@
         Attempts before that which an endpoint may have run.
     last_event_id : str
         ID of the last event that was sent to the caller; empty before the first.
+    slots : dict of str to HeldSlot
+        Slots of endpoints that the request holds, by endpoint.
     abandoned_runs : list of AbandonedRun
         Runs that this host ended before their end.
     """
@@ -86,6 +88,7 @@
     handed_over: bool = False
     prior_run_count: int = 0
     last_event_id: str = ""
+    slots: dict[str, HeldSlot] = field(default_factory=dict)
     abandoned_runs: list[AbandonedRun] = field(default_factory=list)
 
     @property
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -105,10 +105,27 @@
             permitted = await self.runner.permits.acquire(
                 endpoint, request_id=request.request_id, max_wait_s=max_wait_s
             )
-            if permitted and self.selector.take_cold_permit(endpoint):
+            if not permitted or not await self._take_slot(request, endpoint):
+                continue
+            if self.selector.take_cold_permit(endpoint):
                 return endpoint
+            self.runner.release_slot(request, endpoint)
         raise self.ended_error(request, "endpoints are at their limits")
 
+    async def _take_slot(
+        self, request: ForwardedRequest, endpoint: KnownEndpoint
+    ) -> bool:
+        """Take a slot of an endpoint that must not be asked in vain."""
+        slot = await self.runner.slots.acquire(
+            endpoint,
+            request_id=request.request_id,
+            life_s=max(0.0, request.time_left_s(self.clock.monotonic_s())),
+        )
+        if slot is None:
+            return False
+        request.slots[endpoint.endpoint_id] = slot
+        return True
+
     def _permit_patience_s(self, request: ForwardedRequest) -> float:
         """Return how long a request waits for an endpoint that limits its rate."""
         share = REPEATED_PERMIT_WAIT_SHARE
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import Coroutine
 from typing import Any
 
@@ -10,9 +9,9 @@
 from aioprometheus.collectors import Registry
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
-from tornado.netutil import bind_sockets
 
 from sesameknot._front_followers import build_followers
+from sesameknot._front_listeners import FrontListeners
 from sesameknot._front_request_path import RequestPathBuilder
 from sesameknot._front_rollouts import build_rollout_coordinator
 from sesameknot.clock import Clock, SystemClock
@@ -20,6 +19,7 @@
 from sesameknot.coordination.crash_exchange import CrashExchange
 from sesameknot.coordination.domain_exchange import DomainExchange
 from sesameknot.coordination.endpoint_permits import EndpointPermits
+from sesameknot.coordination.endpoint_slots import EndpointSlots
 from sesameknot.coordination.host_directory import HostDirectory
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
@@ -37,6 +37,7 @@
 from sesameknot.protocol.messages import (
     DomainSync,
     EndpointPermitRequest,
+    EndpointSlotRequest,
     ObjectSync,
     StatsReply,
     StatsRequest,
@@ -97,7 +98,8 @@
         self.host = host
         self.settings = settings
         self.clock = clock or SystemClock()
-        self._listeners = listeners or EarlyListeners()
+        self._stack = contextlib.AsyncExitStack()
+        self._listeners = FrontListeners(listeners or EarlyListeners(), self._stack)
         self.drain = Drain()
         self.registry = Registry()
         self.metrics = RouterMetrics(self.registry)
@@ -113,7 +115,6 @@
             on_answer=self.view.store.note_answer,
             on_restored=self.view.note_store_restored,
         )
-        self._stack = contextlib.AsyncExitStack()
         self._caller_server: HTTPServer | None = None
         self._caller_connections = CallerConnections(self._accept)
         self._build()
@@ -153,6 +154,13 @@
             clock=self.clock,
         )
         self._stack.callback(self.endpoint_permits.close)
+        self.endpoint_slots = EndpointSlots(
+            view=self.view,
+            peers=self.peer_client,
+            host_id=self.host.host_id,
+            clock=self.clock,
+        )
+        self._stack.callback(self.endpoint_slots.close)
         self.followers = build_followers(
             settings.store,
             host=self.host,
@@ -218,9 +226,8 @@
 
     def _information_confirmed_s(self) -> float:
         """Return when a relay or the store last told what this host knows."""
-        return max(
-            self.domain_exchange.relay_answered_s, self.store_link.probe_answered_s
-        )
+        relay_answered_s = self.domain_exchange.relay_answered_s
+        return max(relay_answered_s, self.store_link.probe_answered_s)
 
     def _store_answers(self) -> bool:
         """Return whether the store has answered since its last known failure."""
@@ -248,6 +255,7 @@
             part_guard=self.part_guard,
             metrics=self.metrics,
             permits=self.endpoint_permits,
+            slots=self.endpoint_slots,
             reachability=self.reachability,
             pause_guard=self.pause_guard,
             clock=self.clock,
@@ -281,37 +289,26 @@
         peer_server.handle(ObjectSync)(self.peer_snapshot.answer)
         peer_server.handle(DomainSync)(self.domain_exchange.answer)
         peer_server.handle(EndpointPermitRequest)(self.endpoint_permits.answer)
-        peer_server.add_sockets(self._bind(self.host.peer_address))
+        peer_server.handle(EndpointSlotRequest)(self.endpoint_slots.answer)
+        peer_server.add_sockets(self._listeners.bind(self.host.peer_address))
         self._stack.push_async_callback(peer_server.close)
         self._caller_server = HTTPServer(
             self._caller_connections,
             idle_connection_timeout=INITIAL_IDLE_TIMEOUT_S,
         )
-        self._serve(self._caller_server, self.host.caller_address)
+        self._listeners.serve(self._caller_server, self.host.caller_address)
         if self.host.handover_address:
             handed_over = CallerConnections(self.ingress.accept_handed_over)
-            self._serve(HTTPServer(handed_over), self.host.handover_address)
-        self._serve(
+            self._listeners.serve(HTTPServer(handed_over), self.host.handover_address)
+        self._listeners.serve(
             HTTPServer(self._status_pages.answer_ready), self.host.ready_address
         )
         metrics_address = f"{self.host.ip}:{self.settings.metrics_port}"
-        self._serve(HTTPServer(self._status_pages.answer_metrics), metrics_address)
-        for address, reason in self._listeners.errors.items():
-            log.info("early_listener_failed", address=address, reason=reason)
+        self._listeners.serve(
+            HTTPServer(self._status_pages.answer_metrics), metrics_address
+        )
         self._listeners.close()
 
-    def _bind(self, address: str) -> list[socket.socket]:
-        listener = self._listeners.take(address)
-        if listener is not None:
-            return [listener]
-        ip, _, port = address.rpartition(":")
-        return bind_sockets(int(port), ip)
-
-    def _serve(self, server: HTTPServer, address: str) -> None:
-        server.add_sockets(self._bind(address))
-        self._stack.push_async_callback(server.close_all_connections)
-        self._stack.callback(server.stop)
-
     def _accept(self, request: HTTPServerRequest) -> None:
         self._apply_caller_limits()
         self.ingress.accept(request)
@@ -335,10 +332,9 @@
     async def _cleanup_loop(self) -> None:
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            self.view.forget_gone()
-            self.view.forget_unlisted()
-            self.view.endpoint_limits.expire()
+            self.view.forget_outdated()
             self.endpoint_permits.expire()
+            self.endpoint_slots.expire()
             self.crash_guard.expire()
             self.part_guard.expire()
             self.peer_client.close_idle()
--- a/src/sesameknot/platform/_endpoint_notices.py
+++ b/src/sesameknot/platform/_endpoint_notices.py
@@ -41,6 +41,9 @@
         Whether the endpoint is shutting down and wants no more requests.
     pause_s : float or None
         Time for which the endpoint wants no requests from this host; None if not given.
+    overload_limit_per_s : float or None
+        Refusals per second for want of room beyond which the endpoint falls over; None
+        if it bears any number.
     malformed : tuple of MalformedNotice
         Headers without a valid value.
     """
@@ -48,6 +51,7 @@
     rate_limit_per_s: float | None = None
     leaving: bool = False
     pause_s: float | None = None
+    overload_limit_per_s: float | None = None
     malformed: tuple[MalformedNotice, ...] = ()
 
 
@@ -59,9 +63,11 @@
     pause_s = _parse_decimal(headers.get(RETRY_AFTER_HEADER)) if refused else None
     if pause_s is not None and pause_s > PAUSE_LIMIT_S:
         pause_s = None
+    overload_limit_per_s = _parse_decimal(headers.get(BRITTLE_HEADER))
     understood = {
         RATE_LIMIT_HEADER: rate_limit_per_s is not None,
         LEAVING_HEADER: leaving,
+        BRITTLE_HEADER: overload_limit_per_s is not None,
         RETRY_AFTER_HEADER: pause_s is not None or not refused,
     }
     malformed = tuple(
@@ -73,6 +79,7 @@
         rate_limit_per_s=rate_limit_per_s,
         leaving=leaving,
         pause_s=pause_s,
+        overload_limit_per_s=overload_limit_per_s,
         malformed=malformed,
     )
 
--- a/src/sesameknot/protocol/_endpoint_permits.py
+++ b/src/sesameknot/protocol/_endpoint_permits.py
@@ -1,4 +1,4 @@
-"""Messages by which hosts share the request rate that an endpoint takes."""
+"""Messages by which hosts share what an endpoint takes: request rate and slots."""
 
 from dataclasses import dataclass
 
@@ -54,3 +54,49 @@
     age_ms: float = 0.0
     granted: bool = False
     wait_ms: float = 0.0
+
+
+@message("endpointSlotRequest")
+@dataclass(slots=True, kw_only=True)
+class EndpointSlotRequest:
+    """Request for a slot of an endpoint that must not be asked in vain, or its release.
+
+    Parameters
+    ----------
+    incarnation_id : str
+        Incarnation of the endpoint.
+    slot_count : int
+        Slots of the endpoint.
+    overload_limit_per_s : float
+        Refusals per second beyond which the endpoint falls over.
+    life_ms : float
+        Time after which the slot is free again if it is not released.
+    released_id : int
+        Grant that ends; 0 to ask for one.
+    refused : bool
+        Whether the endpoint had no room in spite of the released grant.
+    """
+
+    incarnation_id: str = ""
+    slot_count: int = 0
+    overload_limit_per_s: float = 0.0
+    life_ms: float = 0.0
+    released_id: int = 0
+    refused: bool = False
+
+
+@message("endpointSlotReply")
+@dataclass(slots=True, kw_only=True)
+class EndpointSlotReply:
+    """Grant of a slot, or the time until it is worth asking again.
+
+    Parameters
+    ----------
+    grant_id : int
+        Identifier of the grant; 0 if no slot is free.
+    wait_ms : float
+        Time until it is worth asking again.
+    """
+
+    grant_id: int = 0
+    wait_ms: float = 0.0
--- a/src/sesameknot/protocol/messages.py
+++ b/src/sesameknot/protocol/messages.py
@@ -19,6 +19,8 @@
 from sesameknot.protocol._endpoint_permits import (
     EndpointPermitReply,
     EndpointPermitRequest,
+    EndpointSlotReply,
+    EndpointSlotRequest,
 )
 from sesameknot.protocol._grants import (
     EndpointNotice,
@@ -82,6 +84,8 @@
     "EndpointPermitReply",
     "EndpointPermitRequest",
     "EndpointReport",
+    "EndpointSlotReply",
+    "EndpointSlotRequest",
     "Failure",
     "GrantReply",
     "GrantRequest",
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -322,6 +322,20 @@
   waitMs @4 :Float64;
 }
 
+struct EndpointSlotRequest {
+  incarnationId @0 :Text;
+  slotCount @1 :UInt32;
+  overloadLimitPerS @2 :Float64;
+  lifeMs @3 :Float64;
+  releasedId @4 :UInt64;
+  refused @5 :Bool;
+}
+
+struct EndpointSlotReply {
+  grantId @0 :UInt64;
+  waitMs @1 :Float64;
+}
+
 struct Envelope {
   callId @0 :UInt64;
   sender @1 :Text;
@@ -356,5 +370,7 @@
     domainSyncReply @29 :DomainSyncReply;
     endpointPermitRequest @30 :EndpointPermitRequest;
     endpointPermitReply @31 :EndpointPermitReply;
+    endpointSlotRequest @32 :EndpointSlotRequest;
+    endpointSlotReply @33 :EndpointSlotReply;
   }
 }
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -268,6 +268,12 @@
         """Record that another endpoint answers at this endpoint's address."""
         endpoint.gone_at_s = self.clock.monotonic_s()
 
+    def forget_outdated(self) -> None:
+        """Drop what is not needed any more."""
+        self.forget_gone()
+        self.forget_unlisted()
+        self.endpoint_limits.expire()
+
     def forget_gone(self) -> None:
         """Drop endpoints that have been gone for a while and run no attempt."""
         now_s = self.clock.monotonic_s()
--- a/src/sesameknot/state/known_endpoint.py
+++ b/src/sesameknot/state/known_endpoint.py
@@ -31,6 +31,11 @@
         Monotonic time at which an answer first said that the endpoint leaves.
     paused_until_s : float
         Monotonic time until which the endpoint wants no request from this host.
+    overload_limit_per_s : float or None
+        Refusals per second, to all hosts, beyond which the endpoint falls over; None if
+        its last answer named none.
+    full_until_s : float
+        Monotonic time until which such an endpoint is known to have no room.
     in_flight_count : int
         Attempts of this host that run on the endpoint.
     pending_tokens : int
@@ -47,6 +52,8 @@
     doubted_until_s: float = 0.0
     leaving_since_s: float | None = None
     paused_until_s: float = 0.0
+    overload_limit_per_s: float | None = None
+    full_until_s: float = 0.0
     in_flight_count: int = 0
     pending_tokens: int = 0
     other_in_flight_count: int = 0
@@ -62,3 +69,22 @@
         """Identifier that changes when the endpoint starts again under its own."""
         started_ms = self.entry.started_ms
         return f"{self.endpoint_id}@{started_ms}" if started_ms else self.endpoint_id
+
+
+@dataclass(slots=True, frozen=True)
+class HeldSlot:
+    """Slot of an endpoint under which one request may be sent.
+
+    Parameters
+    ----------
+    endpoint : KnownEndpoint
+        The endpoint.
+    owner : str, default=""
+        Host that counts its slots; empty if none does.
+    grant_id : int, default=0
+        Grant of that host; 0 for none.
+    """
+
+    endpoint: KnownEndpoint
+    owner: str = ""
+    grant_id: int = 0
