Count a run before a request is sent to another host (RECOVER)

What callers would see: 503, which promises that a request has not run, where another host had sent it on and the deadline passed before its answer; a repeat would run twice. Cause: a run was counted only after the other host's answer was lost, but the deadline ends the wait elsewhere. Change: the run is counted before the first byte is sent, as for endpoints, and taken back where the other host states that it did not run. Requests that endpoints refused for want of room are handed over only if this host reaches none. Checks of an unreachable service ask six endpoints, as most may be down by themselves. Measured: test_deadline_at_the_other_host_is_no_refusal failed before (503) and passes.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -195,6 +195,7 @@
         return Ingress(
             view=self._view,
             pause_guard=self._pause_guard,
+            runner=runner,
             plain_forwarder=PlainForwarder(retry_policy),
             stream_forwarder=stream_forwarder,
             handover=handover,
--- a/src/sesameknot/coordination/reachability_check.py
+++ b/src/sesameknot/coordination/reachability_check.py
@@ -13,8 +13,8 @@
 
 CHECK_INTERVAL_S = 0.3
 CONNECT_TIMEOUT_S = 0.25
-# Endpoints of a service that are asked in each round; one may be down by itself.
-CHECK_COUNT = 2
+# Endpoints of a service that are asked in each round; most may be down by themselves.
+CHECK_COUNT = 6
 
 log = structlog.get_logger(__name__)
 
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -146,7 +146,7 @@
         )
         self._sent = True
         self._sent_s = self._runner.clock.monotonic_s()
-        self.request.run_count += 1
+        self.request.count_run()
 
     def header_values(self) -> AttemptMetadata:
         """Return the values for the headers of the request to the endpoint."""
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -10,6 +10,7 @@
 from sesameknot.clock import Clock
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.errors import TransportError
+from sesameknot.forwarding.attempt_runner import AttemptRunner
 from sesameknot.forwarding.caller import CallerConnection
 from sesameknot.forwarding.crash_detector import CrashDetector
 from sesameknot.forwarding.error_answer import (
@@ -57,6 +58,8 @@
     ----------
     view : FleetView
         Configuration and endpoints.
+    runner : AttemptRunner
+        Gives back what a request holds at its end.
     plain_forwarder : PlainForwarder
         Forwards requests whose answer is a single body.
     stream_forwarder : StreamForwarder
@@ -79,6 +82,7 @@
         self,
         *,
         view: FleetView,
+        runner: AttemptRunner,
         plain_forwarder: PlainForwarder,
         stream_forwarder: StreamForwarder,
         handover: PeerHandover,
@@ -90,6 +94,7 @@
     ) -> None:
         self._view = view
         self._pause_guard = pause_guard
+        self._runner = runner
         self._plain_forwarder = plain_forwarder
         self._stream_forwarder = stream_forwarder
         self._handover = handover
@@ -192,7 +197,7 @@
             self._crash_detector.check_abandoned_runs(request)
             raise
         finally:
-            self._plain_forwarder.runner.release_slots(request)
+            self._runner.release_slots(request)
 
     async def _forward_until_deadline(
         self, request: ForwardedRequest, caller: CallerConnection
--- a/src/sesameknot/forwarding/peer_handover.py
+++ b/src/sesameknot/forwarding/peer_handover.py
@@ -108,6 +108,8 @@
         """Return whether to hand a request over after this host's attempts failed."""
         if request.handed_over or not request.connect_failure_count:
             return False
+        if not self._reachability.is_unreachable(request.service):
+            return not request.run_count and not request.not_run_count
         return not request.run_count or (
             request.route.repeatable and request.has_attempts_left
         )
@@ -136,7 +138,6 @@
                 if error.step == "answer" and not error.peer:
                     # The caller closed the connection.
                     raise
-                request.run_count += 1
                 self._record(host, request, "failed", error.message)
                 if request.route.repeatable and request.has_attempts_left:
                     continue
@@ -237,6 +238,7 @@
                 resume_after_event_id=request.last_event_id,
             ),
             body=request.body,
+            before_send=request.count_run,
             limits=CallLimits(
                 connect_timeout_s=CONNECT_TIMEOUT_S,
                 first_byte_timeout_s=time_left_s,
@@ -255,9 +257,11 @@
         """Check that the answer is an endpoint's, and to this request."""
         status = exchange.status
         if handover_refused_as_unreachable(exchange.headers):
+            request.run_count -= 1
             self._mark_unfit(host, request.service)
             raise _NotTakenError("reaches no endpoint either", peer=host.host_id)
         if not metadata.receipt and status in REJECTED_STATUSES:
+            request.run_count -= 1
             raise _NotTakenError(f"answered {status}", peer=host.host_id)
         if not metadata.receipt and status in REFUSED_STATUSES:
             raise self._refusal_of(host, request, metadata)
@@ -276,6 +280,7 @@
         self, host: HostEntry, request: ForwardedRequest, metadata: AnswerMetadata
     ) -> RequestEndedError:
         """Return the error of a request that another host refused as not run."""
+        request.run_count -= 1
         reason = f"refused by {host.host_id}"
         if request.run_count:
             return RequestEndedError(unknown_outcome_answer(reason))
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -6,7 +6,6 @@
     Attempt,
     NotSentError,
 )
-from sesameknot.forwarding.attempt_runner import AttemptRunner
 from sesameknot.forwarding.caller import CallerConnection
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.forwarding.retry_policy import RetryPolicy
@@ -26,11 +25,6 @@
     def __init__(self, retry_policy: RetryPolicy) -> None:
         self._retry_policy = retry_policy
 
-    @property
-    def runner(self) -> AttemptRunner:
-        """Component that creates the attempts."""
-        return self._retry_policy.runner
-
     async def forward(
         self, request: ForwardedRequest, caller: CallerConnection
     ) -> None:
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -109,6 +109,10 @@
         run_count = self.prior_run_count + self.run_count
         return run_count < self.route.attempt_limit_count
 
+    def count_run(self) -> None:
+        """Count a run before the request is sent, as its answer may be lost."""
+        self.run_count += 1
+
     def time_left_s(self, now_s: float) -> float:
         """Return the time until the deadline."""
         return self.deadline_s - now_s
--- a/tests/forwarding/test_cut_off_hosts.py
+++ b/tests/forwarding/test_cut_off_hosts.py
@@ -170,6 +170,18 @@
         self.assertThat(response.code, Equals(502))
         self.assertThat(self.run_count() - before_count, Equals(1))
 
+    @gen_test(timeout=60)
+    async def test_deadline_at_the_other_host_is_no_refusal(self):
+        """Guards against 'not run' for a request that another host has sent on."""
+        self.add_endpoints()
+        for endpoint in self.endpoints.values():
+            endpoint.silent = True
+        fronts = await self.start_hosts(2)
+        self.cut_off = {fronts[0]}
+        response = await self.ask(fronts[0], UNSAFE_PATH, deadline_ms=1500)
+        self.assertThat(self.run_count(), Equals(1))
+        self.assertThat(response.code in (502, 504), Equals(True), response.code)
+
     @gen_test(timeout=60)
     async def test_lost_links_are_no_evidence_of_crashes(self):
         """Guards against sound requests refused everywhere after a host was cut off.
