Ignore SIGHUP in the last moments of a front process

What operators saw: in the soak, a host ended with SIGHUP after SIGTERM. Cause, as suspected before: asyncio sets a signal's default action when its loop closes (a trial of the interpreter prints SIG_DFL after asyncio.run), so a SIGHUP after that ends the process by it. Python resets its own handlers at its end as well, but no ignored one. Change: the handler is Python's and outlasts the loop; the signal is ignored after it.

--- a/src/sesameknot/apps/front.py
+++ b/src/sesameknot/apps/front.py
@@ -17,6 +17,7 @@
 import os
 import sys
 from pathlib import Path
+from types import FrameType
 
 import structlog
 from absl import app, flags
@@ -54,25 +55,31 @@
     return Path(path)
 
 
-class _HostSettingsWatcher:
+class HostSettingsWatcher:
     """Task that reloads the host's settings file periodically and after SIGHUP."""
 
     def __init__(self, path: Path, front: Front) -> None:
         self._path = path
         self._front = front
-        self._reload_requested = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
+        self.reload_requested = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        # A handler of the event loop would be replaced by the default action, which
+        # ends the process, when the loop closes.
+        signal.signal(signal.SIGHUP, self._on_hangup)
+
+    def _on_hangup(self, signal_number: int, frame: FrameType | None) -> None:
+        if not self._loop.is_closed():
+            self._loop.call_soon_threadsafe(self.reload_requested.set)
 
     async def run(self) -> None:
         """Apply changes until cancelled; an invalid file leaves the settings as is."""
         while True:
             try:
                 async with asyncio.timeout(SETTINGS_POLL_S):
-                    await self._reload_requested.wait()
+                    await self.reload_requested.wait()
             except TimeoutError:
                 pass
-            self._reload_requested.clear()
+            self.reload_requested.clear()
             try:
                 loaded = load_host_settings(self._path)
             except SettingsError as error:
@@ -84,6 +91,14 @@
                 log.info("settings_reloaded", changed=_changed_fields(current, loaded))
 
 
+def ignore_hangup() -> None:
+    """Ignore SIGHUP until the process has ended.
+
+    The interpreter replaces other handlers by the default action at its end.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def _changed_fields(before: HostSettings, after: HostSettings) -> list[str]:
     names = [field.name for field in dataclasses.fields(HostSettings)]
     return [name for name in names if getattr(before, name) != getattr(after, name)]
@@ -92,7 +107,7 @@
 async def _serve(path: Path, host: HostSettings, settings: FrontSettings) -> None:
     front = Front(host, settings, listeners=_early_listeners)
     stopped = stop_event()
-    watch_task = asyncio.create_task(_HostSettingsWatcher(path, front).run())
+    watch_task = asyncio.create_task(HostSettingsWatcher(path, front).run())
     try:
         await front.start()
         await stopped.wait()
@@ -121,6 +136,7 @@
     )
     configure_logging(_LOG_LEVEL.value, writer=writer)
     asyncio.run(_serve(path, host, settings))
+    ignore_hangup()
 
 
 def run() -> None:
