Let the identifiers of slot grants outlast a restart of their owner

Found by reading: identifiers began at 1 in each process, so a release of a grant from before a restart could end another one, and the endpoint would get a request too many. They begin at the wall time of the start now. No test: the effect is one request.

--- a/src/sesameknot/policy/slot_ledger.py
+++ b/src/sesameknot/policy/slot_ledger.py
@@ -47,8 +47,8 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        # Another owner may have granted slots before, so identifiers start anywhere.
-        self._ids = itertools.count(1)
+        # A process that starts again must not give out identifiers of its last life.
+        self._ids = itertools.count(max(1, clock.wall_ms()))
         self._ledgers: dict[str, _Ledger] = {}
 
     def grant(
