Tell no 'not run' after a handover that another host may have run

Found by reading: where another host failed after it had got a repeatable request, and no further host took it, the caller got the earlier refusal of this host, 503. It gets 502 now. Requests that may not be repeated were ended with 502 before. No test of its own.

--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -229,7 +229,7 @@
             if not self._handover.may_take(request):
                 raise
             if not await self._handover.forward(request, caller):
-                raise
+                raise self._handover.refusal(request) from None
 
     async def _wait_for_configuration(self, metadata: RequestMetadata) -> None:
         """Wait shortly after the start until the host knows where to send requests."""
