Ask a second host where the first refuses a handed-over request (RECOVER)

What callers would see: 503 since the host that their request was handed to was stopping. Cause: a refusal for any reason but a cut link ended the request. Change: one more host is asked. If that refuses as well, endpoints are most likely full. Measured: test_host_that_is_leaving_is_not_the_last_one_asked failed before and passes.

--- a/src/sesameknot/forwarding/peer_handover.py
+++ b/src/sesameknot/forwarding/peer_handover.py
@@ -122,10 +122,11 @@
         Raises
         ------
         RequestEndedError
-            If another host tried in vain, or refused because endpoints are full.
+            If another host tried in vain, or two refused because endpoints are full.
         TransportError
             If the answer breaks off after its beginning was sent to the caller.
         """
+        refusal: RequestEndedError | None = None
         for host in self._candidates(request.service):
             if request.time_left_s(self._clock.monotonic_s()) <= 0.0:
                 break
@@ -134,6 +135,13 @@
             except _NotTakenError as error:
                 self._record(host, request, "not taken", error.message)
                 continue
+            except RequestEndedError as error:
+                self._record(host, request, "refused", error.message)
+                if refusal is not None or request.run_count:
+                    raise
+                # The host may be leaving, or know less of the endpoints than others.
+                refusal = error
+                continue
             except TransportError as error:
                 if error.step == "answer" and not error.peer:
                     # The caller closed the connection.
@@ -147,6 +155,8 @@
                 raise RequestEndedError(answer) from error
             self._record(host, request, "answered", "")
             return True
+        if refusal is not None:
+            raise refusal
         return False
 
     def refusal(self, request: ForwardedRequest) -> RequestEndedError:
--- a/tests/forwarding/test_cut_off_hosts.py
+++ b/tests/forwarding/test_cut_off_hosts.py
@@ -182,6 +182,18 @@
         self.assertThat(self.run_count(), Equals(1))
         self.assertThat(response.code in (502, 504), Equals(True), response.code)
 
+    @gen_test(timeout=60)
+    async def test_host_that_is_leaving_is_not_the_last_one_asked(self):
+        """Guards against callers refused since the first other host is stopping."""
+        self.add_endpoints()
+        fronts = await self.start_hosts(3)
+        self.cut_off = {fronts[0]}
+        await self.press(fronts[0], duration_s=1.0)
+        await self.pause(2.0)
+        fronts[1].drain.refusing = True
+        responses = await self.press(fronts[0], duration_s=2.0)
+        self.assertThat({r.code for r in responses}, Equals({200}))
+
     @gen_test(timeout=60)
     async def test_lost_links_are_no_evidence_of_crashes(self):
         """Guards against sound requests refused everywhere after a host was cut off.
