Log large replies between hosts

Nothing said how much a relay sends, so a full link could not be told from a store in trouble or from a busy processor. peer_reply_large names receiver, message and size of replies of 64 KiB or more.

--- a/src/sesameknot/transport/peer_server.py
+++ b/src/sesameknot/transport/peer_server.py
@@ -17,6 +17,8 @@
 Handler = Callable[[Any], Awaitable[Any]]
 
 CONCURRENT_CALLS_PER_CONNECTION = 256
+# A reply of this size takes 50 ms on a link of 10 Mbit/s, so it is worth a log line.
+LARGE_REPLY_BYTES = 64 * 1024
 
 log = structlog.get_logger(__name__)
 
@@ -76,8 +78,16 @@
     ) -> None:
         body = await self._run_handler(envelope)
         reply = Envelope(envelope.call_id, self.host_id, body, is_reply=True)
+        payload = encode(reply)
+        if len(payload) >= LARGE_REPLY_BYTES:
+            log.info(
+                "peer_reply_large",
+                peer=envelope.sender,
+                step=type(body).__name__,
+                size_bytes=len(payload),
+            )
         try:
-            await write_frame(stream, encode(reply), peer=peer)
+            await write_frame(stream, payload, peer=peer)
         except TransportError:
             log.debug("peer_reply_not_sent", peer=peer, step=type(body).__name__)
 
