--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -131,15 +131,22 @@
         self, host_id="host-1", *, domain="a", settings=None, seeds=(), **bounds
     ):
         """Start a front process with the test's store and wait until it is ready."""
+        host = self.host_settings(host_id, domain=domain, seeds=seeds, **bounds)
+        return await self.start_front_with(host, settings=settings)
+
+    async def start_front_with(self, host, *, settings=None):
+        """Start a front process with settings of its host; wait until it is ready."""
         front = Front(
-            self.host_settings(host_id, domain=domain, seeds=seeds, **bounds),
+            host,
             settings or FrontSettings(metrics_port=reserve_port()),
             clock=self.make_clock(),
         )
         self.closing(lambda: self.io_loop.run_sync(front.close))
         await front.start()
         if self.store.get("config", "main") is not None:
-            await eventually(lambda: front.view.ready and (front.view.hosts or seeds))
+            await eventually(
+                lambda: front.view.ready and (front.view.hosts or host.seeds)
+            )
         return front
 
     async def ask(
