--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -16,10 +16,9 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination._load_reports import (
-    LoadReport,
+    LoadReports,
     Loads,
     load_columns,
-    parse_loads,
     sum_loads,
 )
 from sesameknot.coordination._stored_records import object_record, stored_entry
@@ -31,7 +30,6 @@
 from sesameknot.protocol.messages import (
     DomainSync,
     DomainSyncReply,
-    EndpointLoads,
     ObjectVersion,
 )
 from sesameknot.state.fleet_view import FleetView
@@ -52,8 +50,6 @@
 BOTH_RELAYS_ROUND_COUNT = 3
 # Rounds between two calls to the relays of other failure domains.
 OTHER_DOMAINS_ROUND_COUNT = 2
-# Time after which a load report is no longer used.
-LOAD_LIFE_S = 2.0
 
 log = structlog.get_logger(__name__)
 
@@ -119,8 +115,7 @@
         self._host_id = host_id
         self._domain = domain
         self._clock = clock
-        self._host_reports: dict[str, LoadReport] = {}
-        self._relay_reports: dict[str, LoadReport] = {}
+        self._loads = LoadReports(view, clock=clock)
 
     def relays(self, domain: str) -> list[str]:
         """Return the hosts of a failure domain that relay the store's changes to it."""
@@ -143,13 +138,10 @@
                     relays, call_both=call_both or not self._link.relayed
                 )
             round_count += 1
-            self._apply_loads()
+            self._loads.apply()
 
     async def _exchange_as_relay(self, relays: list[str]) -> None:
-        serves_hosts = any(
-            self._is_fresh(report) and host_id not in relays
-            for host_id, report in self._host_reports.items()
-        )
+        serves_hosts = self._loads.serves_hosts_besides(relays)
         wait_s = self._relay_wait_s if serves_hosts else self._default_wait_s
         if wait_s < self._probe.timing.wait_s:
             # The current watch waits longer and would return too late.
@@ -157,7 +149,7 @@
         self._probe.timing.wait_s = wait_s
         self._set_relayed(False, reason="this host is a relay")
         others = [relay for relay in relays if relay != self._host_id]
-        await self._sync(others, loads=self._own_loads())
+        await self._sync(others, loads=self._loads.own())
 
     def _fall_back_at_age(self, store_age_ms: float) -> None:
         """Watch the store once what the relays told is too old.
@@ -196,10 +188,10 @@
         """Exchange with relays; return how many of them are up to date."""
         listed = all(follower.listed for follower in self._followers.values())
         versions = self._versions() if listed else []
-        replies = await self._sync(relays, loads=self._own_loads(), versions=versions)
+        replies = await self._sync(relays, loads=self._loads.own(), versions=versions)
         store_ages_ms = []
         for relay, reply in replies.items():
-            self._relay_reports[relay] = self._load_report(reply.loads)
+            self._loads.add_relay(relay, reply.loads)
             if listed and self._is_up_to_date(reply):
                 store_ages_ms.append(reply.store_age_ms)
                 self._view.store.note_answer(age_s=reply.store_age_ms / 1000.0)
@@ -218,9 +210,9 @@
     async def _exchange_with_other_domains(self) -> None:
         domains = {host.domain for host in self._view.hosts.values()} - {self._domain}
         targets = [self.relays(domain)[0] for domain in sorted(domains)]
-        replies = await self._sync(targets, loads=self._domain_loads(without=""))
+        replies = await self._sync(targets, loads=self._loads.domain())
         for target, reply in replies.items():
-            self._relay_reports[target] = self._load_report(reply.loads)
+            self._loads.add_relay(target, reply.loads)
 
     async def _sync(
         self,
@@ -298,12 +290,12 @@
         """Answer another host; hosts of other failure domains only exchange loads."""
         sender = self._view.hosts.get(request.host_id)
         same_domain = sender is None or sender.domain == self._domain
-        reports = self._host_reports if same_domain else self._relay_reports
-        reports[request.host_id] = self._load_report(request.loads)
+        add_report = self._loads.add_host if same_domain else self._loads.add_relay
+        add_report(request.host_id, request.loads)
         self._merge_crashes(request)
-        loads = self._domain_loads(without=request.host_id)
+        loads = self._loads.domain(without=request.host_id)
         if same_domain:
-            loads = sum_loads([loads, self._relayed_loads()])
+            loads = sum_loads([loads, self._loads.relayed()])
         reply = DomainSyncReply(
             store_age_ms=self._store_age_ms(),
             store_failed_age_ms=self._age_ms(self._view.store_failed_s),
@@ -348,45 +340,3 @@
 
     def _age_ms(self, at_s: float) -> float:
         return (self._clock.monotonic_s() - at_s) * 1000.0
-
-    def _load_report(self, columns: EndpointLoads) -> LoadReport:
-        return LoadReport(parse_loads(columns), self._clock.monotonic_s())
-
-    def _own_loads(self) -> Loads:
-        return {
-            endpoint.endpoint_id: (endpoint.in_flight_count, endpoint.pending_tokens)
-            for endpoint in self._view.endpoints.values()
-            if endpoint.in_flight_count
-        }
-
-    def _domain_loads(self, *, without: str) -> Loads:
-        return sum_loads([self._own_loads(), *self._host_loads(without=without)])
-
-    def _host_loads(self, *, without: str = "") -> list[Loads]:
-        return [
-            report.loads
-            for host_id, report in self._host_reports.items()
-            if host_id != without and self._is_fresh(report)
-        ]
-
-    def _relayed_loads(self) -> Loads:
-        """Return the loads that relays reported, from the latest report of a domain."""
-        latest: dict[str, LoadReport] = {}
-        for host_id, report in self._relay_reports.items():
-            host = self._view.hosts.get(host_id)
-            if host is None or not self._is_fresh(report):
-                continue
-            previous = latest.get(host.domain)
-            if previous is None or previous.received_s < report.received_s:
-                latest[host.domain] = report
-        return sum_loads(report.loads for report in latest.values())
-
-    def _is_fresh(self, report: LoadReport) -> bool:
-        return self._clock.monotonic_s() - report.received_s < LOAD_LIFE_S
-
-    def _apply_loads(self) -> None:
-        total = sum_loads([self._relayed_loads(), *self._host_loads()])
-        for endpoint in self._view.endpoints.values():
-            endpoint.other_in_flight_count, endpoint.other_pending_tokens = total.get(
-                endpoint.endpoint_id, (0, 0)
-            )
