--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 from collections.abc import Sequence
+from math import inf
 
 import structlog
 
@@ -21,8 +22,9 @@
     load_columns,
     sum_loads,
 )
-from sesameknot.coordination._stored_records import object_record, stored_entry
+from sesameknot.coordination._stored_records import RecordCache, stored_entry
 from sesameknot.coordination.crash_exchange import CrashExchange
+from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_follower import StoreFollower
 from sesameknot.coordination.store_link import StoreLink
 from sesameknot.errors import RouterError
@@ -50,6 +52,9 @@
 BOTH_RELAYS_ROUND_COUNT = 3
 # Rounds between two calls to the relays of other failure domains.
 OTHER_DOMAINS_ROUND_COUNT = 2
+# Objects of a kind up to this size are sent in the reply to a host that lacks them;
+# they take 26 ms on a link of 10 Mbit/s.
+INLINE_LIMIT_BYTES = 32 * 1024
 
 log = structlog.get_logger(__name__)
 
@@ -67,6 +72,8 @@
         Receives whether the store's changes are relayed.
     crashes, part_crashes : CrashExchange
         Requests and prompt parts that crashed endpoints.
+    snapshots : SnapshotExchange
+        Passes on kinds that are too large for a reply.
     peers : PeerClient
         Client of the peer protocol.
     host_id, domain : str
@@ -92,6 +99,7 @@
         link: StoreLink,
         crashes: CrashExchange,
         part_crashes: CrashExchange,
+        snapshots: SnapshotExchange,
         peers: PeerClient,
         host_id: str,
         domain: str,
@@ -116,6 +124,10 @@
         self._domain = domain
         self._clock = clock
         self._loads = LoadReports(view, clock=clock)
+        self._snapshots = snapshots
+        self._records = RecordCache()
+        # Positions that relays deferred, by kind, and since when this host lacks them.
+        self._deferred: dict[str, tuple[ObjectVersion, float]] = {}
 
     def relays(self, domain: str) -> list[str]:
         """Return the hosts of a failure domain that relay the store's changes to it."""
@@ -196,10 +208,38 @@
                 store_ages_ms.append(reply.store_age_ms)
                 self._view.store.note_answer(age_s=reply.store_age_ms / 1000.0)
                 self._apply_changes(reply)
-        if store_ages_ms:
-            self.relay_answered_s = self._clock.monotonic_s()
-            self._fall_back_at_age(min(store_ages_ms))
-        return len(store_ages_ms)
+                self._fetch_deferred(relay, reply)
+        if not store_ages_ms:
+            return 0
+        self.relay_answered_s = self._clock.monotonic_s()
+        age_ms = max(min(store_ages_ms), self._age_ms(self._behind_since_s()))
+        self._fall_back_at_age(age_ms)
+        return len(store_ages_ms) if age_ms <= self._store_age_limit_s * 1000.0 else 0
+
+    def _fetch_deferred(self, relay: str, reply: DomainSyncReply) -> None:
+        """Fetch the kinds that are too large for the relay's reply."""
+        current_s = self._clock.monotonic_s() - reply.store_age_ms / 1000.0
+        for version in reply.deferred:
+            if not self._lacks(version):
+                continue
+            _, since_s = self._deferred.get(version.key, (version, current_s))
+            self._deferred[version.key] = version, min(since_s, current_s)
+            host = self._view.hosts.get(relay)
+            if host is not None:
+                self._snapshots.fetch(host.peer_address, version)
+
+    def _lacks(self, version: ObjectVersion) -> bool:
+        follower = self._followers.get(version.key)
+        if follower is None:
+            return False
+        return (version.era, version.version) > follower.position
+
+    def _behind_since_s(self) -> float:
+        """Return since when a deferred kind is missing; infinite if none is."""
+        for kind, (version, _) in list(self._deferred.items()):
+            if not self._lacks(version):
+                del self._deferred[kind]
+        return min((since_s for _, since_s in self._deferred.values()), default=inf)
 
     def _is_up_to_date(self, reply: DomainSyncReply) -> bool:
         """Return whether the store answered the relay lately, in the latest era."""
@@ -229,6 +269,7 @@
             loads=load_columns(loads),
             crashes=self._crashes.counts(),
             part_crashes=self._part_crashes.counts(),
+            object_limit_bytes=INLINE_LIMIT_BYTES,
         )
         results = await asyncio.gather(
             *(self._call(host, request) for host in host_ids)
@@ -305,22 +346,29 @@
             part_crashes=self._part_crashes.counts(),
         )
         for version in request.versions:
-            self._add_changes(version, reply)
+            self._add_changes(version, reply, request.object_limit_bytes)
         return reply
 
-    def _add_changes(self, version: ObjectVersion, reply: DomainSyncReply) -> None:
+    def _add_changes(
+        self, version: ObjectVersion, reply: DomainSyncReply, limit_bytes: int
+    ) -> None:
         follower = self._followers.get(version.key)
         if follower is None or follower.position <= (version.era, version.version):
             return
         same_era = version.era == follower.era
         changes = follower.changes_since(version.version) if same_era else None
-        if changes is None:
+        whole = changes is None
+        entries = list(follower.entries.values()) if changes is None else changes
+        records = [self._records.record(entry) for entry in entries]
+        if 0 < limit_bytes < sum(len(record.value) for record in records):
+            reply.deferred.append(self._snapshots.offer(follower))
+            return
+        if whole:
             reply.whole_kinds.append(version.key)
-            changes = list(follower.entries.values())
         reply.versions.append(
             ObjectVersion(key=version.key, version=follower.revision, era=follower.era)
         )
-        reply.objects += [object_record(entry) for entry in changes]
+        reply.objects += records
 
     def _store_age_ms(self) -> float:
         """Return the time since the store's last answer; infinite without a watch.
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -24,6 +24,7 @@
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
 from sesameknot.coordination.reachability_check import ReachabilityCheck
+from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_link import StoreLink
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.status_pages import StatusPages
@@ -39,6 +40,7 @@
     EndpointPermitRequest,
     EndpointSlotRequest,
     ObjectSync,
+    SnapshotPartRequest,
     StatsReply,
     StatsRequest,
 )
@@ -169,6 +171,8 @@
             link=self.store_link,
             clock=self.clock,
         )
+        self.snapshots = SnapshotExchange(self.followers, peers=self.peer_client)
+        self._stack.callback(self.snapshots.close)
         self.peer_snapshot = PeerSnapshot(
             followers=self.followers,
             peers=self.peer_client,
@@ -216,6 +220,7 @@
             link=self.store_link,
             crashes=CrashExchange(self.crash_guard),
             part_crashes=CrashExchange(self.part_guard),
+            snapshots=self.snapshots,
             peers=self.peer_client,
             host_id=self.host.host_id,
             domain=self.host.domain,
@@ -288,6 +293,7 @@
         peer_server.handle(StatsRequest)(self._answer_stats)
         peer_server.handle(ObjectSync)(self.peer_snapshot.answer)
         peer_server.handle(DomainSync)(self.domain_exchange.answer)
+        peer_server.handle(SnapshotPartRequest)(self.snapshots.answer)
         peer_server.handle(EndpointPermitRequest)(self.endpoint_permits.answer)
         peer_server.handle(EndpointSlotRequest)(self.endpoint_slots.answer)
         peer_server.add_sockets(self._listeners.bind(self.host.peer_address))
--- a/src/sesameknot/protocol/_domain.py
+++ b/src/sesameknot/protocol/_domain.py
@@ -28,6 +28,9 @@
         Requests that crashed endpoints.
     part_crashes : list of CrashCount
         Prompt parts whose requests crashed endpoints.
+    object_limit_bytes : int
+        Size of a kind's objects up to which the reply may hold them; 0 for any size,
+        from hosts that do not fetch deferred kinds.
     """
 
     host_id: str = ""
@@ -35,6 +38,7 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     crashes: list[CrashCount] = field(default_factory=list)
     part_crashes: list[CrashCount] = field(default_factory=list)
+    object_limit_bytes: int = 0
 
 
 @message("domainSyncReply")
@@ -65,6 +69,9 @@
         Requests that crashed endpoints.
     part_crashes : list of CrashCount
         Prompt parts whose requests crashed endpoints.
+    deferred : list of ObjectVersion
+        Kinds whose objects are too large for the reply, and the positions that the
+        requester reaches by fetching a snapshot of each.
     """
 
     store_age_ms: float = 0.0
@@ -76,3 +83,42 @@
     loads: EndpointLoads = field(default_factory=EndpointLoads)
     crashes: list[CrashCount] = field(default_factory=list)
     part_crashes: list[CrashCount] = field(default_factory=list)
+    deferred: list[ObjectVersion] = field(default_factory=list)
+
+
+@message("snapshotPartRequest")
+@dataclass(slots=True, kw_only=True)
+class SnapshotPartRequest:
+    """Request a part of a snapshot of all objects of a kind.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the objects.
+    version, era : int
+        Position of the snapshot, as in ``DomainSyncReply.deferred``.
+    offset_bytes : int
+        Start of the part within the compressed snapshot.
+    """
+
+    kind: str = ""
+    version: int = 0
+    era: int = 0
+    offset_bytes: int = 0
+
+
+@message("snapshotPartReply")
+@dataclass(slots=True, kw_only=True)
+class SnapshotPartReply:
+    """A part of a snapshot.
+
+    Parameters
+    ----------
+    data : bytes
+        The part; empty if the snapshot is no longer kept.
+    size_bytes : int
+        Size of the compressed snapshot.
+    """
+
+    data: bytes = b""
+    size_bytes: int = 0
--- a/src/sesameknot/protocol/messages.py
+++ b/src/sesameknot/protocol/messages.py
@@ -15,6 +15,8 @@
 from sesameknot.protocol._domain import (
     DomainSync,
     DomainSyncReply,
+    SnapshotPartReply,
+    SnapshotPartRequest,
 )
 from sesameknot.protocol._endpoint_permits import (
     EndpointPermitReply,
@@ -103,6 +105,8 @@
     "OrderAge",
     "PaceCount",
     "Ping",
+    "SnapshotPartReply",
+    "SnapshotPartRequest",
     "StatsReply",
     "StatsRequest",
     "VersionStats",
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -291,6 +291,7 @@
   loads @2 :EndpointLoads;
   crashes @3 :List(CrashCount);
   partCrashes @4 :List(CrashCount);
+  objectLimitBytes @5 :UInt64;
 }
 
 struct DomainSyncReply {
@@ -303,6 +304,19 @@
   crashes @6 :List(CrashCount);
   partCrashes @7 :List(CrashCount);
   storeEra @8 :UInt64;
+  deferred @9 :List(ObjectVersion);
+}
+
+struct SnapshotPartRequest {
+  kind @0 :Text;
+  version @1 :UInt64;
+  era @2 :UInt64;
+  offsetBytes @3 :UInt64;
+}
+
+struct SnapshotPartReply {
+  data @0 :Data;
+  sizeBytes @1 :UInt64;
 }
 
 struct EndpointPermitRequest {
@@ -372,5 +386,7 @@
     endpointPermitReply @31 :EndpointPermitReply;
     endpointSlotRequest @32 :EndpointSlotRequest;
     endpointSlotReply @33 :EndpointSlotReply;
+    snapshotPartRequest @34 :SnapshotPartRequest;
+    snapshotPartReply @35 :SnapshotPartReply;
   }
 }
