--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,9 +3,10 @@
 import asyncio
 from dataclasses import dataclass
 
-from testtools.matchers import GreaterThan
+from testtools.matchers import Equals, GreaterThan, HasLength
 from tornado.testing import gen_test
 
+from sesameknot.front import FINISH_GRACE_SHARE
 from tests.front_world import (
     HOST,
     KEY,
@@ -24,6 +25,8 @@
 PLAIN_TIME_S = 0.15
 STREAM_EVENT_COUNT = 10
 EVENT_GAP_S = 0.1
+# Shorter than the time limit of the routes, so that requests outlast it.
+GRACE_S = 4.0
 
 
 @dataclass(slots=True)
@@ -118,3 +121,41 @@
             event_gap_s=EVENT_GAP_S,
         )
         self.check_outcomes(run_ids)
+
+    async def stop_beside_silent_endpoint(self, *, sent_after_s, deadline_s):
+        """Stop a host; return the status of a request whose endpoint never answers."""
+        self.add_endpoint("e1", PLAIN_SERVICE, silent=True)
+        front = await self.start_front(grace_s=GRACE_S)
+        ip, _, port = front.host.caller_address.partition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        self.closing(writer.close)
+        stop = asyncio.create_task(front.shut_down())
+        await self.pause(sent_after_s)
+        head = (
+            f"POST {UNSAFE_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: p1\r\n"
+            f"X-Deadline-Ms: {round(deadline_s * 1000)}\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+        )
+        writer.write(head.encode())
+        answer = await reader.read()
+        await stop
+        self.assertThat(self.endpoints["e1"].runs, HasLength(1))
+        return int(answer.split()[1]) if answer else 0
+
+    @gen_test(timeout=60)
+    async def test_request_in_flight_at_the_end_of_the_grace_time_is_answered(self):
+        """Guards against a request that was passed on and cut without an answer."""
+        status = await self.stop_beside_silent_endpoint(sent_after_s=1.0, deadline_s=30)
+        self.assertThat(status, Equals(504))
+
+    @gen_test(timeout=60)
+    async def test_request_whose_deadline_is_the_end_of_the_grace_time_is_answered(
+        self,
+    ):
+        """Guards against a request accepted late, whose answer comes after the end."""
+        sent_after_s = 2.2
+        deadline_s = FINISH_GRACE_SHARE * GRACE_S - sent_after_s
+        status = await self.stop_beside_silent_endpoint(
+            sent_after_s=sent_after_s, deadline_s=deadline_s
+        )
+        self.assertThat(status, Equals(504))
