--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -103,6 +103,7 @@
         self._metrics = metrics
         self._clock = clock
         self._tasks: set[asyncio.Task[None]] = set()
+        self._time_limits: set[asyncio.Timeout] = set()
         self._start_limit_s = clock.monotonic_s() + START_LIMIT_S
 
     def accept(self, http_request: HTTPServerRequest) -> None:
@@ -113,6 +114,16 @@
         """Start handling a request that another host hands over."""
         self._start(self._handle(http_request, handed_over=True))
 
+    def end_requests(self) -> None:
+        """Let the deadline of all requests in flight pass now.
+
+        Their callers get an answer that says whether the request may have run.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for time_limit in self._time_limits:
+            if not time_limit.expired():
+                time_limit.reschedule(now_s)
+
     def _start(self, handling: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(handling)
         self._tasks.add(task)
@@ -203,8 +214,9 @@
         self, request: ForwardedRequest, caller: CallerConnection
     ) -> None:
         try:
-            async with asyncio.timeout_at(self._event_loop_time(request.deadline_s)):
-                await self._forward_or_hand_over(request, caller)
+            await self._forward_within(
+                self._event_loop_time(request.deadline_s), request, caller
+            )
         except TimeoutError as error:
             if request.run_count:
                 raise RequestEndedError(timeout_answer()) from error
@@ -213,6 +225,16 @@
             )
             raise RequestEndedError(error_answer) from error
 
+    async def _forward_within(
+        self, deadline_s: float, request: ForwardedRequest, caller: CallerConnection
+    ) -> None:
+        async with asyncio.timeout_at(deadline_s) as time_limit:
+            self._time_limits.add(time_limit)
+            try:
+                await self._forward_or_hand_over(request, caller)
+            finally:
+                self._time_limits.discard(time_limit)
+
     async def _forward_or_hand_over(
         self, request: ForwardedRequest, caller: CallerConnection
     ) -> None:
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -14,6 +14,7 @@
 from sesameknot._front_listeners import FrontListeners
 from sesameknot._front_request_path import RequestPathBuilder
 from sesameknot._front_rollouts import build_rollout_coordinator
+from sesameknot._front_shutdown import finish_requests
 from sesameknot.clock import Clock, SystemClock
 from sesameknot.coordination.crash_archive import CrashArchive
 from sesameknot.coordination.crash_exchange import CrashExchange
@@ -57,11 +58,6 @@
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
 
-# The load balancer checks readiness once per second and removes a host after two
-# failed checks. A request accepted later might not end within the grace time.
-SERVE_AFTER_SIGTERM_S = 2.3
-# Share of the grace time after which requests still in flight are aborted.
-FINISH_GRACE_SHARE = 0.9
 CLEANUP_INTERVAL_S = 1.0
 # The platform removes the entry of an endpoint that is silent for so many heartbeats.
 ENTRY_LIFE_BEATS_COUNT = 3
@@ -366,27 +362,16 @@
 
     async def shut_down(self) -> None:
         """Stop accepting requests, finish those in flight, then close."""
-        started_s = self.clock.monotonic_s()
-        limit_s = FINISH_GRACE_SHARE * self.host.bounds.grace_s
-        self.drain.draining = True
-        log.info("shutdown_started", in_flight=self.drain.in_flight_count)
-        await self.directory.deregister()
-        deregistered_after_s = self.clock.monotonic_s() - started_s
-        await asyncio.sleep(max(0.0, SERVE_AFTER_SIGTERM_S - deregistered_after_s))
-        # Requests with a deadline within the grace time are still accepted.
-        self.drain.finish_by_s = started_s + limit_s
-        self.drain.refusing = True
-        closed_count = self._caller_connections.close_idle()
-        remaining_s = limit_s - (self.clock.monotonic_s() - started_s)
-        idle = await self.drain.wait_idle(max(0.0, remaining_s))
+        await finish_requests(
+            drain=self.drain,
+            ingress=self.ingress,
+            connections=self._caller_connections,
+            deregister=self.directory.deregister,
+            grace_s=self.host.bounds.grace_s,
+            clock=self.clock,
+        )
         if self._caller_server is not None:
             self._caller_server.stop()
-        log.info(
-            "shutdown_finished",
-            idle=idle,
-            in_flight=self.drain.in_flight_count,
-            idle_connections=closed_count,
-        )
         await self.close()
 
     async def close(self) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Equals, GreaterThan, HasLength
 from tornado.testing import gen_test
 
-from sesameknot.front import FINISH_GRACE_SHARE
+from sesameknot._front_shutdown import FINISH_GRACE_SHARE
 from tests.front_world import (
     HOST,
     KEY,
