--- /dev/null
+++ b/tests/platform/test_odd_entries.py
@@ -0,0 +1,204 @@
+"""Tests of entries of the store that another writer left unreadable or out of range."""
+
+import json
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, Not
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.testing import gen_test
+
+from sesameknot.errors import RouterError
+from sesameknot.platform import (
+    EntryError,
+    StoreClient,
+    StoredEntry,
+    decode_endpoint,
+    decode_host,
+)
+from tests.front_world import PLAIN_SERVICE, SAFE_PATH, FrontWorld, configuration
+from tests.front_world import server_entry as make_entry
+from tests.support import LoopTestCase, eventually
+from tests.virtual_time import VirtualTimeMixin
+
+NESTING_DEPTH = 100_000
+# What json.dumps can't write, as another writer's bytes.
+ODD_VALUES = {
+    "nested arrays": "[" * NESTING_DEPTH + "]" * NESTING_DEPTH,
+    "nested objects": '{"a":' * NESTING_DEPTH + "1" + "}" * NESTING_DEPTH,
+    "moderately nested": "[" * 900 + "]" * 900,
+    "number of 5,000 digits": "9" * 5000,
+    "number beyond the range": "1e400",
+}
+ODD_ADDRESSES = [
+    "127.0.0.1:99999",
+    "127.0.0.1:0",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1:\u00b2",
+    "127.0.0.1:-1",
+    "127.0.0.1",
+    "nowhere:80",
+]
+ODD_FIELDS = [
+    {"Slots": -5},
+    {"Slots": 2**70},
+    {"ColdRemainingMs": float("inf")},
+    {"ColdRemainingMs": float("nan")},
+    {"born": 2**70},
+]
+
+
+def stored_entry(spec):
+    """Return a stored entry with ``spec``."""
+    return StoredEntry(kind="k", name="x", revision=3, spec=spec)
+
+
+def item_text(name, spec_text):
+    """Return an object of the store as its JSON."""
+    return f'{{"Metadata": {{"Name": "{name}", "Revision": 3}}, "Spec": {spec_text}}}'
+
+
+class OddFieldTest(TestCase):
+    def test_address_out_of_range_is_rejected(self):
+        """Guards against addresses that no socket takes, so that connecting fails."""
+        for address in ODD_ADDRESSES:
+            for decode, spec in (
+                (decode_endpoint, make_entry("s", address)),
+                (decode_host, {"Address": address, "Zone": "a"}),
+            ):
+                with self.subTest(address=address[:40], decode=decode.__name__):
+                    self.assertRaises(EntryError, decode, stored_entry(spec))
+
+    def test_handover_address_out_of_range_is_rejected(self):
+        """Guards against a host that others can't hand requests over to."""
+        spec = {"Address": "1.2.3.4:5", "Zone": "a", "HandoverAddress": "1.2.3.4:99999"}
+        self.assertRaises(EntryError, decode_host, stored_entry(spec))
+
+    def test_number_out_of_range_is_rejected(self):
+        """Guards against counts and times that later arithmetic does not expect."""
+        for fields in ODD_FIELDS:
+            with self.subTest(fields=str(fields)[:60]):
+                spec = make_entry("s", "1.2.3.4:5", **fields)
+                self.assertRaises(EntryError, decode_endpoint, stored_entry(spec))
+
+
+class OddListTest(LoopTestCase):
+    async def answer_names(self, body_text, call):
+        """Return the names in the store's answer ``body_text`` to a call."""
+
+        def answer(request: HTTPServerRequest) -> None:
+            body = body_text.encode()
+            request.connection.write_headers(
+                ResponseStartLine("HTTP/1.1", 200, "OK"),
+                HTTPHeaders({"Content-Length": str(len(body))}),
+                body,
+            )
+            request.connection.finish()
+
+        store = StoreClient(self.listen(HTTPServer(answer)))
+        self.closing(store.close)
+        batch = await call(store)
+        return {entry.name for entry in batch.entries}
+
+    @gen_test(timeout=30)
+    async def test_odd_entry_of_a_list_does_not_hide_the_others(self):
+        """Guards against a list that is given up because of one entry."""
+        for label, value in ODD_VALUES.items():
+            items = [item_text("a", "{}"), item_text("b", value), item_text("c", "{}")]
+            body = f'{{"Items": [{", ".join(items)}], "AsOf": 7}}'
+            names = await self.answer_names(body, lambda store: store.list("servers"))
+            self.assertThat(names & {"a", "c"}, Equals({"a", "c"}), label)
+
+    @gen_test(timeout=30)
+    async def test_odd_entry_of_a_watch_does_not_hide_the_others(self):
+        """Guards against a watch that fails again and again because of one entry."""
+        for label, value in ODD_VALUES.items():
+            events = [
+                f'{{"Object": {item_text(name, text)}, "Tombstone": false}}'
+                for name, text in (("a", "{}"), ("b", value))
+            ]
+            body = f'{{"events": [{", ".join(events)}], "AsOf": 7}}'
+            names = await self.answer_names(
+                body,
+                lambda store: store.watch(
+                    "servers", since_revision=1, wait_s=0.1, margin_s=5.0
+                ),
+            )
+            self.assertThat(names, Contains("a"), label)
+
+    @gen_test(timeout=30)
+    async def test_answer_that_is_cut_is_an_error(self):
+        """Guards against an answer whose rest is missing and that passes for whole."""
+        body = f'{{"Items": [{item_text("a", "{}")}, {{"Metadata"'
+        try:
+            await self.answer_names(body, lambda store: store.list("servers"))
+        except RouterError:
+            return
+        self.fail("a cut answer was accepted")
+
+
+class OddEntryInServiceTest(VirtualTimeMixin, FrontWorld):
+    """Hosts that follow lists into which another writer puts odd entries."""
+
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+        self.add_endpoint("e1", PLAIN_SERVICE, event_count=0)
+
+    def odd_specs(self):
+        """Return contents of entries, as Python values."""
+        nested = []
+        for _ in range(900):
+            nested = [nested]
+        yield nested
+        yield {**make_entry(PLAIN_SERVICE, "127.0.0.1:1"), "Slots": nested}
+        yield float("inf")
+        for address in ODD_ADDRESSES:
+            yield make_entry(PLAIN_SERVICE, address)
+            yield {"Address": address, "Zone": "a"}
+        for fields in ODD_FIELDS:
+            yield make_entry(PLAIN_SERVICE, "127.0.0.1:1", **fields)
+
+    @gen_test(timeout=120)
+    async def test_hosts_follow_their_lists_beside_odd_entries(self):
+        """Guards against hosts that end, or stop to follow, because of one entry."""
+        fronts = [await self.start_front(f"host-{number}") for number in range(4)]
+        for front in fronts:
+            await front.directory.refresh()
+        await eventually(lambda: sum(f.store_link.relayed for f in fronts) == 2)
+        for kind in ("servers", "sesameknot-hosts", "evacuations", "rollouts"):
+            for number, spec in enumerate(self.odd_specs()):
+                name = f"odd-{number}"
+                self.store.put(kind, name, spec)
+                await self.pause(0.1)
+            for front in fronts:
+                await front.directory.refresh()
+            await self.pause(1.0)
+            for number, _ in enumerate(self.odd_specs()):
+                self.store.remove(kind, f"odd-{number}")
+        self.add_endpoint("e2", PLAIN_SERVICE, event_count=0)
+        self.store.put("config", "main", configuration(7))
+        await eventually(
+            lambda: all(
+                f.view.configuration.version == 7 and "e2" in f.view.endpoints
+                for f in fronts
+            ),
+            limit_s=3.0,
+        )
+        for front in fronts:
+            self.assertThat(set(front.view.hosts), Not(Contains("odd-1")))
+            response = await self.ask(front, SAFE_PATH)
+            self.assertThat(response.code, Equals(200))
+
+    @gen_test(timeout=60)
+    async def test_starting_host_reads_lists_with_odd_entries(self):
+        """Guards against a host that can't start, or pass its lists on to others."""
+        for number, spec in enumerate(self.odd_specs()):
+            json.dumps(spec)
+            self.store.put("servers", f"odd-{number}", spec)
+        first = await self.start_front("host-1")
+        second = await self.start_front("host-2", seeds=[first.host.peer_address])
+        for front in (first, second):
+            await eventually(lambda f=front: "e1" in f.view.endpoints, limit_s=3.0)
+            response = await self.ask(front, SAFE_PATH)
+            self.assertThat(response.code, Equals(200))
