Read the store's lists beside entries that cannot be read (LOST)

Another writer's entry that is nested 100,000 levels deep ended the task that keeps the list of hosts (RecursionError, not a decoding error) and made each list and watch of its kind fail; one with a number of 5,000 digits did the second. The host then followed nothing of that kind.

Change: an answer that can't be decoded whole is split at its members, and only the value that can't be read is left out; so are values nested more than 100 levels, which could not be passed on. Addresses need an IP and a port from 1 to 65535, also those of hosts; slots, cold times and start times have limits. Such an entry names nothing to use, the others hold.

--- a/src/sesameknot/platform/_objects.py
+++ b/src/sesameknot/platform/_objects.py
@@ -1,10 +1,12 @@
 """Conversion between objects of the platform's store and the project's records."""
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
+from msgspec import Meta
 
 from sesameknot.errors import RouterError
+from sesameknot.platform._addresses import is_address
 from sesameknot.platform._store import StoredEntry
 from sesameknot.protocol.configuration import (
     CallerLimits,
@@ -47,6 +49,12 @@
 
 T = TypeVar("T")
 
+# Limits that are far above any sound value, so that arithmetic on it can't fail.
+Count = Annotated[int, Meta(ge=0, le=2**31 - 1)]
+UnixMs = Annotated[int, Meta(ge=0, le=2**53)]
+# A day; NaN is no number either.
+DurationMs = Annotated[float, Meta(le=86_400_000.0)]
+
 
 class EntryError(RouterError):
     """An object of the store cannot be decoded; ``peer`` holds its key."""
@@ -120,10 +128,10 @@
     zone: str
     version: str
     state: str
-    slots: int = 0
-    cold_remaining_ms: float = 0.0
+    slots: Count = 0
+    cold_remaining_ms: DurationMs = 0.0
     # The only field whose wire name is in lower case.
-    born: int = msgspec.field(name="born", default=0)
+    born: UnixMs = msgspec.field(name="born", default=0)
 
 
 class _Rollout(msgspec.Struct, rename="pascal"):
@@ -234,11 +242,11 @@
     """
     spec = _decode_spec(entry, _Server)
     state = ENDPOINT_STATES.get(spec.state)
-    ip, _, port = spec.address.rpartition(":")
-    if state is None or not ip or not port.isdigit() or not spec.service:
+    if state is None or not is_address(spec.address) or not spec.service:
         raise EntryError(
-            f"got state {spec.state!r}, address {spec.address!r}, service "
-            f"{spec.service!r}; expected a known state, address ip:port and a service",
+            f"got state {spec.state[:80]!r}, address {spec.address[:80]!r}, service "
+            f"{spec.service[:80]!r}; expected a known state, address ip:port and a "
+            "service",
             step="decode",
             peer=entry.key,
         )
@@ -300,9 +308,17 @@
     Raises
     ------
     EntryError
-        If a field is missing or has a wrong type.
+        If a field is missing or invalid.
     """
     spec = _decode_spec(entry, _Host)
+    addresses = [spec.address, spec.handover_address or spec.address]
+    if not all(is_address(address) for address in addresses):
+        raise EntryError(
+            f"got addresses {[address[:80] for address in addresses]}, expected "
+            "ip:port",
+            step="decode",
+            peer=entry.key,
+        )
     return HostEntry(
         host_id=entry.name,
         peer_address=spec.address,
--- a/src/sesameknot/platform/_store.py
+++ b/src/sesameknot/platform/_store.py
@@ -5,10 +5,10 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
-import msgspec
 from tornado.httpclient import HTTPResponse
 
 from sesameknot.errors import ConflictError, PlatformError
+from sesameknot.platform._lenient_json import decode_json, is_nested_deeply
 from sesameknot.platform._store_era import ERA_HEADER, StoreEra
 from sesameknot.transport.json_http import JsonHttpClient
 
@@ -291,10 +291,7 @@
     def _json_body(self, response: HTTPResponse, step: str) -> dict[str, Any]:
         if response.error is not None:
             raise PlatformError(str(response.error), step=step, peer=self._http.url)
-        try:
-            body = msgspec.json.decode(response.body)
-        except msgspec.DecodeError:
-            body = _decode_lenient_json(response.body)
+        body = decode_json(response.body)
         if not isinstance(body, dict):
             raise PlatformError(
                 "the store's answer is not a JSON object",
@@ -318,15 +315,7 @@
 
 
 def _conflicting_entry(kind: str, body: bytes) -> StoredEntry | None:
-    return _parse_entry(kind, _decode_lenient_json(body))
-
-
-def _decode_lenient_json(data: bytes) -> Any:
-    # Another client may have written bytes that are not UTF-8.
-    try:
-        return json.loads(data.decode("utf-8", "replace"))
-    except (ValueError, RecursionError):
-        return None
+    return _parse_entry(kind, decode_json(body))
 
 
 def _list_field(body: dict[str, Any], key: str) -> list[Any]:
@@ -349,7 +338,12 @@
         kind=kind,
         name=name,
         revision=_int_or_zero(metadata.get("Revision")),
-        spec=item.get("Spec"),
-        status=item.get("Status"),
+        spec=_content(item.get("Spec")),
+        status=_content(item.get("Status")),
         deleted=deleted or metadata.get("Deleting") is True,
     )
+
+
+def _content(value: Any) -> Any:
+    """Return a value of an object; None if it can't be passed on to other hosts."""
+    return None if is_nested_deeply(value) else value
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -27,7 +27,8 @@
     parse_answer_metadata,
     parse_request_metadata,
 )
-from sesameknot.platform._store import _decode_lenient_json, _parse_entry
+from sesameknot.platform._lenient_json import decode_json
+from sesameknot.platform._store import _parse_entry
 from sesameknot.protocol.fleet_records import EndpointState, RolloutOutcome
 from tests.front_world import configuration, server_entry
 
@@ -83,7 +84,7 @@
     @given(data=st.binary(max_size=60))
     def test_any_bytes_are_read_or_given_up(self, data):
         """Guards against errors on bytes that are not UTF-8 or not JSON."""
-        _decode_lenient_json(data)
+        decode_json(data)
 
     def test_endpoint(self):
         """Guards against wire fields that are decoded into the wrong attribute."""
