--- a/tests/coordination/test_large_configuration.py
+++ b/tests/coordination/test_large_configuration.py
@@ -1,9 +1,10 @@
 """Tests of relays that pass a large configuration on over links of limited rate."""
 
 import dataclasses
+import json
 import random
 
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 from tornado.testing import gen_test
 
 from tests.front_world import MODEL_SERVICE, PLAIN_SERVICE, FrontWorld, configuration
@@ -20,6 +21,9 @@
 LIMIT_S = 3.0
 # From the decision to send a request until it reaches the endpoint.
 SEND_TIME_S = 0.15
+SLOW_LINK_BYTES_PER_S = 2.5e6 / 8
+# Longest pause between calls to a store that does not answer, and time for a retry.
+RETURN_S = 1.5
 
 
 def large_configuration(version):
@@ -169,3 +173,24 @@
         most_bytes = max(links.inward.passed_bytes for links in self.network.values())
         self.assertThat(most_bytes, LessThan(2.5 * copy_bytes))
         self.assertThat([f.store_link.relayed for f in relayed], Equals([True] * 10))
+
+    @gen_test(timeout=120)
+    async def test_host_that_the_store_takes_back_reads_a_large_configuration(self):
+        """Guards against an answer that is given up while it arrives, each time.
+
+        The link is so slow that one copy takes longer than a short watch waits.
+        """
+        front = await self.start_linked_front("host-0")
+        await self.pause(1.0)
+        proxy = self.store_proxies["host-0"]
+        proxy.refuse()
+        await self.pause(1.0)
+        links = self.network[front.host.peer_address]
+        links.inward.rate_bytes_per_s = SLOW_LINK_BYTES_PER_S
+        self.store.put("config", "main", large_configuration(7))
+        copy_bytes = len(json.dumps(self.store.get("config", "main")))
+        proxy.refusing = False
+        elapsed_s = await self.time_until(lambda: front.view.configuration.version == 7)
+        transfer_s = copy_bytes / SLOW_LINK_BYTES_PER_S
+        self.assertThat(transfer_s, GreaterThan(1.0))
+        self.assertThat(elapsed_s, LessThan(transfer_s + RETURN_S))
