--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -211,7 +211,9 @@
                 margin_s=self._settings.watch_margin_s,
             )
         )
-        if self._clock.boot_s() - started_s > wait_s + self._settings.watch_margin_s:
+        transfer_s = changes.transfer_s if changes is not None else 0.0
+        waited_s = self._clock.boot_s() - started_s - transfer_s
+        if waited_s > wait_s + self._settings.watch_margin_s:
             # This process was paused; the answer may be as old as the pause.
             changes = None
         self._interrupted = self._probing and changes is None
@@ -272,7 +274,7 @@
 
     def _on_answer(self, changes: EntryBatch) -> None:
         self._link.on_answer()
-        self.last_answer_s = self._clock.monotonic_s()
+        self.last_answer_s = self._clock.monotonic_s() - changes.transfer_s
         self.revision = changes.revision
         self.complete_as_of_s = float("inf")
         if self._probing:
--- a/src/sesameknot/platform/_store.py
+++ b/src/sesameknot/platform/_store.py
@@ -10,7 +10,7 @@
 from sesameknot.errors import ConflictError, PlatformError
 from sesameknot.platform._lenient_json import decode_json, is_nested_deeply
 from sesameknot.platform._store_era import ERA_HEADER, StoreEra
-from sesameknot.transport.json_http import JsonHttpClient
+from sesameknot.transport.json_http import TRANSFER_TIME, JsonHttpClient
 
 CONFLICT_STATUS = 409
 NOT_FOUND_STATUS = 404
@@ -84,6 +84,9 @@
     era : int
         Times that the store came back from a copy; 0 if it does not tell. Revisions
         can be compared only within an era.
+    transfer_s : float
+        Time that the answer took to arrive after its beginning; it reflects the store
+        as of its beginning.
     """
 
     entries: list[StoredEntry] = field(default_factory=list)
@@ -91,6 +94,7 @@
     history_lost: bool = False
     unreadable_count: int = 0
     era: int = 0
+    transfer_s: float = 0.0
 
 
 class StoreClient:
@@ -195,6 +199,7 @@
             revision=max(since_revision, _int_or_zero(body.get("AsOf"))),
             unreadable_count=parsed.count(None),
             era=self.era,
+            transfer_s=response.time_info.get(TRANSFER_TIME, 0.0),
         )
 
     async def create(self, kind: str, name: str, spec: object) -> StoredEntry:
