--- a/tests/coordination/test_domain_exchange.py
+++ b/tests/coordination/test_domain_exchange.py
@@ -215,6 +215,40 @@
             )
             await self.pause(1.0)
 
+    async def start_other_domain(self):
+        """Start two hosts of another failure domain, which are its relays."""
+        return [await self.start_front(f"other-{n}", domain="b") for n in range(2)]
+
+    async def check_notice_reaches(self, host, others):
+        """Check that a host that the store turns away learns of a notice in time."""
+        for front in [host, *others]:
+            await front.directory.refresh()
+        await self.pause(4.0)
+        self.change_endpoint("e1", State="draining")
+        noticed_s = self.io_loop.asyncio_loop.time()
+        await eventually(lambda: not may_use(host, "e1"), limit_s=10.0)
+        elapsed_s = self.io_loop.asyncio_loop.time() - noticed_s
+        self.assertThat(elapsed_s, LessThan(self.leave_limit_s - SEND_TIME_S))
+
+    @gen_test(timeout=60)
+    async def test_relay_that_the_store_turns_away_learns_from_the_other_relay(self):
+        """Guards against a relay that knows less than the hosts of the other one."""
+        self.add_endpoint("e1", PLAIN_SERVICE)
+        direct, relayed = await self.start_hosts()
+        await eventually(lambda: all("e1" in f.view.endpoints for f in direct))
+        await self.cut_from_store(direct[:1])
+        await self.check_notice_reaches(direct[0], direct[1:] + relayed)
+
+    @gen_test(timeout=60)
+    async def test_relays_that_the_store_turns_away_learn_from_other_domains(self):
+        """Guards against a failure domain whose relays all know nothing new."""
+        self.add_endpoint("e1", PLAIN_SERVICE)
+        others = await self.start_other_domain()
+        direct, relayed = await self.start_hosts()
+        await eventually(lambda: all("e1" in f.view.endpoints for f in direct))
+        await self.cut_from_store(direct)
+        await self.check_notice_reaches(direct[0], direct[1:] + relayed + others)
+
     @gen_test(timeout=30)
     async def test_hosts_watch_the_store_in_time_when_relays_hang(self):
         """Guards against rounds with time-outs that outlast the limit on a notice."""
