--- a/tests/coordination/test_large_configuration.py
+++ b/tests/coordination/test_large_configuration.py
@@ -24,6 +24,8 @@
 SLOW_LINK_BYTES_PER_S = 2.5e6 / 8
 # Longest pause between calls to a store that does not answer, and time for a retry.
 RETURN_S = 1.5
+# Two rounds of questions to other hosts, and the transfer.
+START_S = 2.0
 
 
 def large_configuration(version):
@@ -63,9 +65,9 @@
         self.store.put("config", "main", configuration())
         self.add_endpoint("e1", PLAIN_SERVICE)
 
-    async def start_linked_front(self, host_id):
+    async def start_linked_front(self, host_id, *, seeds=()):
         """Start a host whose connections to peers and the store pass its links."""
-        settings = self.host_settings(host_id, **BOUNDS)
+        settings = self.host_settings(host_id, seeds=seeds, **BOUNDS)
         links = HostLinks(LINK_BYTES_PER_S)
         self.network[settings.peer_address] = links
         proxy = LinkProxy(
@@ -76,9 +78,7 @@
         settings = dataclasses.replace(settings, store_address=await proxy.start())
         client = LinkedTCPClient(self.network, settings.peer_address)
         self.closing(client.close)
-        front = await self.start_front_with(settings)
-        front.peer_client._tcp = client
-        return front
+        return await self.start_front_with(settings, tcp_client=client)
 
     async def start_hosts(self):
         """Start hosts; return the relays and the hosts that they serve."""
@@ -194,3 +194,19 @@
         transfer_s = copy_bytes / SLOW_LINK_BYTES_PER_S
         self.assertThat(transfer_s, GreaterThan(1.0))
         self.assertThat(elapsed_s, LessThan(transfer_s + RETURN_S))
+
+    @gen_test(timeout=120)
+    async def test_host_that_starts_in_an_outage_gets_a_large_configuration(self):
+        """Guards against a host that never starts, as its peers' answers are long."""
+        direct, relayed = await self.start_hosts()
+        self.store.put("config", "main", large_configuration(7))
+        hosts = direct + relayed
+        await eventually(
+            lambda: all(f.view.configuration.version == 7 for f in hosts), limit_s=8.0
+        )
+        self.store.refuse_status = 503
+        seeds = [f.host.peer_address for f in hosts[:3]]
+        front = await self.start_linked_front("host-late", seeds=seeds)
+        elapsed_s = await self.time_until(lambda: front.view.ready)
+        self.assertThat(elapsed_s, LessThan(START_S))
+        self.assertThat(front.view.configuration.version, Equals(7))
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -134,16 +134,22 @@
         host = self.host_settings(host_id, domain=domain, seeds=seeds, **bounds)
         return await self.start_front_with(host, settings=settings)
 
-    async def start_front_with(self, host, *, settings=None):
-        """Start a front process with settings of its host; wait until it is ready."""
+    async def start_front_with(self, host, *, settings=None, tcp_client=None):
+        """Start a front process with settings of its host; wait until it is ready.
+
+        ``tcp_client`` replaces the client that connects to other hosts.
+        """
         front = Front(
             host,
             settings or FrontSettings(metrics_port=reserve_port()),
             clock=self.make_clock(),
         )
         self.closing(lambda: self.io_loop.run_sync(front.close))
+        if tcp_client is not None:
+            front.peer_client._tcp = tcp_client
         await front.start()
-        if self.store.get("config", "main") is not None:
+        known = self.store.get("config", "main") is not None
+        if known and not self.store.refuse_status:
             await eventually(
                 lambda: front.view.ready and (front.view.hosts or host.seeds)
             )
