Let hosts that start in an outage fetch large kinds in parts

A host that starts while the store is away asks others for all objects. With a configuration of 600 kB and a link of 10 Mbit/s the three answers took 1.5 s, beyond the limit of 0.5 s, and were asked for again without end, so it answered 503 until the store came back.

--- a/src/sesameknot/coordination/peer_snapshot.py
+++ b/src/sesameknot/coordination/peer_snapshot.py
@@ -10,7 +10,9 @@
 
 import structlog
 
+from sesameknot.coordination._change_replies import INLINE_LIMIT_BYTES
 from sesameknot.coordination._stored_records import object_record, stored_entry
+from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_follower import StoreFollower
 from sesameknot.errors import RouterError
 from sesameknot.platform import StoredEntry
@@ -31,6 +33,8 @@
     ----------
     followers : sequence of StoreFollower
         Followers of this host.
+    snapshots : SnapshotExchange
+        Passes on kinds that are too large for one answer.
     peers : PeerClient
         Client of the peer protocol.
     addresses : callable
@@ -41,25 +45,36 @@
         self,
         *,
         followers: Sequence[StoreFollower],
+        snapshots: SnapshotExchange,
         peers: PeerClient,
         addresses: Callable[[], list[str]],
     ) -> None:
         self._followers = {follower.kind: follower for follower in followers}
+        self._snapshots = snapshots
         self._peers = peers
         self._addresses = addresses
 
     async def answer(self, request: ObjectSync) -> ObjectSyncReply:
         """Answer with all objects of the kinds that this host has listed."""
-        records = []
+        reply = ObjectSyncReply()
         for follower in self._followers.values():
             if follower.listed:
-                # The record without a name carries the position to watch from.
-                key = f"{follower.kind}/"
-                records.append(
-                    ObjectRecord(key=key, version=follower.revision, era=follower.era)
-                )
-                records += [object_record(e) for e in follower.entries.values()]
-        return ObjectSyncReply(objects=records)
+                self._add_kind(follower, reply, request.object_limit_bytes)
+        return reply
+
+    def _add_kind(
+        self, follower: StoreFollower, reply: ObjectSyncReply, limit_bytes: int
+    ) -> None:
+        records = [object_record(entry) for entry in follower.entries.values()]
+        if 0 < limit_bytes < sum(len(record.value) for record in records):
+            reply.deferred.append(self._snapshots.offer(follower))
+            return
+        # The record without a name carries the position to watch from.
+        key = f"{follower.kind}/"
+        reply.objects.append(
+            ObjectRecord(key=key, version=follower.revision, era=follower.era)
+        )
+        reply.objects += records
 
     async def run(self) -> None:
         """Fetch missing kinds from other hosts until every kind was listed once."""
@@ -77,23 +92,44 @@
         for start in range(0, len(addresses), CONCURRENT_CALL_COUNT):
             batch = addresses[start : start + CONCURRENT_CALL_COUNT]
             answers = await asyncio.gather(*(self._call(address) for address in batch))
-            snapshots = [
-                snapshot
+            replies = {
+                address: reply
                 for address, reply in zip(batch, answers, strict=True)
                 if reply is not None
-                for snapshot in _kind_snapshots(reply, address)
-            ]
-            # A host that was cut off from the store may answer with older objects.
-            snapshots.sort(key=lambda s: (s.era, s.revision), reverse=True)
-            for snapshot in snapshots:
-                self._adopt(snapshot)
-            if snapshots:
+            }
+            if self._adopt_newest(replies):
                 return
 
+    def _adopt_newest(self, replies: dict[str, ObjectSyncReply]) -> bool:
+        """Adopt the newest objects in replies; return whether there are any.
+
+        A host that was cut off from the store may answer with older objects.
+        """
+        snapshots = [
+            snapshot
+            for address, reply in replies.items()
+            for snapshot in _kind_snapshots(reply, address)
+        ]
+        snapshots.sort(key=lambda s: (s.era, s.revision), reverse=True)
+        for snapshot in snapshots:
+            self._adopt(snapshot)
+        deferred = [
+            (version, address)
+            for address, reply in replies.items()
+            for version in reply.deferred
+        ]
+        deferred.sort(key=lambda d: (d[0].era, d[0].version), reverse=True)
+        for version, address in deferred:
+            self._snapshots.fetch(address, version)
+        return bool(snapshots or deferred)
+
     async def _call(self, address: str) -> ObjectSyncReply | None:
         try:
             return await self._peers.call(
-                address, ObjectSync(), expect=ObjectSyncReply, timeout_s=CALL_TIMEOUT_S
+                address,
+                ObjectSync(object_limit_bytes=INLINE_LIMIT_BYTES),
+                expect=ObjectSyncReply,
+                timeout_s=CALL_TIMEOUT_S,
             )
         except RouterError as error:
             log.info("snapshot_request_failed", peer=address, reason=error.message)
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -171,6 +171,7 @@
         self._stack.callback(self.snapshots.close)
         self.peer_snapshot = PeerSnapshot(
             followers=self.followers,
+            snapshots=self.snapshots,
             peers=self.peer_client,
             addresses=self._other_addresses,
         )
--- a/src/sesameknot/protocol/_object_replication.py
+++ b/src/sesameknot/protocol/_object_replication.py
@@ -43,20 +43,27 @@
     """Request the difference to the sender's object store.
 
     The store is described by its digest and the versions of its objects. Without
-    versions and with a digest other than 0, the reply has only digest and age.
+    versions and with a digest other than 0, the reply has only digest and age. A kind
+    whose objects are larger than ``object_limit_bytes`` is only named in the reply; 0
+    is for any size, from hosts that do not fetch such kinds.
     """
 
     versions: list[ObjectVersion] = field(default_factory=list)
     config_age_ms: float = 0.0
     digest: int = 0
+    object_limit_bytes: int = 0
 
 
 @message("objectSyncReply")
 @dataclass(slots=True, kw_only=True)
 class ObjectSyncReply:
-    """Objects newer than the requester's, and keys of objects to push in return."""
+    """Objects newer than the requester's, and keys of objects to push in return.
+
+    ``deferred`` names kinds that are too large, and the positions of their snapshots.
+    """
 
     objects: list[ObjectRecord] = field(default_factory=list)
     wanted_keys: list[str] = field(default_factory=list)
     config_age_ms: float = 0.0
     digest: int = 0
+    deferred: list[ObjectVersion] = field(default_factory=list)
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -125,6 +125,7 @@
   versions @0 :List(ObjectVersion);
   configAgeMs @1 :Float64;
   digest @2 :UInt64;
+  objectLimitBytes @3 :UInt64;
 }
 
 struct ObjectSyncReply {
@@ -132,6 +133,7 @@
   wantedKeys @1 :List(Text);
   configAgeMs @2 :Float64;
   digest @3 :UInt64;
+  deferred @4 :List(ObjectVersion);
 }
 
 struct ClaimWrite {
