--- a/tests/transport/test_peer.py
+++ b/tests/transport/test_peer.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 
-from testtools.matchers import Equals, Is
+from testtools.matchers import Contains, Equals, Is
 from tornado.iostream import IOStream
 from tornado.tcpserver import TCPServer
 from tornado.testing import gen_test
@@ -12,8 +12,10 @@
 from sesameknot.clock import ManualClock
 from sesameknot.errors import ConnectError, DeadlineError, RouterError
 from sesameknot.protocol.messages import Done, Ping, StatsRequest
+from sesameknot.transport._framing import write_frame
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
+from tests.protocol.test_compatibility import schema_with_new_kind
 from tests.support import LoopTestCase
 
 
@@ -115,3 +117,31 @@
         with self.assertRaises(RouterError) as caught:
             await self.client.call(address, Ping(), expect=Done)
         self.assertThat(caught.exception.step, Equals("admit"))
+
+    @gen_test
+    async def test_an_unknown_message_is_refused_on_an_open_connection(self):
+        """Guards against a later build's message that ends the calls beside it."""
+        server, address = self._serve()
+        may_reply = asyncio.Event()
+
+        @server.handle(Ping)
+        async def handler(message):
+            await may_reply.wait()
+            return Done()
+
+        waiting = asyncio.create_task(self.client.call(address, Ping(), expect=Done))
+        await asyncio.sleep(0.05)
+        message = schema_with_new_kind().Envelope.new_message(callId=900, sender="x")
+        message.init("later")
+        (connection,) = self.client._connections.values()
+        answered = asyncio.get_running_loop().create_future()
+        connection._pending_replies[900] = answered
+        for _ in range(3):
+            await write_frame(
+                connection._stream, message.to_bytes_packed(), peer=address
+            )
+        reply = await answered
+        self.assertThat(type(reply).__name__, Equals("Failure"))
+        self.assertThat(reply.message, Contains("not supported"))
+        may_reply.set()
+        self.assertThat(await waiting, Equals(Done()))
