Refuse peer messages of a later build on an open connection

A process of this build took a message of a kind that it does not know for malformed and closed the connection, with every other call on it; while hosts are upgraded one after the other, those calls fail for no reason of theirs. The kind is the only part that is unknown: call and sender are read, and the caller gets 'not supported'. One log line for each connection.

--- a/src/sesameknot/protocol/codec.py
+++ b/src/sesameknot/protocol/codec.py
@@ -49,6 +49,11 @@
     is_reply: bool = False
 
 
+@dataclass(slots=True)
+class UnsupportedMessage:
+    """Body of a message of a kind that this build does not know."""
+
+
 def encode(envelope: Envelope) -> bytes:
     """Return the packed bytes of ``envelope``."""
     field_name = FIELD_BY_CLASS[type(envelope.body)]
@@ -64,6 +69,8 @@
 def decode(data: bytes, *, peer: str = "") -> Envelope:
     """Return the envelope in ``data``.
 
+    A message of a kind that only a later build knows has an ``UnsupportedMessage``.
+
     Raises
     ------
     FrameError
@@ -75,8 +82,7 @@
             traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
             nesting_limit=NESTING_LIMIT,
         )
-        field_name = str(reader.which())
-        body = _read_record(getattr(reader, field_name), MESSAGES.get(field_name))
+        body = _read_body(reader)
         return Envelope(reader.callId, reader.sender, body, reader.isReply)
     except (capnp.KjException, ValueError, RuntimeError, UnicodeDecodeError) as error:
         raise FrameError(
@@ -86,6 +92,15 @@
         ) from error
 
 
+def _read_body(reader: Any) -> Any:
+    try:
+        field_name = str(reader.which())
+    except capnp.KjException:
+        # The union's tag is of a later schema; the other fields are as here.
+        return UnsupportedMessage()
+    return _read_record(getattr(reader, field_name), MESSAGES.get(field_name))
+
+
 @functools.cache
 def _field_names(cls: type) -> tuple[tuple[str, str], ...]:
     return tuple(
--- a/src/sesameknot/transport/peer_server.py
+++ b/src/sesameknot/transport/peer_server.py
@@ -10,7 +10,7 @@
 from tornado.tcpserver import TCPServer
 
 from sesameknot.errors import FrameError, RouterError, TransportError
-from sesameknot.protocol.codec import Envelope, decode, encode
+from sesameknot.protocol.codec import Envelope, UnsupportedMessage, decode, encode
 from sesameknot.protocol.messages import Failure
 from sesameknot.transport._framing import read_frame, write_frame
 
@@ -57,9 +57,13 @@
         peer = f"{address[0]}:{address[1]}"
         self._streams.add(stream)
         permits = asyncio.Semaphore(CONCURRENT_CALLS_PER_CONNECTION)
+        logged = False
         try:
             while True:
                 envelope = decode(await read_frame(stream, peer=peer), peer=peer)
+                if isinstance(envelope.body, UnsupportedMessage) and not logged:
+                    log.warning("peer_message_unsupported", peer=envelope.sender)
+                    logged = True
                 await permits.acquire()
                 task = asyncio.create_task(self._handle_call(stream, envelope, peer))
                 self._call_tasks.add(task)
@@ -93,6 +97,8 @@
 
     async def _run_handler(self, envelope: Envelope) -> Any:
         step = type(envelope.body).__name__
+        if isinstance(envelope.body, UnsupportedMessage):
+            return Failure(message="this kind of message is not supported", step=step)
         handler = self._message_handlers.get(type(envelope.body))
         if handler is None:
             return Failure(message=f"{step} is not served here", step=step)
