--- a/soak/_fronts.py
+++ b/soak/_fronts.py
@@ -30,11 +30,21 @@
         Address of the store.
     directory : Path
         Directory for settings and logs.
+    source : Path, default=ROOT / "src"
+        Folder of the package that the process runs; another build's may be given.
     """
 
-    def __init__(self, host_number: int, store_address: str, directory: Path) -> None:
+    def __init__(
+        self,
+        host_number: int,
+        store_address: str,
+        directory: Path,
+        *,
+        source: Path = ROOT / "src",
+    ) -> None:
         self.host_id = f"host-{host_number}"
         self.domain = "ab"[host_number % 2]
+        self.source = source
         self.store_proxy = Proxy(store_address)
         self.undisturbed_since_s = 0.0
         self.freeze_count = 0
@@ -75,7 +85,7 @@
         environment = {
             **os.environ,
             "SESAMEKNOT_NODE_FILE": str(node_path),
-            "PYTHONPATH": str(ROOT / "src"),
+            "PYTHONPATH": str(self.source),
             ADDRESSES_VARIABLE: f"{self.caller_address},{self.ready_address}",
         }
         command = ["-m", "sesameknot.apps.front", f"--settings={settings_path}"]
