--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -142,7 +142,7 @@
             relays = self.relays(self._domain)
             if self._host_id in relays or not relays:
                 await self._exchange_as_relay(relays)
-                if round_count % OTHER_DOMAINS_ROUND_COUNT == 0:
+                if round_count % OTHER_DOMAINS_ROUND_COUNT == 0 or self._is_cut_off:
                     await self._exchange_with_other_domains()
             else:
                 call_both = round_count % BOTH_RELAYS_ROUND_COUNT == 0
@@ -167,13 +167,16 @@
         for relay, reply in replies.items():
             self._take_changes(relay, reply)
 
-    def _versions_if_cut_off(self) -> list[ObjectVersion]:
-        """Return this relay's versions if the store does not answer it.
+    @property
+    def _is_cut_off(self) -> bool:
+        """Whether the store does not answer this host.
 
-        The store may turn away single hosts; other relays then have the changes.
+        It may turn away single hosts; other relays then have the changes.
         """
-        failing = any(follower.failing for follower in self._followers.values())
-        return self._versions() if failing and self._listed else []
+        return any(follower.failing for follower in self._followers.values())
+
+    def _versions_if_cut_off(self) -> list[ObjectVersion]:
+        return self._versions() if self._is_cut_off and self._listed else []
 
     def _fall_back_at_age(self, store_age_ms: float) -> None:
         """Watch the store once what the relays told is too old.
@@ -215,8 +218,9 @@
         store_ages_ms = []
         for relay, reply in replies.items():
             self._loads.add_relay(relay, reply.loads)
-            if self._take_changes(relay, reply):
+            if self._listed and self._is_up_to_date(reply):
                 store_ages_ms.append(reply.store_age_ms)
+                self._take_changes(relay, reply)
         if not store_ages_ms:
             return 0
         self.relay_answered_s = self._clock.monotonic_s()
@@ -225,10 +229,10 @@
         self._fall_back_at_age(age_ms)
         return len(store_ages_ms) if age_ms <= self._store_age_limit_s * 1000.0 else 0
 
-    def _take_changes(self, host_id: str, reply: DomainSyncReply) -> bool:
-        """Apply a host's changes if it is up to date; return whether it is."""
-        if not (self._listed and self._is_up_to_date(reply)):
-            return False
+    def _take_changes(self, host_id: str, reply: DomainSyncReply) -> None:
+        """Apply what a host knows beyond what this host does, however old it is."""
+        if not self._listed or reply.store_era < self._known_era:
+            return
         self._view.store.note_answer(age_s=reply.store_age_ms / 1000.0)
         self._apply_changes(reply)
         current_s = self._clock.monotonic_s() - reply.store_age_ms / 1000.0
@@ -236,7 +240,6 @@
         for version in reply.deferred:
             if self._deferred.note(version, current_s=current_s) and host is not None:
                 self._snapshots.fetch(host.peer_address, version)
-        return True
 
     @property
     def _listed(self) -> bool:
@@ -244,9 +247,12 @@
 
     def _is_up_to_date(self, reply: DomainSyncReply) -> bool:
         """Return whether the store answered the relay lately, in the latest era."""
-        known_era = max(follower.era for follower in self._followers.values())
         age_limit_ms = self._store_age_limit_s * 1000.0
-        return reply.store_era >= known_era and reply.store_age_ms <= age_limit_ms
+        return reply.store_era >= self._known_era and reply.store_age_ms <= age_limit_ms
+
+    @property
+    def _known_era(self) -> int:
+        return max(follower.era for follower in self._followers.values())
 
     async def _exchange_with_other_domains(self) -> None:
         domains = {host.domain for host in self._view.hosts.values()} - {self._domain}
