--- a/tests/transport/test_peer.py
+++ b/tests/transport/test_peer.py
@@ -133,13 +133,12 @@
         await asyncio.sleep(0.05)
         message = schema_with_new_kind().Envelope.new_message(callId=900, sender="x")
         message.init("later")
+        data = message.to_bytes_packed()
         (connection,) = self.client._connections.values()
         answered = asyncio.get_running_loop().create_future()
         connection._pending_replies[900] = answered
         for _ in range(3):
-            await write_frame(
-                connection._stream, message.to_bytes_packed(), peer=address
-            )
+            await write_frame(connection._stream, data, peer=address)
         reply = await answered
         self.assertThat(type(reply).__name__, Equals("Failure"))
         self.assertThat(reply.message, Contains("not supported"))
