--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -220,6 +220,10 @@
             self._loads.add_relay(relay, reply.loads)
             if self._listed and self._is_up_to_date(reply):
                 store_ages_ms.append(reply.store_age_ms)
+                failed_s = (
+                    self._clock.monotonic_s() - reply.store_failed_age_ms / 1000.0
+                )
+                self._view.store_failed_s = max(self._view.store_failed_s, failed_s)
                 self._take_changes(relay, reply)
         if not store_ages_ms:
             return 0
@@ -322,9 +326,6 @@
         ]
 
     def _apply_changes(self, reply: DomainSyncReply) -> None:
-        now_s = self._clock.monotonic_s()
-        failed_s = now_s - reply.store_failed_age_ms / 1000.0
-        self._view.store_failed_s = max(self._view.store_failed_s, failed_s)
         entries = [stored_entry(record) for record in reply.objects]
         for version in reply.versions:
             follower = self._followers.get(version.key)
--- a/tests/coordination/test_domain_exchange.py
+++ b/tests/coordination/test_domain_exchange.py
@@ -255,6 +255,18 @@
         await self.cut_from_store(direct)
         await self.check_notice_reaches(direct[0])
 
+    @gen_test(timeout=60)
+    async def test_relays_that_the_store_serves_know_of_no_failure(self):
+        """Guards against crash reports that wait as another relay is turned away."""
+        others = await self.start_other_domain()
+        direct, _ = await self.start_hosts()
+        for front in [*direct, *others]:
+            await front.directory.refresh()
+        await self.cut_from_store(direct[:1])
+        await self.pause(4.0)
+        for front in [direct[1], *others]:
+            self.assertThat(front.view.store_failed_s, Equals(float("-inf")))
+
     @gen_test(timeout=30)
     async def test_hosts_watch_the_store_in_time_when_relays_hang(self):
         """Guards against rounds with time-outs that outlast the limit on a notice."""
