Wait again until hosts that start in an outage are ready (tests)

Cause: let start_front return at once wherever the store refuses calls, for one new test. Two older tests, of hosts that start in an outage, relied on that wait, so they checked less. Change: only a caller that asks for it (until_ready=False) gets a host that may not be ready. The tests of these files pass with the wait restored.

--- a/tests/coordination/test_large_configuration.py
+++ b/tests/coordination/test_large_configuration.py
@@ -65,7 +65,7 @@
         self.store.put("config", "main", configuration())
         self.add_endpoint("e1", PLAIN_SERVICE)
 
-    async def start_linked_front(self, host_id, *, seeds=()):
+    async def start_linked_front(self, host_id, *, seeds=(), until_ready=True):
         """Start a host whose connections to peers and the store pass its links."""
         settings = self.host_settings(host_id, seeds=seeds, **BOUNDS)
         links = HostLinks(LINK_BYTES_PER_S)
@@ -78,7 +78,9 @@
         settings = dataclasses.replace(settings, store_address=await proxy.start())
         client = LinkedTCPClient(self.network, settings.peer_address)
         self.closing(client.close)
-        return await self.start_front_with(settings, tcp_client=client)
+        return await self.start_front_with(
+            settings, tcp_client=client, until_ready=until_ready
+        )
 
     async def start_hosts(self):
         """Start hosts; return the relays and the hosts that they serve."""
@@ -206,7 +208,9 @@
         )
         self.store.refuse_status = 503
         seeds = [f.host.peer_address for f in hosts[:3]]
-        front = await self.start_linked_front("host-late", seeds=seeds)
+        front = await self.start_linked_front(
+            "host-late", seeds=seeds, until_ready=False
+        )
         elapsed_s = await self.time_until(lambda: front.view.ready)
         self.assertThat(elapsed_s, LessThan(START_S))
         self.assertThat(front.view.configuration.version, Equals(7))
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -134,10 +134,13 @@
         host = self.host_settings(host_id, domain=domain, seeds=seeds, **bounds)
         return await self.start_front_with(host, settings=settings)
 
-    async def start_front_with(self, host, *, settings=None, tcp_client=None):
-        """Start a front process with settings of its host; wait until it is ready.
+    async def start_front_with(
+        self, host, *, settings=None, tcp_client=None, until_ready=True
+    ):
+        """Start a front process with settings of its host.
 
-        ``tcp_client`` replaces the client that connects to other hosts.
+        ``tcp_client`` replaces the client that connects to other hosts. Without
+        ``until_ready``, it may not be ready yet on return.
         """
         front = Front(
             host,
@@ -148,8 +151,7 @@
         if tcp_client is not None:
             front.peer_client._tcp = tcp_client
         await front.start()
-        known = self.store.get("config", "main") is not None
-        if known and not self.store.refuse_status:
+        if until_ready and self.store.get("config", "main") is not None:
             await eventually(
                 lambda: front.view.ready and (front.view.hosts or host.seeds)
             )
