--- a/src/sesameknot/coordination/snapshot_exchange.py
+++ b/src/sesameknot/coordination/snapshot_exchange.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import contextlib
 from collections import OrderedDict
 from collections.abc import Sequence
 
@@ -16,7 +15,7 @@
 
 from sesameknot.coordination._kind_snapshot import decode_snapshot, encode_snapshot
 from sesameknot.coordination.store_follower import StoreFollower
-from sesameknot.errors import RouterError
+from sesameknot.errors import FrameError, RouterError
 from sesameknot.protocol.messages import (
     ObjectVersion,
     SnapshotPartReply,
@@ -29,6 +28,8 @@
 # A part waits behind one part for each of the relay's other hosts.
 PART_TIMEOUT_S = 1.0
 PART_TRY_COUNT = 3
+# A compressed kind is far smaller; no host is to keep more of another one's.
+SNAPSHOT_LIMIT_BYTES = 8 * 1024 * 1024
 # Snapshots of a kind that are kept, so that changes in quick succession do not end the
 # transfers that have begun.
 KEPT_SNAPSHOT_COUNT = 4
@@ -115,15 +116,21 @@
             )
             return
         # The host's own watch may have been faster.
-        if (version.era, version.version) > follower.position:
+        if (version.era, version.version) <= follower.position:
+            return
+        try:
             follower.adopt(entries, version.version, era=version.era)
-            log.info(
-                "snapshot_adopted",
-                kind=version.key,
-                peer=address,
-                revision=version.version,
-                count=len(entries),
-            )
+        except Exception:
+            # Like an error in an entry of the store, it must not pass without a line.
+            log.exception("snapshot_not_adopted", kind=version.key, peer=address)
+            return
+        log.info(
+            "snapshot_adopted",
+            kind=version.key,
+            peer=address,
+            revision=version.version,
+            count=len(entries),
+        )
 
     async def _fetch_parts(self, address: str, version: ObjectVersion) -> bytes:
         data = bytearray()
@@ -133,6 +140,13 @@
                 raise RouterError(
                     "the snapshot is no longer kept", step="fetch part", peer=address
                 )
+            if reply.size_bytes > SNAPSHOT_LIMIT_BYTES:
+                raise FrameError(
+                    f"snapshot of {reply.size_bytes} bytes, expected at most "
+                    f"{SNAPSHOT_LIMIT_BYTES}",
+                    step="fetch part",
+                    peer=address,
+                )
             data += reply.data
             if len(data) >= reply.size_bytes:
                 return bytes(data)
@@ -146,10 +160,22 @@
             era=version.era,
             offset_bytes=offset_bytes,
         )
-        for _ in range(PART_TRY_COUNT - 1):
-            with contextlib.suppress(RouterError):
+        try_number = 1
+        while True:
+            try:
                 return await self._call(address, request)
-        return await self._call(address, request)
+            except RouterError as error:
+                log.info(
+                    "snapshot_part_failed",
+                    kind=version.key,
+                    peer=address,
+                    step=error.step,
+                    reason=error.message,
+                    try_number=try_number,
+                )
+                if try_number == PART_TRY_COUNT:
+                    raise
+                try_number += 1
 
     async def _call(
         self, address: str, request: SnapshotPartRequest
