Load each schema of a test under a file id of its own

Cause: two tests load the schema of a later build under one file id, and the second load in a process aborts it; they had not met on one worker before. Ruled out: the loop's objects being collected early (it aborts with them kept as well). Change: a new id for each load, same checks.

--- a/tests/protocol/test_compatibility.py
+++ b/tests/protocol/test_compatibility.py
@@ -3,6 +3,7 @@
 ``released/`` holds the schema of each commit that may run beside this build.
 """
 
+import itertools
 import pathlib
 import re
 import tempfile
@@ -22,11 +23,17 @@
 )
 FILE_ID = re.compile(r"^@0x[0-9a-f]+;", re.MULTILINE)
 STRUCT = re.compile(r"^struct (\w+) \{(.*?)^\}", re.MULTILINE | re.DOTALL)
+# Each load in this process needs another file id.
+_file_numbers = itertools.count()
 FIELD = re.compile(r"(\w+) @(\d+) :([^;]+);")
 
 
-def load_schema(text, number):
-    """Load a schema under a file id of its own, beside the current one."""
+def load_schema(text):
+    """Load a schema under a file id of its own.
+
+    A second schema under the same id aborts the process.
+    """
+    number = next(_file_numbers)
     with tempfile.TemporaryDirectory() as directory:
         path = pathlib.Path(directory) / f"schema{number}.capnp"
         path.write_text(FILE_ID.sub(f"@0x9f00000000000{number:03x};", text, count=1))
@@ -45,7 +52,7 @@
     last = f"@{max(numbers)} :"
     line = next(line for line in text.splitlines() if last in line and "Reply" in line)
     text = text.replace(line, f"{line}\n    later @{max(numbers) + 1} :Later;")
-    return load_schema(text + "\nstruct Later { text @0 :Text; }\n", 99)
+    return load_schema(text + "\nstruct Later { text @0 :Text; }\n")
 
 
 class CompatibilityTest(TestCase):
@@ -59,8 +66,8 @@
 
     def test_released_builds_read_the_messages_of_this_one(self):
         """Guards against a message that an older process takes for malformed."""
-        for number, path in enumerate(RELEASED):
-            schema = load_schema(path.read_text(), number)
+        for path in RELEASED:
+            schema = load_schema(path.read_text())
             kinds = {name for name, _, _ in struct_fields(path.read_text())["Envelope"]}
             for kind in kinds & set(MESSAGES):
                 data = encode(Envelope(7, "host-1", MESSAGES.get(kind)()))
@@ -70,8 +77,8 @@
 
     def test_messages_of_released_builds_are_read(self):
         """Guards against a field that a process of an older build does not send."""
-        for number, path in enumerate(RELEASED):
-            schema = load_schema(path.read_text(), 10 + number)
+        for path in RELEASED:
+            schema = load_schema(path.read_text())
             kinds = {name for name, _, _ in struct_fields(path.read_text())["Envelope"]}
             for kind in kinds & set(MESSAGES):
                 message = schema.Envelope.new_message(callId=7, sender="host-1")
@@ -81,8 +88,8 @@
 
     def test_released_builds_take_all_objects_in_the_reply(self):
         """Guards against kinds that are deferred to a host that never fetches them."""
-        for number, path in enumerate(RELEASED):
-            schema = load_schema(path.read_text(), 20 + number)
+        for path in RELEASED:
+            schema = load_schema(path.read_text())
             message = schema.Envelope.new_message(callId=7, sender="host-1")
             message.init("domainSync").hostId = "host-1"
             request = decode(message.to_bytes_packed()).body
@@ -95,8 +102,8 @@
             store_age_ms=5.0, deferred=[ObjectVersion(key="config", version=3)]
         )
         data = encode(Envelope(7, "host-1", reply, is_reply=True))
-        for number, path in enumerate(RELEASED):
-            schema = load_schema(path.read_text(), 30 + number)
+        for path in RELEASED:
+            schema = load_schema(path.read_text())
             reader = schema.Envelope.from_bytes_packed(data)
             self.assertThat(reader.domainSyncReply.storeAgeMs, Equals(5.0))
             self.assertThat(reader.isReply, Equals(True))
