--- a/review/harness/servers.py
+++ b/review/harness/servers.py
@@ -76,8 +76,9 @@
         self.fallen_s: list[float] = []
         self._waiting_count = 0
         self._free = asyncio.Condition()
-        # Decides what happens to a request before it runs; None runs it.
-        self.intercept: Callable[[Message], str] | None = None
+        # Whether this server crashes when it begins to write the answer.
+        self.crashes_on: Callable[[Message], bool] = lambda _: False
+        self.crashed_s: list[float] = []
         self._born_ms = int(time.time() * 1000)
         self._sequence = 0
         self._server: asyncio.Server | None = None
@@ -117,12 +118,13 @@
             reset(writer)
 
     async def come_back(self) -> None:
-        """Start again some seconds after each fall."""
+        """Start again some seconds after each fall or crash."""
         risen_count = 0
         while True:
             await asyncio.sleep(0.1)
-            if len(self.fallen_s) > risen_count:
-                risen_count = len(self.fallen_s)
+            down_count = len(self.fallen_s) + len(self.crashed_s)
+            if down_count > risen_count:
+                risen_count = down_count
                 await asyncio.sleep(FALL_S)
                 await self.restart()
 
@@ -177,9 +179,6 @@
             return await self._refuse(
                 writer, "503 Service Unavailable", {"X-Not-Executed": "1"}
             )
-        if self.intercept is not None and self.intercept(request) == "crash":
-            self.crash()
-            return False
         async with self._free:
             self._waiting_count += 1
             try:
@@ -197,10 +196,9 @@
                 return False
             return work.result()
         finally:
-            if not left.done():
-                left.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await left
+            left.cancel()
+            with contextlib.suppress(asyncio.CancelledError, ConnectionError):
+                await left
             self.running_count -= 1
             run.ended_s = time.monotonic()
             async with self._free:
@@ -233,6 +231,10 @@
         self, run: Run, request: Message, writer: asyncio.StreamWriter
     ) -> bool:
         await asyncio.sleep(self.work_s)
+        if self.crashes_on(request):
+            self.crashed_s.append(time.monotonic())
+            self.crash()
+            return False
         headers = {
             "X-Request-Id": run.request_id,
             "X-Server-Stamp": f"{self.server_id}.{len(self.runs)}",
