--- a/review/harness/fronts.py
+++ b/review/harness/fronts.py
@@ -39,7 +39,9 @@
     "ReuseWindowS": 10,
     "SessionS": 5,
 }
+# Zones of the machines, and all zones of the deployment.
 ZONES = ["za", "zb"]
+ALL_ZONES = [*ZONES, "zc", "zd"]
 
 
 def free_network() -> str:
@@ -85,7 +87,7 @@
             "Ip": self.ip,
             "Zone": self.zone,
             "Region": "region",
-            "Zones": dict.fromkeys(ZONES, "region"),
+            "Zones": dict.fromkeys(ALL_ZONES, "region"),
             "Listen": {
                 "Front": self.front_address,
                 "Ready": self.ready_address,
@@ -147,8 +149,12 @@
         if self.process is not None:
             await self.process.wait()
 
-    async def stop(self) -> None:
-        """Kill the process if it runs and wait for its end."""
+    def kill(self) -> None:
+        """Kill the process if it runs."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
+
+    async def stop(self) -> None:
+        """Kill the process if it runs and wait for its end."""
+        self.kill()
         await self.wait()
--- a/review/harness/servers.py
+++ b/review/harness/servers.py
@@ -76,6 +76,8 @@
         self.fallen_s: list[float] = []
         self._waiting_count = 0
         self._free = asyncio.Condition()
+        # Models that requests may name; none for any.
+        self.models: tuple[str, ...] = ()
         # Whether this server crashes when it begins to write the answer.
         self.crashes_on: Callable[[Message], bool] = lambda _: False
         self.crashed_s: list[float] = []
@@ -102,6 +104,9 @@
             "ColdRemainingMs": 0,
             "Sequence": self._sequence,
             "born": self._born_ms,
+            "Models": [
+                {"Name": name, "Version": 1, "Adapters": []} for name in self.models
+            ],
         }
 
     async def report(self, store: Store) -> None:
@@ -155,8 +160,10 @@
     ) -> bool:
         request_id = request.headers.get("x-request-id", "")
         expected = request.headers.get("x-expect-instance", self.server_id)
-        if expected != self.server_id:
-            return await self._refuse(writer, "421 Misdirected Request", {})
+        model = request.headers.get("x-model", "")
+        if expected != self.server_id or (self.models and model not in self.models):
+            identity = {"X-Instance-Id": self.server_id}
+            return await self._refuse(writer, "421 Misdirected Request", identity)
         run = Run(
             request_id,
             self.server_id,
