Go on from late answers of the store's watch instead of asking again (CONFIG)

Cause: an answer that comes later than the watch waits was taken for one from before a pause and dropped without advancing the revision. What makes one answer late, such as the time to read it, makes the next one late too, so the watch never went on. Ruled out: the time of the transfer, which was subtracted already.

Change: a late answer is applied and its revision taken, since the changes hold; it confirms nothing about the time after the call started, and a short watch follows. A watch's answer that is older than what other hosts relayed meanwhile is dropped, on the same path.

--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -203,6 +203,7 @@
         )
         wait_s = self._settings.retry_min_s if wait_briefly else self.timing.wait_s
         started_s = self._clock.boot_s()
+        started_monotonic_s = self._clock.monotonic_s()
         changes = await self._link.run_until_interrupted(
             self._store.watch(
                 self.kind,
@@ -213,10 +214,9 @@
         )
         transfer_s = changes.transfer_s if changes is not None else 0.0
         waited_s = self._clock.boot_s() - started_s - transfer_s
-        if waited_s > wait_s + self._settings.watch_margin_s:
-            # This process was paused; the answer may be as old as the pause.
-            changes = None
-        self._interrupted = self._probing and changes is None
+        # This process may have been paused, so that the answer is as old as the pause.
+        late = waited_s > wait_s + self._settings.watch_margin_s
+        self._interrupted = self._probing and (late or changes is None)
         if changes is None:
             return
         if changes.history_lost or changes.era != self.era:
@@ -236,11 +236,17 @@
             # The other kinds' watches may also wait for changes that the store dropped.
             self._link.interrupt()
             return
-        self._on_answer(changes)
+        if changes.revision < self.revision:
+            # Another host relayed these changes and later ones meanwhile.
+            return
+        if late:
+            self._on_late_answer(changes, started_s=started_monotonic_s)
+        else:
+            self._on_answer(changes)
         if changes.entries:
             self._record_changes(changes.entries)
             self._sink.change(changes.entries)
-            if self.timing.gather_s:
+            if self.timing.gather_s and not late:
                 self.complete_as_of_s = self.last_answer_s
                 await asyncio.sleep(self.timing.gather_s)
 
@@ -283,6 +289,24 @@
         if self.failing:
             self.failing_since_s = float("inf")
             log.info("store_regained", kind=self.kind, revision=self.revision)
+        self._log_unreadable(changes)
+
+    def _on_late_answer(self, changes: EntryBatch, *, started_s: float) -> None:
+        """Go on from an answer that shows only what held when the call started.
+
+        It must not be asked for again: what made it late may make the next one late.
+        """
+        self.revision = changes.revision
+        self.complete_as_of_s = started_s
+        log.warning(
+            "store_answer_late",
+            kind=self.kind,
+            revision=self.revision,
+            count=len(changes.entries),
+        )
+        self._log_unreadable(changes)
+
+    def _log_unreadable(self, changes: EntryBatch) -> None:
         if changes.unreadable_count:
             log.warning(
                 "store_entries_unreadable",
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -1,6 +1,7 @@
 """Tests of front processes that were paused for seconds."""
 
 import asyncio
+from dataclasses import replace
 
 from testtools.matchers import Equals, HasLength, LessThan
 from tornado.testing import gen_test
@@ -101,6 +102,58 @@
         self.assertThat(front.store_link.probe_answered_s, LessThan(resumed_s - 1.0))
         await eventually(lambda: front.pause_guard.confirmed, limit_s=0.5)
 
+    @gen_test(timeout=60)
+    async def test_changes_are_followed_though_each_answer_is_late(self):
+        """Guards against a watch that drops late answers and asks for them again."""
+        front = await self.start_front()
+        watch = front.store.watch
+
+        async def watch_with_late_answer(*args, **options):
+            changes = await watch(*args, **options)
+            if changes.entries:
+                self.pause_process()
+            return changes
+
+        front.store.watch = watch_with_late_answer
+        self.add_endpoint("late", PLAIN_SERVICE, event_count=0)
+        await eventually(lambda: "late" in front.view.endpoints, limit_s=60.0)
+        self.store.remove("servers", "late")
+        await eventually(
+            lambda: front.view.endpoints["late"].gone_at_s is not None, limit_s=60.0
+        )
+
+    @gen_test(timeout=60)
+    async def test_answer_older_than_what_was_relayed_is_dropped(self):
+        """Guards against a late answer that takes back what is known by then."""
+        front = await self.start_front()
+        follower = front.domain_exchange._followers["servers"]
+        watch = front.store.watch
+
+        change = follower._sink.change
+        applied = []
+
+        def record_change(entries):
+            applied.extend(entry.deleted for entry in entries)
+            change(entries)
+
+        async def watch_beside_a_relay(kind, **options):
+            changes = await watch(kind, **options)
+            if kind == "servers" and len(changes.entries) == 1:
+                self.store.remove("servers", "old")
+                removal = replace(
+                    changes.entries[0], revision=self.store.revision, deleted=True
+                )
+                follower.apply_relayed([removal], self.store.revision)
+            return changes
+
+        follower._sink.change = record_change
+        front.store.watch = watch_beside_a_relay
+        self.add_endpoint("old", PLAIN_SERVICE, event_count=0)
+        await self.pause(8.0)
+        self.assertThat(applied, Equals([True]))
+        self.assertThat(follower.revision, Equals(self.store.revision))
+        self.assertNotIn("old", follower.entries)
+
     @gen_test(timeout=60)
     async def test_pause_while_the_store_is_away_delays_requests_briefly(self):
         """Guards against a host that refuses requests since the store is away."""
