Keep endpoints in use that refuse a request for its model (CONFIG)

Cause: any answer with status 421 counted as a sign that another endpoint has the address. The endpoint was marked as gone until its entry changed, and the request was sent to three more. Ruled out: health and ejection, which the selection overrides when no endpoint is left.

Change: a 421 says who answered (X-Instance-Id). The expected endpoint itself refuses what the request asks for and stays in use; another one has the address, which is avoided for ten seconds or until the entry names another address. A model that the route does not list is refused with 421 at once; one that two endpoints refuse is refused after the second, so that one caller does not use up the retry budget. A host that hands a request over passes such a refusal on only if the request ran nowhere. The log line attempt_refused names who answered.

--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -72,6 +72,8 @@
         self.endpoint = endpoint
         self.model = model
         self.status = 0
+        # Whether the expected endpoint refused the request because of what it asks.
+        self.unsuited = False
         self.metadata = AnswerMetadata()
         self._runner = runner
         self._limits = limits
@@ -197,19 +199,37 @@
             self.request.run_count -= 1
             self.request.not_run_count += 1
             if self.metadata.misdirected:
-                # Another endpoint has this address, so this one no longer exists.
-                self._runner.view.remove_misdirected(self.endpoint)
+                self._judge_misdirection()
             log.info(
                 "attempt_refused",
                 request_id=self.request.request_id,
                 endpoint=self.endpoint.endpoint_id,
                 status=self.status,
-                model=self.model,
+                model=self.model or self.request.metadata.model,
+                answered_by=self.metadata.answered_by,
+                unsuited=self.unsuited,
                 in_flight=self.endpoint.in_flight_count,
                 others_in_flight=self.endpoint.other_in_flight_count,
                 slots=self.endpoint.entry.slot_count,
             )
 
+    def _judge_misdirection(self) -> None:
+        """Tell an address that another endpoint has from an unsuited request.
+
+        A request that names a model which the endpoint does not run is refused with the
+        same status. It says nothing about the endpoint.
+        """
+        answered_by = self.metadata.answered_by
+        names_model = bool(self.model) or self.request.metadata.names_model
+        if answered_by == self.endpoint.endpoint_id:
+            self.unsuited = True
+            self.request.unsuited_count += 1
+        elif answered_by or not names_model:
+            self._runner.view.note_misdirected(self.endpoint)
+        else:
+            # Either is possible, so other endpoints are preferred for a while.
+            self.endpoint.health.failed()
+
     def _record_unreachable(self) -> None:
         """Record that the endpoint accepted no connection."""
         self.endpoint.health.unreachable()
--- a/src/sesameknot/forwarding/error_answer.py
+++ b/src/sesameknot/forwarding/error_answer.py
@@ -6,6 +6,7 @@
 from sesameknot.errors import RouterError
 
 NOT_RUN_STATUS = 503
+UNSUITED_STATUS = 421
 UNKNOWN_OUTCOME_STATUS = 502
 TIMEOUT_STATUS = 504
 # Relative jitter, so that callers rejected at the same moment do not retry together.
@@ -71,6 +72,14 @@
     )
 
 
+def unsuited_answer() -> ErrorAnswer:
+    """Return the answer to a request for a model that its route does not have.
+
+    It promises that the request has not run; a retry would be refused as well.
+    """
+    return ErrorAnswer(status=UNSUITED_STATUS, reason="no such model on this route")
+
+
 def unknown_outcome_answer(reason: str) -> ErrorAnswer:
     """Return the answer to a request that may have run."""
     return ErrorAnswer(status=UNKNOWN_OUTCOME_STATUS, reason=reason)
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -18,6 +18,7 @@
     RequestEndedError,
     not_run_answer,
     timeout_answer,
+    unsuited_answer,
 )
 from sesameknot.forwarding.peer_handover import PeerHandover
 from sesameknot.forwarding.plain import PlainForwarder
@@ -289,6 +290,8 @@
             raise RequestEndedError(
                 ErrorAnswer(status=UNAUTHORIZED_STATUS, reason="unknown key")
             )
+        if route.models and metadata.model and metadata.model not in route.models:
+            raise RequestEndedError(unsuited_answer())
         time_limit_s = _time_limit_s(route, metadata)
         if not self._drain.accepts(arrived_s + time_limit_s):
             raise RequestEndedError(
--- a/src/sesameknot/forwarding/peer_handover.py
+++ b/src/sesameknot/forwarding/peer_handover.py
@@ -16,6 +16,7 @@
     RequestEndedError,
     not_run_answer,
     unknown_outcome_answer,
+    unsuited_answer,
 )
 from sesameknot.forwarding.events import EventSplitter
 from sesameknot.forwarding.request import ForwardedRequest
@@ -275,6 +276,14 @@
             raise _NotTakenError(f"answered {status}", peer=host.host_id)
         if not metadata.receipt and status in REFUSED_STATUSES:
             raise self._refusal_of(host, request, metadata)
+        if not metadata.receipt and metadata.misdirected:
+            request.run_count -= 1
+            reason = f"unsuited, says {host.host_id}"
+            raise RequestEndedError(
+                unknown_outcome_answer(reason)
+                if request.run_count
+                else unsuited_answer()
+            )
         if metadata.request_id and metadata.request_id != request.request_id:
             raise TransportError(
                 f"answer to request {metadata.request_id!r}",
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -56,6 +56,8 @@
         Attempts that an endpoint may have run.
     not_run_count : int
         Attempts that an endpoint declared as not run.
+    unsuited_count : int
+        Those of them by endpoints that do not run what the request asks for.
     connect_failure_count : int
         Attempts whose connection could not be opened.
     handed_over : bool
@@ -84,6 +86,7 @@
     tried_endpoint_ids: set[str] = field(default_factory=set)
     run_count: int = 0
     not_run_count: int = 0
+    unsuited_count: int = 0
     connect_failure_count: int = 0
     handed_over: bool = False
     prior_run_count: int = 0
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -15,6 +15,7 @@
     not_run_answer,
     timeout_answer,
     unknown_outcome_answer,
+    unsuited_answer,
 )
 from sesameknot.forwarding.per_service import PerService
 from sesameknot.forwarding.request import ForwardedRequest
@@ -33,6 +34,8 @@
 # The same for a request that an endpoint has begun, whose answer would be lost.
 REPEATED_PERMIT_WAIT_SHARE = 1.0
 PERMIT_WAIT_SHARE_OF_TIME_LEFT = 0.3
+# Endpoints that refuse what a request asks for before no other one is asked.
+UNSUITED_LIMIT_COUNT = 2
 # Wait that no endpoint with a limit is within.
 UNLIMITED_ONLY_WAIT_S = -1.0
 
@@ -146,6 +149,8 @@
     ) -> RequestEndedError:
         """Return the error that ends a request; it states whether it may have run."""
         time_left_s = request.time_left_s(self.clock.monotonic_s())
+        if request.run_count == 0 and self._is_unsuited(request):
+            return RequestEndedError(unsuited_answer())
         if request.run_count == 0:
             error_answer = not_run_answer(
                 reason,
@@ -159,6 +164,13 @@
             timeout_answer() if time_left_s <= 0.0 else unknown_outcome_answer(reason)
         )
 
+    def _is_unsuited(self, request: ForwardedRequest) -> bool:
+        """Return whether endpoints refused only what the caller asks for."""
+        # A model that this host chose may be in use at other endpoints.
+        if not request.metadata.model or not request.unsuited_count:
+            return False
+        return request.unsuited_count == request.not_run_count
+
     async def may_retry(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, error: RouterError
     ) -> bool:
@@ -218,6 +230,10 @@
         """Return whether to resend a request that an endpoint declared as not run."""
         if request.not_run_count > self.settings.not_run_resend_count:
             return False
+        if self._is_unsuited(request) and (
+            request.unsuited_count >= UNSUITED_LIMIT_COUNT
+        ):
+            return False
         if request.time_left_s(self.clock.monotonic_s()) <= 0.0:
             return False
         return self.spend_retry(request)
--- a/src/sesameknot/platform/_headers.py
+++ b/src/sesameknot/platform/_headers.py
@@ -23,6 +23,7 @@
 RECEIPT_HEADER = "X-Server-Stamp"
 NOT_RUN_HEADER = "X-Not-Executed"
 CONFIDENCE_HEADER = "X-Confidence"
+ANSWERED_BY_HEADER = "X-Instance-Id"
 # Runs of a request before another host handed it over.
 RUN_COUNT_HEADER = "Sesameknot-Run-Count"
 ANY_MODEL = "*"
@@ -84,6 +85,8 @@
         Time until the caller's deadline; None if not given.
     model : str
         Model that the caller requests; empty if the router chooses.
+    names_model : bool
+        Whether endpoints get the name of a model, be it the word for any model.
     prompt : tuple of PromptPart
         Parts of the prompt in order; the last one belongs to this request alone.
     prompt_token_count, output_token_limit_count : int
@@ -96,6 +99,7 @@
     api_key: str = ""
     time_left_ms: int | None = None
     model: str = ""
+    names_model: bool = False
     prompt: tuple[PromptPart, ...] = ()
     prompt_token_count: int = 0
     output_token_limit_count: int = 0
@@ -143,7 +147,10 @@
     not_run : bool
         Whether the endpoint states that it did not run the request.
     misdirected : bool
-        Whether the endpoint that answered is not the expected one.
+        Whether the endpoint states that the request is not for it: another one was
+        expected, or it does not run the model that the request names.
+    answered_by : str
+        Identifier of the endpoint that answered; empty if not given.
     confidence : float or None
         The model's confidence in its answer, from 0 to 100; None if not given.
     notices : EndpointNotices
@@ -154,6 +161,7 @@
     receipt: str = ""
     not_run: bool = False
     misdirected: bool = False
+    answered_by: str = ""
     confidence: float | None = None
     notices: EndpointNotices = field(default_factory=EndpointNotices)
 
@@ -167,6 +175,7 @@
         api_key=_parse_api_key(headers.get("Authorization", "")),
         time_left_ms=_parse_count(headers.get(DEADLINE_HEADER)),
         model="" if model == ANY_MODEL else model,
+        names_model=MODEL_HEADER in headers,
         prompt=_parse_prompt(headers.get(PROMPT_PREFIX_HEADER, "")),
         prompt_token_count=_parse_count(token_counts[0]) or 0,
         output_token_limit_count=(_parse_count(token_counts[1]) or 0)
@@ -252,6 +261,7 @@
         receipt=headers.get(RECEIPT_HEADER, ""),
         not_run=NOT_RUN_HEADER in headers or status == MISDIRECTED_STATUS,
         misdirected=status == MISDIRECTED_STATUS,
+        answered_by=headers.get(ANSWERED_BY_HEADER, ""),
         confidence=confidence,
         notices=parse_endpoint_notices(status, headers),
     )
--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -77,6 +77,11 @@
         Refusals per second that it bears, as its answers say; empty for any number.
     crash_silently : bool, default=False
         Whether a crash leaves open connections without an end.
+    models : tuple of str
+        Models that it runs; requests that name another one are refused as misdirected.
+        Empty for any.
+    identified : bool, default=True
+        Whether such refusals name the endpoint.
     """
 
     endpoint_id: str
@@ -100,6 +105,8 @@
     room_count: int | None = None
     brittle: str = ""
     crash_silently: bool = False
+    models: tuple[str, ...] = ()
+    identified: bool = True
     body: bytes = b"answer"
     runs: list[RecordedRun] = field(default_factory=list)
     refused_s: list[float] = field(default_factory=list)
@@ -126,8 +133,11 @@
             platform_headers.EXPECTED_ENDPOINT_HEADER, self.endpoint_id
         )
         try:
-            if expected != self.endpoint_id:
-                self._refuse_request(request, MISDIRECTED_STATUS)
+            if expected != self.endpoint_id or not self._runs_model_of(request):
+                identity = {platform_headers.ANSWERED_BY_HEADER: self.endpoint_id}
+                self._refuse_request(
+                    request, MISDIRECTED_STATUS, identity if self.identified else None
+                )
             elif self.not_run or not self._has_room:
                 self._refuse_request(
                     request, 503, {platform_headers.NOT_RUN_HEADER: "1"}
@@ -142,6 +152,10 @@
         except StreamClosedError:
             pass
 
+    def _runs_model_of(self, request: HTTPServerRequest) -> bool:
+        model = request.headers.get(platform_headers.MODEL_HEADER, "")
+        return not self.models or model in self.models
+
     @property
     def _has_room(self) -> bool:
         return self.room_count is None or self._running_count < self.room_count
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -25,6 +25,8 @@
 NEW_VERSION_DEFER_S = 4.0
 # A request that is sent within this share of the time for leaving arrives within it.
 LEAVE_SEND_SHARE = 0.8
+# Time after which a request shows again whether another endpoint has the address.
+MISDIRECTED_LIFE_S = 10.0
 # The entry of an endpoint whose address was reused may stay in the store for a while,
 # and one that was removed may come back with a copy of the store that is seconds old.
 GONE_RETENTION_S = 30.0
@@ -195,6 +197,8 @@
             self.endpoints[entry.endpoint_id] = endpoint
         doubted = self._contradicts_leaving(endpoint, entry)
         endpoint.doubted_until_s = self.rewritten_by_s if doubted else 0.0
+        if endpoint.entry.address != entry.address:
+            endpoint.misdirected_until_s = 0.0
         endpoint.entry = entry
         endpoint.gone_at_s = None
         endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
@@ -264,9 +268,9 @@
         endpoint.leaving_since_s = self.clock.monotonic_s()
         return True
 
-    def remove_misdirected(self, endpoint: KnownEndpoint) -> None:
-        """Record that another endpoint answers at this endpoint's address."""
-        endpoint.gone_at_s = self.clock.monotonic_s()
+    def note_misdirected(self, endpoint: KnownEndpoint) -> None:
+        """Record that another endpoint answers at this one's address for now."""
+        endpoint.misdirected_until_s = self.clock.monotonic_s() + MISDIRECTED_LIFE_S
 
     def forget_outdated(self) -> None:
         """Drop what is not needed any more."""
@@ -314,7 +318,7 @@
         if entry.domain in self.evacuated_domains:
             return False
         now_s = self.clock.monotonic_s()
-        if now_s < endpoint.doubted_until_s:
+        if now_s < max(endpoint.doubted_until_s, endpoint.misdirected_until_s):
             return False
         return endpoint.gone_at_s is None or now_s < endpoint.gone_at_s
 
@@ -383,10 +387,7 @@
     def _last_resort(
         self, service: str, versions: VersionFilter
     ) -> list[KnownEndpoint]:
-        """Return the endpoints that leave but still serve.
-
-        They are better than a refusal, and than an excluded version.
-        """
+        """Return endpoints that leave, which are better than an excluded version."""
         return [
             endpoint
             for endpoint in self.endpoints.values()
--- a/src/sesameknot/state/known_endpoint.py
+++ b/src/sesameknot/state/known_endpoint.py
@@ -29,6 +29,8 @@
         from a copy of the store that is older than its leaving.
     leaving_since_s : float or None
         Monotonic time at which an answer first said that the endpoint leaves.
+    misdirected_until_s : float
+        Monotonic time until which another endpoint is taken to have the address.
     paused_until_s : float
         Monotonic time until which the endpoint wants no request from this host.
     overload_limit_per_s : float or None
@@ -51,6 +53,7 @@
     deferred_until_s: float = 0.0
     doubted_until_s: float = 0.0
     leaving_since_s: float | None = None
+    misdirected_until_s: float = 0.0
     paused_until_s: float = 0.0
     overload_limit_per_s: float | None = None
     full_until_s: float = 0.0
