Bound what a host holds of streams without events, and of all answers (LOST)

Cause: comments before the first event were kept up to 256 KiB for each stream and copied with each part, until the deadline; above that, they were cut, which could swallow the first event. What streams hold counted against no limit of all answers, and each attempt buffered up to 256 KiB beside that. Ruled out: bodies that end with their connection, which the HTTP client reads in parts.

Change: more than 256 KiB without an event is an invalid answer, so that another endpoint is asked. What streams hold counts against the limit of all answers, as plain answers do; the first 32 KiB of each are free, so that faulty answers take no room from small ones. An attempt buffers 64 KiB.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -148,6 +148,7 @@
             answer_buffer=AnswerBuffer(
                 answer_limit_bytes=settings.attempts.answer_limit_bytes,
                 total_limit_bytes=settings.attempts.all_answers_limit_bytes,
+                free_bytes=settings.attempts.small_answer_bytes,
             ),
             permits=self._permits,
             reachability=self._reachability,
--- a/src/sesameknot/forwarding/events.py
+++ b/src/sesameknot/forwarding/events.py
@@ -45,6 +45,11 @@
         """Bytes after the last complete event."""
         return bytes(self._incomplete)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._incomplete)
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return all events that are now complete.
 
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -21,6 +21,7 @@
 from sesameknot.forwarding.sound_answer import SoundAnswerWatch
 from sesameknot.forwarding.stream_pace import StreamPace
 from sesameknot.platform import headers_for_caller
+from sesameknot.policy.answer_buffer import AnswerReservation
 from sesameknot.policy.confidence_cascade import CascadeStrategy
 from sesameknot.policy.pressure import PressureGauge
 from sesameknot.router.metrics import RouterMetrics
@@ -130,7 +131,8 @@
                     return False
                 pace = StreamPace(attempt)
                 try:
-                    await self._relay_events(state, attempt, caller, pace)
+                    with self._retry_policy.runner.answer_buffer.reservation() as held:
+                        await self._relay_events(state, attempt, caller, pace, held)
                 finally:
                     pace.ended(self._retry_policy.clock.monotonic_s())
                 return True
@@ -250,6 +252,7 @@
         attempt: Attempt,
         caller: CallerConnection,
         pace: StreamPace,
+        held: AnswerReservation,
     ) -> None:
         request = state.request
         clock = self._retry_policy.clock
@@ -264,7 +267,9 @@
                 if caller.head_sent and block:
                     await caller.send(block)
                 else:
-                    comments = (comments + block)[:EVENT_LIMIT_BYTES]
+                    comments += block
+                held_bytes = len(comments) + state.splitter.incomplete_bytes
+                self._check_held(attempt, held, held_bytes)
                 continue
             now_s = clock.monotonic_s()
             attempt.report_progress()
@@ -280,6 +285,8 @@
                 await caller.send_head(attempt.status, headers, data=comments + block)
             request.last_event_id = state.splitter.last_event_id
             last_event_s = now_s
+            comments = b""
+            held.hold(state.splitter.incomplete_bytes)
         if state.splitter.incomplete:
             raise attempt.broken_stream_error("stream ended inside an event")
         if attempt.ends_with_connection and not state.splitter.event_count:
@@ -296,6 +303,16 @@
         except EventTooLargeError as error:
             raise attempt.invalid_answer_error(error.message, step=error.step) from None
 
+    def _check_held(
+        self, attempt: Attempt, held: AnswerReservation, held_bytes: int
+    ) -> None:
+        """Check that what is held of a stream without an event stays within limits."""
+        if held_bytes > EVENT_LIMIT_BYTES:
+            reason = f"no event within {EVENT_LIMIT_BYTES} bytes"
+            raise attempt.invalid_answer_error(reason, step="event")
+        if not held.hold(held_bytes):
+            raise attempt.invalid_answer_error(held.reason, step="event")
+
     def _first_event_timeout_s(
         self, request: ForwardedRequest, endpoint: KnownEndpoint
     ) -> float:
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -78,10 +78,12 @@
     not_run_resend_count: PositiveCount = 3
     # Bytes within an event, or of a plain answer, that show that an endpoint works.
     progress_bytes: PositiveCount = 1024
-    # Plain answers are held in memory until they are complete: each one, and all of a
-    # host.
+    # Plain answers, and events of streams, are held in memory until they are complete:
+    # each one, and all of a host.
     answer_limit_bytes: PositiveCount = 8 * 1024 * 1024
     all_answers_limit_bytes: PositiveCount = 32 * 1024 * 1024
+    # Bytes of each answer that do not count for all of them.
+    small_answer_bytes: PositiveCount = 32 * 1024
 
 
 class RolloutPlanSettings(SettingsStruct):
--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -20,8 +20,9 @@
 )
 from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
 
-# Above this, reading from the endpoint pauses until the buffered body has been read.
-BUFFER_LIMIT_BYTES = 256 * 1024
+# Above this, reading from the endpoint pauses until the buffered body has been read. A
+# host runs hundreds of attempts at a time.
+BUFFER_LIMIT_BYTES = 64 * 1024
 # Informational responses have lower status codes and precede the answer.
 FINAL_STATUS = 200
 
--- a/tests/forwarding/test_endless_bytes.py
+++ b/tests/forwarding/test_endless_bytes.py
@@ -104,6 +104,22 @@
         """Guards against comments that keep a stream without events alive."""
         await self.check_stream(repeat(b": x\n\n", after=STREAM_HEAD, pause_s=PAUSE_S))
 
+    @gen_test(timeout=60)
+    async def test_large_comments_without_end(self):
+        """Guards against comments that are kept until the first event."""
+        comment = b": " + b"c" * (EVENT_LIMIT_BYTES // 4) + b"\n\n"
+        await self.check_stream(repeat(comment, after=STREAM_HEAD))
+
+    @gen_test(timeout=60)
+    async def test_comments_before_the_first_event_are_passed_on_whole(self):
+        """Guards against a comment that is cut and swallows the first event."""
+        comment = b": " + b"c" * (EVENT_LIMIT_BYTES // 2) + b"\n\n"
+
+        async def script(send):
+            await send(STREAM_HEAD + comment + event(1))
+
+        await self.check_sound(script, comment + event(1))
+
     @gen_test(timeout=60)
     async def test_byte_now_and_then(self):
         """Guards against a stalled stream that never ends, as bytes still come."""
@@ -213,6 +229,21 @@
 
 
 class AnswerBufferTest(TestCase):
+    def test_small_answers_have_room_beside_large_ones(self):
+        """Guards against sound answers that fail since faulty ones fill the limit."""
+        buffer = AnswerBuffer(
+            answer_limit_bytes=100, total_limit_bytes=20, free_bytes=10
+        )
+        with buffer.reservation() as large, buffer.reservation() as small:
+            self.assertTrue(large.hold(30))
+            self.assertThat(buffer.used_bytes, Equals(20))
+            self.assertTrue(small.add(10))
+            self.assertFalse(small.add(1))
+            self.assertTrue(large.hold(15))
+            self.assertThat(buffer.used_bytes, Equals(5))
+            self.assertTrue(small.add(1))
+        self.assertThat(buffer.used_bytes, Equals(0))
+
     def test_limits_of_one_answer_and_of_all(self):
         """Guards against many answers that fill the memory together."""
         buffer = AnswerBuffer(answer_limit_bytes=10, total_limit_bytes=15)
