--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 
 from absl import app, flags
 
+from soak._rollouts import RolloutCase, RolloutScenario
 from soak._scenario import Scenario
 
 SHOWN_VIOLATION_COUNT = 8
@@ -15,11 +16,25 @@
 _SEEDS = flags.DEFINE_list("seeds", [], "Seeds to run.")
 _COUNT = flags.DEFINE_integer("count", 0, "Fresh seeds to run.", lower_bound=0)
 _DURATION_S = flags.DEFINE_float("duration_s", 12.0, "Fault time of each seed, in s.")
+_ROLLOUTS = flags.DEFINE_boolean(
+    "rollouts", False, "Play a roll-out of a bad or good version for each seed."
+)
 _KEEP_DIRECTORY = flags.DEFINE_string(
     "keep", "", "Directory in which settings and logs of each seed are kept."
 )
 
 
+async def _run_rollout(seed: int, directory: Path) -> list[str]:
+    scenario = RolloutScenario(RolloutCase.draw(seed), directory)
+    await scenario.run()
+    print(
+        f"seed {seed}: {scenario.case}, {scenario.served_count} served, "
+        f"{scenario.state}",
+        flush=True,
+    )
+    return scenario.violations
+
+
 async def _run_seed(seed: int, directory: Path) -> list[str]:
     scenario = Scenario(seed, directory)
     try:
@@ -48,7 +63,8 @@
         with tempfile.TemporaryDirectory() as temporary:
             directory = Path(_KEEP_DIRECTORY.value or temporary) / f"seed-{seed}"
             directory.mkdir(parents=True, exist_ok=True)
-            violations = asyncio.run(_run_seed(seed, directory))
+            play = _run_rollout if _ROLLOUTS.value else _run_seed
+            violations = asyncio.run(play(seed, directory))
         for violation in violations[:SHOWN_VIOLATION_COUNT]:
             print(f"seed {seed}: BROKEN: {violation}", flush=True)
         if len(violations) > SHOWN_VIOLATION_COUNT:
--- a/soak/_fronts.py
+++ b/soak/_fronts.py
@@ -110,7 +110,13 @@
             "InternalPorts": [self._handover_port, self._handover_port],
             "Seeds": seed_addresses,
             "Platform": {"Address": self.store_proxy.address},
-            "Bounds": {"GraceS": GRACE_S, "RetryBudgetRatio": 0.9, "BudgetSlack": 500},
+            "Bounds": {
+                "GraceS": GRACE_S,
+                "RetryBudgetRatio": 0.9,
+                "BudgetSlack": 500,
+                "ExposeShare": 0.15,
+                "ExposeSlack": 30,
+            },
         }
 
     def signal(self, signal_number: signal.Signals) -> None:
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -21,11 +21,13 @@
 )
 from soak._faults import FAULTS
 from soak._fronts import FrontProcess
+from soak._odd_input import send_odd_input
 from soak._proxy import Proxy
 
 FRONT_COUNT = 3
 CALLER_COUNT = 9
 EVENT_COUNT = 12
+MODELS = ("small", "large")
 REQUEST_TIMEOUT_MS = 3000
 START_LIMIT_S = 20.0
 RECOVERY_LIMIT_S = 12.0
@@ -58,6 +60,7 @@
 
     def __init__(self, random_state: int, directory: Path) -> None:
         self.random = random.Random(random_state)
+        self._seed = random_state
         self.store = FleetStore()
         self.endpoints: list[ProxiedEndpoint] = []
         self.fronts: list[FrontProcess] = []
@@ -126,6 +129,7 @@
             event_count=EVENT_COUNT if service == "advisor" else 0,
             event_gap_s=0.02,
             delay_s=0.01,
+            models=MODELS if service == "advisor" else (),
         )
         self.runs[standin.endpoint_id] = standin.runs
         proxy = Proxy(self._listen(standin.server()))
@@ -154,7 +158,14 @@
         """Write the next configuration, with or without the extra route."""
         self._configuration_version += self.random.randint(1, 5)
         routes = [
-            self._route("stream", "/advice/", "streaming", "advisor", Resumable=True),
+            self._route(
+                "stream",
+                "/advice/",
+                "streaming",
+                "advisor",
+                Resumable=True,
+                Sizes=list(MODELS),
+            ),
             self._route("unsafe", "/booking/", "unsafe", "dispatch"),
             self._route("safe", "/lookup/", "safe", "dispatch"),
         ]
@@ -238,6 +249,7 @@
             self._spawn(
                 self._send_requests(front, CallerConnection(front.caller_address))
             )
+        self._spawn(send_odd_input(self, self._seed))
         faults = []
         end_s = self.now_s() + duration_s
         while self.now_s() < end_s:
--- a/src/sesameknot/_front_rollouts.py
+++ b/src/sesameknot/_front_rollouts.py
@@ -1,6 +1,7 @@
 """Part of the composition root: builds the roll-outs of the front process."""
 
 from sesameknot.clock import Clock
+from sesameknot.coordination._order_timing import ExposureLimit
 from sesameknot.coordination.rollout_coordinator import RolloutCoordinator
 from sesameknot.platform import StoreClient
 from sesameknot.policy.timed_rollout import TimedRolloutPlan, TimedRolloutPolicy
@@ -38,6 +39,9 @@
         rollout_policy=policy,
         host_id=host.host_id,
         interval_s=plan.step_interval_s,
+        exposure_limit=ExposureLimit(
+            host.bounds.rollout_share, host.bounds.rollout_slack_count
+        ),
         clock=clock,
     )
 
--- a/src/sesameknot/coordination/rollout_coordinator.py
+++ b/src/sesameknot/coordination/rollout_coordinator.py
@@ -14,10 +14,13 @@
 import structlog
 
 from sesameknot.clock import Clock
+from sesameknot.coordination._order_timing import ExposureLimit, OrderTiming
+from sesameknot.coordination._route_counts import RouteCounts
 from sesameknot.errors import ConflictError, PlatformError, RouterError
 from sesameknot.platform import ROLLOUT_KIND, StoreClient, encode_rollout_progress
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.policy.rollout_statistics import VersionSample
+from sesameknot.policy.route_evidence import VersionPair
 from sesameknot.policy.stream_pace import PaceGroup, compare_paces
 from sesameknot.policy.timed_rollout import (
     RolloutAction,
@@ -36,39 +39,6 @@
 log = structlog.get_logger(__name__)
 
 
-class _OrderTiming:
-    """Monotonic times of one order as this host has seen it.
-
-    Attributes
-    ----------
-    target_version : str
-        Version that the order names.
-    started_s : float
-        Start of the roll-out, or the estimate of it.
-    first_seen_s : float
-        Time at which this host received the order.
-    share : float
-        Last share that the store reported.
-    share_changed_s : float
-        Time at which this host received that share.
-    """
-
-    __slots__ = (
-        "first_seen_s",
-        "share",
-        "share_changed_s",
-        "started_s",
-        "target_version",
-    )
-
-    def __init__(self, order: RolloutOrder, started_s: float, now_s: float) -> None:
-        self.target_version = order.target_version
-        self.started_s = started_s
-        self.first_seen_s = now_s
-        self.share = order.share
-        self.share_changed_s = now_s
-
-
 class RolloutCoordinator:
     """Task that advances open roll-outs on the host that ranks first.
 
@@ -88,6 +58,8 @@
         Name of this host.
     interval_s : float
         Time between two checks of the open roll-outs.
+    exposure_limit : ExposureLimit
+        Requests that a bad version may get.
     clock : Clock
         Source of time.
     """
@@ -102,8 +74,10 @@
         rollout_policy: TimedRolloutPolicy,
         host_id: str,
         interval_s: float,
+        exposure_limit: ExposureLimit,
         clock: Clock,
     ) -> None:
+        self._exposure_limit = exposure_limit
         self._view = view
         self._store = store
         self._peers = peers
@@ -112,7 +86,7 @@
         self._host_id = host_id
         self._interval_s = interval_s
         self._clock = clock
-        self._timings: dict[str, _OrderTiming] = {}
+        self._timings: dict[str, OrderTiming] = {}
 
     async def run(self) -> None:
         """Check and advance all open roll-outs until cancelled."""
@@ -185,7 +159,7 @@
         for service in set(self._timings) - still_open:
             del self._timings[service]
 
-    def _update_timing(self, order: RolloutOrder) -> _OrderTiming:
+    def _update_timing(self, order: RolloutOrder) -> OrderTiming:
         now_s = self._clock.monotonic_s()
         timing = self._timings.get(order.service)
         if timing is None or timing.target_version != order.target_version:
@@ -194,7 +168,10 @@
                 elapsed_s = (self._clock.wall_ms() - order.started_ms) / 1000.0
             # The start may be another host's wall time; wall clocks differ and jump.
             elapsed_s = min(order.duration_s, max(0.0, elapsed_s))
-            timing = _OrderTiming(order, now_s - elapsed_s, now_s)
+            timing = OrderTiming(order, now_s - elapsed_s, now_s)
+            if not order.share:
+                # Troubles of the stable version before the order are no measure.
+                self._attempt_counts.forget(order.service)
             self._timings[order.service] = timing
         if timing.share != order.share:
             timing.share = order.share
@@ -205,7 +182,7 @@
         if not await self._is_coordinator(order.service):
             return
         replies = await self._peer_stats()
-        new, stable = self._samples(order, replies)
+        pairs = self._samples(order, replies)
         timing = self._update_timing(order)
         self._adopt_earliest_start(order, timing, replies)
         now_s = self._clock.monotonic_s()
@@ -216,18 +193,27 @@
             time_since_raise_share=(now_s - timing.share_changed_s) / order.duration_s,
             target_endpoint_count=self._target_endpoint_count(order),
             step_share=self._interval_s / order.duration_s,
+            exposure_limit_share=self._exposure_limit.share_of(
+                timing.expected_request_count(
+                    _request_count(pairs[0]), now_s, duration_s=order.duration_s
+                )
+            ),
         )
         new_streams, stable_streams = self._stream_samples(order, replies)
         action, share = self._rollout_policy.next_action(
             progress,
-            new,
-            stable,
+            pairs,
             new_streams=new_streams,
             stable_streams=stable_streams,
         )
         if action is RolloutAction.WAIT:
+            if progress.elapsed_share >= 1.0 and not timing.undecided_logged:
+                timing.undecided_logged = True
+                self._log_undecided(order, pairs)
             return
         await self._write_progress(order, action, share, timing)
+        new, stable = pairs[0].new, pairs[0].stable
+        evidence = self._rollout_policy.evidence(pairs)
         log.info(
             "rollout_step",
             service=order.service,
@@ -239,6 +225,9 @@
             new_bad=new.error_count,
             stable_answers=stable.request_count,
             stable_bad=stable.error_count,
+            evidence=round(evidence.llr, 2),
+            route=evidence.route,
+            fault=evidence.fault,
             new_streams=new_streams.request_count,
             new_slow=new_streams.error_count,
             stable_streams=stable_streams.request_count,
@@ -246,12 +235,31 @@
             revision=order.revision,
         )
 
+    def _log_undecided(self, order: RolloutOrder, pairs: Sequence[VersionPair]) -> None:
+        evidence = self._rollout_policy.evidence(pairs)
+        log.warning(
+            "rollout_undecided",
+            service=order.service,
+            target=order.target_version,
+            share=order.share,
+            evidence=round(evidence.llr, 2),
+            route=evidence.route,
+            fault=evidence.fault,
+            answers={
+                f"{pair.fault} {pair.route or 'all'}": [
+                    pair.new.error_count,
+                    pair.new.request_count,
+                ]
+                for pair in pairs
+            },
+        )
+
     async def _write_progress(
         self,
         order: RolloutOrder,
         action: RolloutAction,
         share: float,
-        timing: _OrderTiming,
+        timing: OrderTiming,
     ) -> None:
         outcomes = {
             RolloutAction.FINISH: RolloutOutcome.SUCCEEDED,
@@ -307,19 +315,16 @@
 
     def _samples(
         self, order: RolloutOrder, replies: Sequence[StatsReply]
-    ) -> tuple[VersionSample, VersionSample]:
+    ) -> list[VersionPair]:
+        """Return the answers of both versions: of all routes, then of each route."""
         records = self._attempt_counts.records()
         for reply in replies:
             records += reply.versions
-        new = [0, 0]
-        stable = [0, 0]
+        counts = RouteCounts()
         for record in records:
-            if record.model != order.service:
-                continue
-            counts = new if record.version == order.target_version else stable
-            counts[0] += record.request_count
-            counts[1] += record.error_count
-        return VersionSample(new[0], new[1]), VersionSample(stable[0], stable[1])
+            if record.model == order.service:
+                counts.add(record, is_new=record.version == order.target_version)
+        return counts.pairs()
 
     def _stream_samples(
         self, order: RolloutOrder, replies: Sequence[StatsReply]
@@ -337,7 +342,7 @@
         return compare_paces(new, stable)
 
     def _adopt_earliest_start(
-        self, order: RolloutOrder, timing: _OrderTiming, replies: Sequence[StatsReply]
+        self, order: RolloutOrder, timing: OrderTiming, replies: Sequence[StatsReply]
     ) -> None:
         """Count the duration from the host that received the order first."""
         ages_ms = [
@@ -370,3 +375,7 @@
             and self._view.may_send(endpoint)
             for endpoint in self._view.endpoints.values()
         )
+
+
+def _request_count(pair: VersionPair) -> int:
+    return pair.new.request_count + pair.stable.request_count
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -333,16 +333,21 @@
             )
 
     def _record_version_result(self) -> None:
-        """Count the answer as good or bad for the endpoint's version."""
+        """Count the answer and its faults for the endpoint's version."""
         if self._result == "abandoned" or not self._sent or self.metadata.not_run:
             return
-        first_data_s = self._first_data_s or self._runner.clock.monotonic_s()
+        now_s = self._runner.clock.monotonic_s()
         target_s = self.request.route.latency_target_ms / 1000.0
-        slow = first_data_s - self._started_s > SLOW_SHARE_OF_TARGET * target_s
-        failed = self._result == "failed" or self.status >= SERVER_ERROR_STATUS
+        waited_s = (self._first_data_s or now_s) - self._started_s
         entry = self.endpoint.entry
         self._runner.attempt_counts.count_attempt(
-            entry.service, entry.version, bad=failed or slow
+            entry.service,
+            entry.version,
+            route=self.request.route.name,
+            failed=self._result == "failed" or self.status >= SERVER_ERROR_STATUS,
+            # Endpoints of a new version have just started, and are slow while cold.
+            slow=waited_s > SLOW_SHARE_OF_TARGET * target_s
+            and self.endpoint.cold_until_s <= now_s,
         )
 
     def count_stream(self, gap_s: float) -> None:
--- a/src/sesameknot/platform/_node_file.py
+++ b/src/sesameknot/platform/_node_file.py
@@ -31,6 +31,8 @@
     budget_window_s: float = 10.0
     # Share of a service's requests that a bad version may get during its roll-out.
     expose_share: float = 0.1
+    # Requests of a service that a bad version may get beyond that share.
+    expose_slack: float = 0.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     session_s: float = 5.0
@@ -96,6 +98,7 @@
         retry_slack_count=bounds.budget_slack,
         retry_window_s=bounds.budget_window_s,
         rollout_share=bounds.expose_share,
+        rollout_slack_count=bounds.expose_slack,
         cold_overage=bounds.cold_overage,
         cold_slack_count=bounds.cold_slack,
         session_gap_s=bounds.session_s,
--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -97,7 +97,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class VersionStats:
-    """Counters of a model version since the router started."""
+    """Counters of a model version since the router started.
+
+    ``route`` is empty for those of all routes together.
+    """
 
     team: str = ""
     model: str = ""
@@ -111,6 +114,8 @@
     cost_microunits: int = 0
     first_token_ms_sum: float = 0.0
     first_token_count: int = 0
+    route: str = ""
+    slow_count: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -78,6 +78,8 @@
   costMicrounits @9 :UInt64;
   firstTokenMsSum @10 :Float64;
   firstTokenCount @11 :UInt64;
+  route @12 :Text;
+  slowCount @13 :UInt64;
 }
 
 struct CrashCount {
--- a/src/sesameknot/settings/host.py
+++ b/src/sesameknot/settings/host.py
@@ -23,6 +23,8 @@
         Window over which the ratio is measured.
     rollout_share : float
         Limit on the share of a service's requests that a bad version may get.
+    rollout_slack_count : float
+        Requests that it may get in addition to that share.
     cold_overage : float
         Limit on the request rate of all hosts to a cold endpoint, as a multiple of
         its configured cold rate.
@@ -39,6 +41,7 @@
     retry_slack_count: float = 0.0
     retry_window_s: float = 10.0
     rollout_share: float = 0.1
+    rollout_slack_count: float = 0.0
     cold_overage: float = 1.0
     cold_slack_count: float = 0.0
     session_gap_s: float = 5.0
--- a/src/sesameknot/state/attempt_counts.py
+++ b/src/sesameknot/state/attempt_counts.py
@@ -1,29 +1,43 @@
-"""Counters of this host's attempts by service and version."""
+"""Counters of this host's attempts by service, version and route."""
 
 from collections import Counter
 
 from sesameknot.policy.stream_pace import pace_level
 from sesameknot.protocol.messages import PaceCount, VersionStats
 
-# An answer that takes longer than this share of the latency target counts as an error
-# of its version; usual answers take far less.
+# An answer that takes longer than this share of the latency target counts as slow;
+# usual answers take far less.
 SLOW_SHARE_OF_TARGET = 0.5
+# Routes of a version that are counted apart; the answers of further ones are summed.
+ROUTE_LIMIT_COUNT = 100
+OTHER_ROUTES = "other routes"
 
 
 class AttemptCounts:
-    """Counters of attempts, errors and stream paces since the process started."""
+    """Counters of attempts since the last order of a roll-out, and of stream paces."""
 
     __slots__ = ("_counts", "_paces")
 
     def __init__(self) -> None:
-        self._counts: dict[tuple[str, str], list[int]] = {}
+        self._counts: dict[tuple[str, str], dict[str, list[int]]] = {}
         self._paces: Counter[tuple[str, str, str, int]] = Counter()
 
-    def count_attempt(self, service: str, version: str, *, bad: bool) -> None:
-        """Count one attempt, which is an error of the version if ``bad``."""
-        counts = self._counts.setdefault((service, version), [0, 0])
+    def count_attempt(
+        self, service: str, version: str, *, route: str, failed: bool, slow: bool
+    ) -> None:
+        """Count one attempt, and whether its answer failed or came late."""
+        by_route = self._counts.setdefault((service, version), {})
+        if route not in by_route and len(by_route) >= ROUTE_LIMIT_COUNT:
+            route = OTHER_ROUTES
+        counts = by_route.setdefault(route, [0, 0, 0])
         counts[0] += 1
-        counts[1] += int(bad)
+        counts[1] += int(failed)
+        counts[2] += int(slow)
+
+    def forget(self, service: str) -> None:
+        """Drop the attempts of a service, whose versions are compared from now on."""
+        for key in [key for key in self._counts if key[0] == service]:
+            del self._counts[key]
 
     def count_stream(
         self, service: str, version: str, model: str, *, gap_s: float
@@ -50,8 +64,11 @@
             VersionStats(
                 model=service,
                 version=version,
+                route=route,
                 request_count=counts[0],
                 error_count=counts[1],
+                slow_count=counts[2],
             )
-            for (service, version), counts in self._counts.items()
+            for (service, version), by_route in self._counts.items()
+            for route, counts in by_route.items()
         ]
--- a/tests/coordination/test_rollout_coordinator.py
+++ b/tests/coordination/test_rollout_coordinator.py
@@ -6,6 +6,7 @@
 from tornado.testing import gen_test
 
 from sesameknot.clock import ManualClock
+from sesameknot.coordination._order_timing import ExposureLimit
 from sesameknot.coordination.rollout_coordinator import RolloutCoordinator
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.policy.timed_rollout import TimedRolloutPlan, TimedRolloutPolicy
@@ -65,6 +66,7 @@
             rollout_policy=TimedRolloutPolicy(plan),
             host_id=rendezvous_order(SERVICE, view.hosts)[0],
             interval_s=0.01,
+            exposure_limit=ExposureLimit(0.15, 30.0),
             clock=self.clock,
         )
         self.view = view
