End an attempt at a silent endpoint only for a retry that is sure to follow (LOST)

Looking for what a slow or failing version does to requests on kept connections, tests showed this: while no retry is left in the budget, a stream whose endpoint pauses for longer than the attempt's limit is broken off in its middle, and its connection is closed, though the endpoint goes on and time is left.

Cause: the attempt ended first and its retry was asked for afterwards. The budget, which many slow answers use up together, then refused it. Ruled out: routes that may not be repeated and last attempts, which wait to the deadline.

Change: at its limit an attempt takes the retry first; if there is none, or no other endpoint, it goes on to the deadline, the endpoint counts as failing, and attempt_overdue is logged once.

--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one endpoint, with its counters."""
 
+from collections.abc import Callable
 from types import TracebackType
 from typing import TYPE_CHECKING
 
@@ -56,6 +57,8 @@
         ID of the last event that the caller received; empty for a new stream.
     limits : CallLimits
         Time-outs of the attempt.
+    claim_retry : callable
+        Takes a retry that may follow the attempt; returns False if there is none.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         model: str,
         resume_after_event_id: str,
         limits: CallLimits,
+        claim_retry: Callable[[], bool],
     ) -> None:
         self.request = request
         self.endpoint = endpoint
@@ -77,6 +81,8 @@
         self.metadata = AnswerMetadata()
         self._runner = runner
         self._limits = limits
+        self._claim_retry = claim_retry
+        self._overdue = False
         self._resume_after_event_id = resume_after_event_id
         self._pending_token_count = 0
         self._sent = False
@@ -150,6 +156,17 @@
         self._sent_s = self._runner.clock.monotonic_s()
         self.request.count_run()
 
+    def may_give_up(self) -> bool:
+        """Return whether to end the attempt, whose endpoint is silent, for a retry."""
+        if self._claim_retry():
+            return True
+        if not self._overdue:
+            self._overdue = True
+            self.endpoint.health.failed()
+            request_id, endpoint_id = self.request.request_id, self.endpoint.endpoint_id
+            log.info("attempt_overdue", request_id=request_id, endpoint=endpoint_id)
+        return False
+
     def header_values(self) -> AttemptMetadata:
         """Return the values for the headers of the request to the endpoint."""
         time_left_s = self.request.time_left_s(self._runner.clock.monotonic_s())
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -1,5 +1,7 @@
 """Creation of attempts with their time-outs and the components that they share."""
 
+from collections.abc import Callable
+
 from sesameknot.clock import Clock
 from sesameknot.coordination.endpoint_permits import EndpointPermits
 from sesameknot.coordination.endpoint_slots import EndpointSlots
@@ -108,8 +110,12 @@
         resume_after_event_id: str = "",
         first_byte_timeout_s: float,
         progress_timeout_s: float,
+        claim_retry: Callable[[], bool],
     ) -> Attempt:
-        """Return an attempt with these time-outs, limited by the request's deadline."""
+        """Return an attempt with these time-outs, limited by the request's deadline.
+
+        It is given up before the deadline only if ``claim_retry`` returns True.
+        """
         time_left_s = max(0.001, request.time_left_s(self.clock.monotonic_s()))
         limits = CallLimits(
             connect_timeout_s=min(time_left_s, self.settings.connect_timeout_s),
@@ -125,6 +131,7 @@
             model=model,
             resume_after_event_id=resume_after_event_id,
             limits=limits,
+            claim_retry=claim_retry,
         )
 
     def release_slot(
@@ -161,5 +168,6 @@
                 body=request.body,
                 limits=attempt.limits,
                 before_send=attempt.before_send,
+                may_give_up=attempt.may_give_up,
             )
         )
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -1,5 +1,7 @@
 """Forwarding of requests whose answer is a single body."""
 
+from functools import partial
+
 from sesameknot.errors import TransportError
 from sesameknot.forwarding.attempt import (
     SERVER_ERROR_STATUS,
@@ -47,6 +49,9 @@
                     endpoint,
                     first_byte_timeout_s=answer_timeout_s,
                     progress_timeout_s=answer_timeout_s,
+                    claim_retry=partial(
+                        self._retry_policy.claim_retry, request, endpoint
+                    ),
                 ) as attempt:
                     await attempt.read_head()
                     body = await attempt.read_all()
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -60,6 +60,8 @@
         Those of them by endpoints that do not run what the request asks for.
     connect_failure_count : int
         Attempts whose connection could not be opened.
+    retry_claimed : bool
+        Whether a retry was taken for an attempt that is given up.
     handed_over : bool
         Whether another host handed the request over, which is not done again.
     prior_run_count : int
@@ -88,6 +90,7 @@
     not_run_count: int = 0
     unsuited_count: int = 0
     connect_failure_count: int = 0
+    retry_claimed: bool = False
     handed_over: bool = False
     prior_run_count: int = 0
     last_event_id: str = ""
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -188,8 +188,26 @@
             return request.connect_failure_count < CONNECT_FAILURE_LIMIT_COUNT
         if not request.route.repeatable or not request.has_attempts_left:
             return False
+        if request.retry_claimed:
+            request.retry_claimed = False
+            return True
         return self.spend_retry(request)
 
+    def claim_retry(self, request: ForwardedRequest, endpoint: KnownEndpoint) -> bool:
+        """Take a retry for an attempt whose endpoint is silent.
+
+        A silent endpoint may be sound and slow. To end its answer without a retry would
+        fail a request that may still be answered in time.
+        """
+        if not request.route.repeatable or not request.has_attempts_left:
+            return False
+        if not self.selector.has_alternative(request, endpoint):
+            return False
+        request.retry_claimed = self.retry_available(request) and (
+            self.spend_retry(request)
+        )
+        return request.retry_claimed
+
     def _others_may_serve(self, request: ForwardedRequest) -> bool:
         """Return whether this host reaches no endpoint, but another one may."""
         view = self.runner.view
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -1,5 +1,7 @@
 """Forwarding of streamed requests: model cascade, event relay and resumption."""
 
+from functools import partial
+
 import structlog
 
 from sesameknot.errors import TransportError
@@ -123,6 +125,7 @@
                 resume_after_event_id=state.splitter.last_event_id,
                 first_byte_timeout_s=self._first_event_timeout_s(request, endpoint),
                 progress_timeout_s=self._event_gap_timeout_s(request, endpoint),
+                claim_retry=partial(self._retry_policy.claim_retry, request, endpoint),
             ) as attempt:
                 await attempt.read_head()
                 if attempt.status >= SUCCESS_STATUS_LIMIT:
--- a/src/sesameknot/transport/_endpoint_call.py
+++ b/src/sesameknot/transport/_endpoint_call.py
@@ -55,6 +55,9 @@
     before_send : callable or None, default=None
         Called when the connection is open, before the first byte is written; an
         error that it raises ends the attempt and is raised by the call.
+    may_give_up : callable or None, default=None
+        Called when a time limit other than the deadline has passed; the attempt goes on
+        while it returns False.
     """
 
     url: str
@@ -64,6 +67,7 @@
     body: bytes | None = None
     limits: CallLimits = field(default_factory=CallLimits)
     before_send: Callable[[], None] | None = None
+    may_give_up: Callable[[], bool] | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -23,6 +23,8 @@
 # Above this, reading from the endpoint pauses until the buffered body has been read. A
 # host runs hundreds of attempts at a time.
 BUFFER_LIMIT_BYTES = 64 * 1024
+# Time after which an attempt that may not be given up is checked again.
+RECHECK_S = 0.25
 # Informational responses have lower status codes and precede the answer.
 FINAL_STATUS = 200
 
@@ -182,10 +184,22 @@
             )
             return
         self._deadline_timer = None
+        if not self._may_give_up(now_s):
+            self._deadline_timer = self._loop.call_later(
+                RECHECK_S, self._check_deadlines
+            )
+            return
         self._set_error(error)
         self.connection.abandon()
         self._wake_reader()
 
+    def _may_give_up(self, now_s: float) -> bool:
+        may_give_up = self.call.may_give_up
+        if may_give_up is None or not self.connection.may_have_sent:
+            return True
+        past_deadline = now_s >= self._started_s + self._limits.deadline_s
+        return past_deadline or may_give_up()
+
     def _next_deadline(self) -> tuple[float, RouterError]:
         limits = self._limits
         attempt_due_s = self._started_s + limits.deadline_s
