Bound the time and numbers of the roll-out test, and keep its task after a fault

Found by reading the diff: the sums of the exact test and of the missed rise overflowed from some hundred failures on (an integer too large for a float), which would have ended the coordinator's task, and ran over all failures of 100 routes. The terms are now logarithms, a sum ends where its terms no longer matter, and a count that is no higher than expected needs none. The task logs an unexpected error in one order and goes on; the review suspects a KeyError there.

Measured: 100 routes of 450,000 answers are judged within the test; the results equal those of small tables worked out by hand.

--- a/src/sesameknot/coordination/rollout_coordinator.py
+++ b/src/sesameknot/coordination/rollout_coordinator.py
@@ -107,6 +107,9 @@
                         step=error.step,
                         reason=error.message,
                     )
+                except Exception:
+                    # An error in one order must not end the task for the others.
+                    log.exception("rollout_step_failed", service=order.service)
 
     def order_ages(self) -> list[OrderAge]:
         """Return the time since this host received each open order.
--- a/src/sesameknot/policy/route_evidence.py
+++ b/src/sesameknot/policy/route_evidence.py
@@ -14,6 +14,8 @@
 # Ratios of the new version's share of bad answers to the stable one's. Between two of
 # them, the evidence for the nearer one is almost as strong as that for the true ratio.
 RISK_RATIOS = (1.5, 2.0, 4.0, 8.0, 16.0, 32.0)
+# Part of a sum of falling terms below which a term no longer matters.
+NEGLIGIBLE_PART = 1e-9
 
 
 class Fault(StrEnum):
@@ -91,18 +93,29 @@
     new, stable = pair.new, pair.stable
     errors = new.error_count + stable.error_count
     requests = new.request_count + stable.request_count
-    most = min(errors, new.request_count)
-    return sum(
-        math.exp(
-            _log_comb(new.request_count, count)
-            + _log_comb(stable.request_count, errors - count)
-            - _log_comb(requests, errors)
-        )
-        for count in range(new.error_count, most + 1)
-        if errors - count <= stable.request_count
+    if new.error_count * requests <= errors * new.request_count:
+        # No more than expected, so the chance is large.
+        return 1.0
+    all_ways = _log_comb(requests, errors)
+    return _sum_falling(
+        _log_comb(new.request_count, count)
+        + _log_comb(stable.request_count, errors - count)
+        - all_ways
+        for count in range(new.error_count, min(errors, new.request_count) + 1)
     )
 
 
+def _sum_falling(log_terms: Iterable[float]) -> float:
+    """Return the sum of terms that fall, up to the first that no longer matters."""
+    total = 0.0
+    for log_term in log_terms:
+        term = math.exp(log_term)
+        total += term
+        if term <= NEGLIGIBLE_PART * total:
+            break
+    return total
+
+
 def _log_comb(total: int, chosen: int) -> float:
     """Return the logarithm of the number of ways to choose."""
     return (
@@ -124,12 +137,14 @@
     """
     new, stable = pair.new, pair.stable
     base = stable.error_count / stable.request_count if stable.request_count else 0.0
-    bad = min(1.0, base + rise)
-    return sum(
-        math.comb(new.request_count, count)
-        * bad**count
-        * (1.0 - bad) ** (new.request_count - count)
-        for count in range(new.error_count + 1)
+    bad = base + rise
+    if bad >= 1.0 or new.error_count >= new.request_count * bad:
+        return 1.0
+    return _sum_falling(
+        _log_comb(new.request_count, count)
+        + count * math.log(bad)
+        + (new.request_count - count) * math.log(1.0 - bad)
+        for count in range(new.error_count, -1, -1)
     )
 
 
--- a/tests/coordination/test_rollout_coordinator.py
+++ b/tests/coordination/test_rollout_coordinator.py
@@ -81,6 +81,22 @@
         started_ms = self.store.written[0]["StartedMs"]
         self.assertThat(started_ms, Equals(self.clock.wall_ms() - 3000))
 
+    @gen_test
+    async def test_fault_in_one_step_does_not_end_the_task(self):
+        """Guards against roll-outs that no host advances after an unexpected error."""
+        self.start(age_ms=0.0)
+        advance = self.coordinator._advance
+        faults = [KeyError("a host that is gone")]
+
+        async def advance_after_a_fault(order):
+            if faults:
+                raise faults.pop()
+            await advance(order)
+
+        self.coordinator._advance = advance_after_a_fault
+        await eventually(lambda: self.store.written, limit_s=2.0)
+        self.assertThat(faults, HasLength(0))
+
     @gen_test
     async def test_age_from_the_store_is_not_passed_on(self):
         """Guards against one wrong wall clock that ends roll-outs on all hosts."""
--- a/tests/policy/test_route_evidence.py
+++ b/tests/policy/test_route_evidence.py
@@ -93,6 +93,24 @@
         self.assertThat(misses_rise(pair((0, 0), (100, 5)), 0.3), Equals(1.0))
         self.assertThat(evidence_against([]).llr, LessThan(0.0))
 
+    def test_many_answers_are_judged_at_once(self):
+        """Guards against numbers that overflow, and decisions that take seconds."""
+        good = [pair((50_000, 1500), (400_000, 12_000), str(n)) for n in range(100)]
+        self.assertThat(chance_of_failures(good), Equals(1.0))
+        self.assertThat(misses_rise(good[0], 0.3), LessThan(1e-9))
+        bad = pair((50_000, 3000), (400_000, 12_000))
+        self.assertThat(chance_of_failures([bad]), LessThan(1e-9))
+        self.assertThat(misses_rise(pair((50_000, 20_000), (9, 0)), 0.3), Equals(1.0))
+
+    def test_chances_are_exact(self):
+        """Guards against sums that leave out terms that matter."""
+        tail = 5.0 * 4.0 / (9.0 * 8.0)
+        chance = chance_of_failures([pair((5, 2), (4, 0))])
+        self.assertThat(abs(chance - tail), LessThan(1e-9))
+        missed = misses_rise(pair((5, 1), (100, 0)), 0.3)
+        exact = 0.7**5 + 5 * 0.3 * 0.7**4
+        self.assertThat(abs(missed - exact), LessThan(1e-9))
+
     def test_chance_of_a_miss(self):
         """Guards against a version that passes with fewer answers than needed."""
         self.assertThat(misses_rise(pair((8, 0), (100, 0)), 0.3), GreaterThan(0.05))
