--- a/tests/system/test_mixed_builds.py
+++ b/tests/system/test_mixed_builds.py
@@ -25,7 +25,7 @@
 from tests.support import eventually
 
 # Releases that may run beside this build, as in docs/design.md, 10.7.
-RELEASED_COMMITS = ("6992407", "db93ffe")
+RELEASED_COMMITS = ("6992407", "db93ffe", "91d21a3")
 # Even numbers, so that all hosts are in one failure domain.
 HOST_NUMBERS = (0, 2, 4, 6)
 ROUTE_COUNT = 2000
