--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -15,7 +15,7 @@
 
 
 class SoakTest(LoopTestCase):
-    async def run_seeds(self, seeds):
+    async def run_seeds(self, seeds, *options):
         """Run the soak test and, if it fails, fail with its output."""
         process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -23,6 +23,7 @@
             "soak",
             f"--seeds={seeds}",
             f"--duration_s={DURATION_S}",
+            *options,
             cwd=ROOT,
             env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
             stdout=asyncio.subprocess.PIPE,
@@ -40,3 +41,8 @@
     async def test_seeds_of_overlapping_restarts(self):
         """Guards against concurrent restarts of one front and misjudged exit codes."""
         await self.run_seeds("2,18")
+
+    @gen_test(timeout=110)
+    async def test_bad_version_of_one_route_and_good_version(self):
+        """Guards against a bad version that is completed, or a good one that is not."""
+        await self.run_seeds("2,5", "--rollouts")
