--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,7 @@
 
 from absl import app, flags
 
-from soak._rollouts import RolloutCase, RolloutScenario
+from soak._rollouts import FRONT_COUNT, RolloutCase, RolloutScenario
 from soak._scenario import Scenario
 
 SHOWN_VIOLATION_COUNT = 8
@@ -19,13 +19,18 @@
 _ROLLOUTS = flags.DEFINE_boolean(
     "rollouts", False, "Play a roll-out of a bad or good version for each seed."
 )
+_FRONTS = flags.DEFINE_integer(
+    "fronts", FRONT_COUNT, "Front processes of a roll-out.", lower_bound=1
+)
 _KEEP_DIRECTORY = flags.DEFINE_string(
     "keep", "", "Directory in which settings and logs of each seed are kept."
 )
 
 
 async def _run_rollout(seed: int, directory: Path) -> list[str]:
-    scenario = RolloutScenario(RolloutCase.draw(seed), directory)
+    scenario = RolloutScenario(
+        RolloutCase.draw(seed), directory, front_count=_FRONTS.value
+    )
     await scenario.run()
     print(
         f"seed {seed}: {scenario.case}, {scenario.served_count} served, "
--- a/soak/_rollouts.py
+++ b/soak/_rollouts.py
@@ -21,7 +21,7 @@
 
 FRONT_COUNT = 6
 ENDPOINT_COUNT = 4
-CALLER_COUNT = 36
+CALLERS_PER_FRONT = 6
 # The routes get different parts of the load, so that one of them is rare.
 PATHS = ("/first/x", "/first/x", "/first/x", "/second/x", "/second/x", "/third/x")
 SERVICE = "dispatch"
@@ -66,10 +66,15 @@
         The version and its roll-out.
     directory : Path
         Directory for settings and logs.
+    front_count : int, default=FRONT_COUNT
+        Front processes.
     """
 
-    def __init__(self, case: RolloutCase, directory: Path) -> None:
+    def __init__(
+        self, case: RolloutCase, directory: Path, *, front_count: int = FRONT_COUNT
+    ) -> None:
         self.case = case
+        self.front_count = front_count
         self.violations: list[str] = []
         self.served_count = 0
         self.unanswered_count = 0
@@ -85,8 +90,9 @@
         async with self._exit_stack:
             await self._start()
             callers = [
-                asyncio.create_task(self._send_requests(self._fronts[n % FRONT_COUNT]))
-                for n in range(CALLER_COUNT)
+                asyncio.create_task(self._send_requests(front))
+                for front in self._fronts
+                for _ in range(CALLERS_PER_FRONT)
             ]
             await asyncio.sleep(CALM_S)
             ordered_s = self._order()
@@ -106,7 +112,7 @@
         self._store.put("config", "main", _configuration())
         store_address = self._listen(self._store.server())
         self._add_endpoints("v1")
-        for number in range(FRONT_COUNT):
+        for number in range(self.front_count):
             front = FrontProcess(number, store_address, self._directory)
             self._exit_stack.push_async_callback(front.close)
             await front.start([])
@@ -154,6 +160,9 @@
         return time.monotonic()
 
     async def _send_requests(self, front: FrontProcess) -> None:
+        # The load does not grow with the number of processes.
+        pause_s = self.case.pause_s * self.front_count / FRONT_COUNT
+        await asyncio.sleep(random.uniform(0.0, pause_s))
         connection = CallerConnection(front.caller_address)
         while True:
             number = next(self._numbers)
@@ -167,7 +176,7 @@
             )
             self.served_count += answer.status == 200 and answer.complete
             self.unanswered_count += not answer.complete
-            await asyncio.sleep(self.case.pause_s)
+            await asyncio.sleep(pause_s)
 
     def _runs(self, version: str | None = None) -> Iterator[RecordedRun]:
         for endpoint_version, endpoint in self._endpoints:
