Read on where a member's key is a list

Found by reading the diff: the check of a member's key in text that is almost JSON raised a TypeError for a list as key, which would have ended the answer, and brought the same one again. Measured: test_any_text_of_json_symbols_is_read_or_given_up, with this text as an example, fails on the commit before and passes now; random texts alone did not find it.

--- a/src/sesameknot/platform/_lenient_json.py
+++ b/src/sesameknot/platform/_lenient_json.py
@@ -101,7 +101,8 @@
         while True:
             await self._count_step()
             key = None if is_list else await self._key()
-            value = await self._value(0 if key in CONTENT_KEYS else level_count)
+            is_content = isinstance(key, str) and key in CONTENT_KEYS
+            value = await self._value(0 if is_content else level_count)
             if is_list:
                 items.append(value)
             elif isinstance(key, str):
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -7,7 +7,7 @@
 import tempfile
 
 import msgspec
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 from testtools.matchers import Equals, Is
@@ -87,6 +87,21 @@
         """Guards against errors on bytes that are not UTF-8 or not JSON."""
         asyncio.run(decode_json(data))
 
+    @example(text="{[1]: 1}")
+    @given(text=st.text(alphabet='[]{}",:1a\\ ', max_size=40))
+    def test_any_text_of_json_symbols_is_read_or_given_up(self, text):
+        """Guards against errors on text that is almost JSON, as a list as a key is."""
+        asyncio.run(decode_json(text.encode()))
+
+    @given(value=JSON)
+    def test_value_beside_an_unreadable_one_is_read(self, value):
+        """Guards against values that are changed because another can't be read."""
+        text = f'[{{"Spec": {json.dumps(value)}}}, {{"Spec": {"9" * 5000}}}]'
+        decoded = asyncio.run(decode_json(text.encode()))
+        # As text, since NaN does not equal itself.
+        expected = json.dumps([{"Spec": value}, {"Spec": None}])
+        self.assertThat(json.dumps(decoded), Equals(expected))
+
     def test_endpoint(self):
         """Guards against wire fields that are decoded into the wrong attribute."""
         spec = server_entry(
