--- a/src/sesameknot/coordination/fleet_sinks.py
+++ b/src/sesameknot/coordination/fleet_sinks.py
@@ -78,6 +78,7 @@
                 state=str(endpoint.state) if endpoint else "gone",
                 may_have_expired=may_have_expired,
                 cold_s=endpoint.cold_remaining_s if endpoint else None,
+                started_ms=endpoint.started_ms if endpoint else None,
                 version=endpoint.version if endpoint else None,
             )
 
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -122,6 +122,8 @@
             in_flight=chosen.in_flight_count,
             others_in_flight=chosen.other_in_flight_count,
             failure_share=round(chosen.health.failure_share, 3),
+            started_ms=chosen.entry.started_ms,
+            cold_s=round(self._cold_left_s(chosen), 3),
             limit_per_s=self._view.endpoint_limits.rate_per_s(chosen.incarnation_id),
             attempt=len(request.tried_endpoint_ids) + 1,
         )
@@ -200,7 +202,11 @@
         return max(NO_ENDPOINT_WAIT_S, LAPSE_GRACE_S - elapsed_s)
 
     def _is_cold(self, endpoint: KnownEndpoint) -> bool:
-        return self._clock.monotonic_s() < endpoint.cold_until_s
+        return self._cold_left_s(endpoint) > 0.0
+
+    def _cold_left_s(self, endpoint: KnownEndpoint) -> float:
+        """Return the time for which the endpoint counts as cold; 0 if it does not."""
+        return max(0.0, endpoint.cold_until_s - self._clock.monotonic_s())
 
     def _cold_rate_per_s(self, endpoint: KnownEndpoint) -> float:
         configuration = self._view.configuration
