--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -90,6 +90,8 @@
         Empty for any.
     identified : bool, default=True
         Whether such refusals name the endpoint.
+    started_s : list of float
+        Monotonic times at which it started again.
     """
 
     endpoint_id: str
@@ -123,6 +125,7 @@
     runs: list[RecordedRun] = field(default_factory=list)
     refused_s: list[float] = field(default_factory=list)
     fallen_s: list[float] = field(default_factory=list)
+    started_s: list[float] = field(default_factory=list)
     _running_count: int = 0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
     _server: HTTPServer | None = None
@@ -253,10 +256,22 @@
         if self.crash_after_head_s is not None:
             await self._write_head(request, self._answer_headers(request, run))
             await asyncio.sleep(self.crash_after_head_s)
+        await self.stop()
+
+    async def stop(self) -> None:
+        """End the process: refuse connections and close the open ones."""
+        for task in self._tasks:
+            task.cancel()
         self._server.stop()
         if not self.crash_silently:
             await self._server.close_all_connections()
 
+    def start_again(self, port: int) -> None:
+        """Start another process under the same identifier, on ``port``."""
+        self.started_s.append(asyncio.get_running_loop().time())
+        self._running_count = 0
+        self.server().listen(port, "127.0.0.1")
+
     def _answer_headers(
         self, request: HTTPServerRequest, run: RecordedRun
     ) -> HTTPHeaders:
