Move the probes of endpoints out of the crash detector

The next change needs to know which endpoints are down without a request that is suspected of a crash. The checks move to EndpointProbes as they are; nothing else changes.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -9,6 +9,7 @@
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.forwarding.attempt_runner import AttemptRunner
 from sesameknot.forwarding.crash_detector import CrashDetector
+from sesameknot.forwarding.endpoint_probes import EndpointProbes
 from sesameknot.forwarding.endpoint_selector import EndpointSelector
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.notice_observer import NoticeObserver
@@ -161,11 +162,12 @@
             metrics=self._metrics,
             clock=self._clock,
         )
+        probes = EndpointProbes(view=self._view, client=self._client)
+        self._stack.callback(probes.close)
         crash_detector = CrashDetector(
             crash_guard=self._crash_guard,
             part_guard=self._part_guard,
-            view=self._view,
-            client=self._client,
+            probes=probes,
             clock=self._clock,
         )
         self._stack.callback(crash_detector.close)
--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -1,7 +1,6 @@
 """Detection of requests and prompt parts that crash endpoints."""
 
 import asyncio
-import random
 from collections.abc import Coroutine
 from typing import Any
 
@@ -9,19 +8,12 @@
 
 from sesameknot.clock import Clock
 from sesameknot.errors import ConnectError, DeadlineError, RouterError, TransportError
+from sesameknot.forwarding.endpoint_probes import EndpointProbes
 from sesameknot.forwarding.request import AbandonedRun, ForwardedRequest
 from sesameknot.policy.crash_guard import CrashGuard, request_fingerprint
 from sesameknot.policy.prompt_part_guard import PromptPartGuard, part_fingerprint
-from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
-from sesameknot.transport.endpoint_client import EndpointClient
-
-# A running endpoint accepts a connection well within this time.
-PROBE_TIMEOUT_S = 0.2
-# A sound endpoint may neither answer nor accept connections for up to this time.
-SOUND_SILENCE_S = 1.5
-# Other endpoints that are asked for a connection before a crash is counted.
-LINK_CHECK_COUNT = 4
+
 # A request that crashes endpoints does so this soon after its run has begun.
 CRASH_DELAY_LIMIT_S = 0.5
 
@@ -37,9 +29,7 @@
         Crash counts by request, shared between hosts.
     part_guard : PromptPartGuard
         Crash counts by prompt part, shared between hosts.
-    view : FleetView
-        Other endpoints, by which this host checks its own link.
-    client : EndpointClient
+    probes : EndpointProbes
         Checks whether endpoints accept connections.
     clock : Clock
         Source of monotonic time.
@@ -50,17 +40,14 @@
         *,
         crash_guard: CrashGuard,
         part_guard: PromptPartGuard,
-        view: FleetView,
-        client: EndpointClient,
+        probes: EndpointProbes,
         clock: Clock,
     ) -> None:
         self._crash_guard = crash_guard
         self._part_guard = part_guard
         self._clock = clock
-        self._view = view
-        self._client = client
+        self._probes = probes
         self._checks: set[asyncio.Task[None]] = set()
-        self._probes: dict[str, asyncio.Future[bool]] = {}
 
     def refusal_reason(self, request: ForwardedRequest) -> str:
         """Return why the request must not run; empty if it may."""
@@ -92,7 +79,7 @@
             # The retry need not wait: a silent endpoint takes long to check.
             self._spawn(self._record_silent(request, endpoint, error.message))
             return
-        if not await self._is_down(endpoint):
+        if not await self._probes.is_down(endpoint):
             return
         self._record(request, endpoint, reason=error.message)
         await self._record_abandoned(request, request.abandoned_runs)
@@ -100,7 +87,7 @@
     async def _record_silent(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, reason: str
     ) -> None:
-        if await self._stays_down(endpoint):
+        if await self._probes.stays_down(endpoint):
             self._record(request, endpoint, reason=reason)
 
     def check_abandoned_runs(self, request: ForwardedRequest) -> None:
@@ -133,9 +120,9 @@
     ) -> None:
         downs = await asyncio.gather(
             *(
-                self._stays_down(run.endpoint)
+                self._probes.stays_down(run.endpoint)
                 if run.began_s is None
-                else self._is_down(run.endpoint)
+                else self._probes.is_down(run.endpoint)
                 for run in runs
             )
         )
@@ -161,77 +148,10 @@
             reason=reason,
         )
 
-    async def _stays_down(self, endpoint: KnownEndpoint) -> bool:
-        """Return whether a silent endpoint is down for longer than a sound one may be.
-
-        An endpoint that has crashed closes its connections; one that has not may be
-        silent for other reasons.
-        """
-        if not await self._is_down(endpoint):
-            return False
-        await asyncio.sleep(SOUND_SILENCE_S)
-        return await self._is_down(endpoint)
-
-    async def _is_down(self, endpoint: KnownEndpoint) -> bool:
-        """Return whether the endpoint accepts no connection, but others do.
-
-        If no endpoint accepts one, the link of this host is to blame.
-        """
-        if await self._accepts_connections(endpoint):
-            return False
-        others = self._sample_others(endpoint)
-        if not others:
-            return True
-        if any(await asyncio.gather(*map(self._accepts_connections, others))):
-            return True
-        log.info("crash_not_counted", endpoint=endpoint.endpoint_id, checks=len(others))
-        return False
-
-    def _sample_others(self, endpoint: KnownEndpoint) -> list[KnownEndpoint]:
-        """Return other endpoints, of several services if there are some."""
-        others = [
-            other
-            for other in self._view.endpoints.values()
-            if other is not endpoint and self._view.may_send(other)
-        ]
-        random.shuffle(others)
-        by_service = {other.entry.service: other for other in others}
-        rest = [other for other in others if other not in by_service.values()]
-        return [*by_service.values(), *rest][:LINK_CHECK_COUNT]
-
-    async def _accepts_connections(self, endpoint: KnownEndpoint) -> bool:
-        """Return whether the endpoint accepts a connection now.
-
-        Requests that end together at one endpoint share a check.
-        """
-        incarnation_id = endpoint.incarnation_id
-        probe = self._probes.get(incarnation_id)
-        if probe is None:
-            probe = asyncio.ensure_future(self._probe(endpoint))
-            self._probes[incarnation_id] = probe
-            probe.add_done_callback(lambda _: self._probes.pop(incarnation_id, None))
-        return await asyncio.shield(probe)
-
-    async def _probe(self, endpoint: KnownEndpoint) -> bool:
-        try:
-            await self._client.check_connection(
-                endpoint.entry.address, timeout_s=PROBE_TIMEOUT_S
-            )
-        except ConnectError as error:
-            log.info(
-                "endpoint_unreachable",
-                endpoint=endpoint.endpoint_id,
-                reason=error.message,
-            )
-            return False
-        return True
-
     def close(self) -> None:
         """Cancel pending checks."""
         for check in self._checks:
             check.cancel()
-        for probe in list(self._probes.values()):
-            probe.cancel()
 
 
 def _fingerprint(request: ForwardedRequest) -> int:
--- /dev/null
+++ b/src/sesameknot/forwarding/endpoint_probes.py
@@ -0,0 +1,107 @@
+"""Checks whether endpoints accept connections."""
+
+import asyncio
+import random
+
+import structlog
+
+from sesameknot.errors import ConnectError
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.state.known_endpoint import KnownEndpoint
+from sesameknot.transport.endpoint_client import EndpointClient
+
+# A running endpoint accepts a connection well within this time.
+PROBE_TIMEOUT_S = 0.2
+# A sound endpoint may neither answer nor accept connections for up to this time.
+SOUND_SILENCE_S = 1.5
+# Other endpoints that are asked for a connection before a crash is counted.
+LINK_CHECK_COUNT = 4
+
+log = structlog.get_logger(__name__)
+
+
+class EndpointProbes:
+    """Finds out which endpoints are down.
+
+    Parameters
+    ----------
+    view : FleetView
+        Other endpoints, by which this host checks its own link.
+    client : EndpointClient
+        Opens connections to endpoints.
+    """
+
+    def __init__(self, *, view: FleetView, client: EndpointClient) -> None:
+        self._view = view
+        self._client = client
+        self._probes: dict[str, asyncio.Future[bool]] = {}
+
+    async def stays_down(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether a silent endpoint is down for longer than a sound one may be.
+
+        An endpoint that has crashed closes its connections; one that has not may be
+        silent for other reasons.
+        """
+        if not await self.is_down(endpoint):
+            return False
+        await asyncio.sleep(SOUND_SILENCE_S)
+        return await self.is_down(endpoint)
+
+    async def is_down(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether the endpoint accepts no connection, but others do.
+
+        If no endpoint accepts one, the link of this host is to blame.
+        """
+        if await self._accepts_connections(endpoint):
+            return False
+        others = self._sample_others(endpoint)
+        if not others:
+            return True
+        if any(await asyncio.gather(*map(self._accepts_connections, others))):
+            return True
+        log.info("crash_not_counted", endpoint=endpoint.endpoint_id, checks=len(others))
+        return False
+
+    def _sample_others(self, endpoint: KnownEndpoint) -> list[KnownEndpoint]:
+        """Return other endpoints, of several services if there are some."""
+        others = [
+            other
+            for other in self._view.endpoints.values()
+            if other is not endpoint and self._view.may_send(other)
+        ]
+        random.shuffle(others)
+        by_service = {other.entry.service: other for other in others}
+        rest = [other for other in others if other not in by_service.values()]
+        return [*by_service.values(), *rest][:LINK_CHECK_COUNT]
+
+    async def _accepts_connections(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether the endpoint accepts a connection now.
+
+        Requests that end together at one endpoint share a check.
+        """
+        incarnation_id = endpoint.incarnation_id
+        probe = self._probes.get(incarnation_id)
+        if probe is None:
+            probe = asyncio.ensure_future(self._probe(endpoint))
+            self._probes[incarnation_id] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(incarnation_id, None))
+        return await asyncio.shield(probe)
+
+    async def _probe(self, endpoint: KnownEndpoint) -> bool:
+        try:
+            await self._client.check_connection(
+                endpoint.entry.address, timeout_s=PROBE_TIMEOUT_S
+            )
+        except ConnectError as error:
+            log.info(
+                "endpoint_unreachable",
+                endpoint=endpoint.endpoint_id,
+                reason=error.message,
+            )
+            return False
+        return True
+
+    def close(self) -> None:
+        """Cancel pending checks."""
+        for probe in list(self._probes.values()):
+            probe.cancel()
