Hold endpoints that were down for cold until their entries show a restart (FAILBACK)

Cause: a host goes by what it knows of the previous process until the entry of the new one arrives.

Change: a host that opens no connection to an endpoint, while it does to others, records an outage. Hosts share outages in their exchanges, which begin a round early for them, so that all know within about half a second. An endpoint counts as cold from an outage on, for as long as its entry may take to show a new start, and the time for which a process is cold; so it gets the cold rate only, from the few hosts that have a part of it. It binds the process that was down: the entry of the next one replaces it.

Why it works: a process that has started again was down before, and the outage is known to the fleet before the new process can be.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+from collections.abc import Callable
 
 from sesameknot.clock import Clock
 from sesameknot.coordination.endpoint_permits import EndpointPermits
@@ -76,6 +77,8 @@
         Whether this host reaches the endpoints of each service.
     pause_guard : PauseGuard
         Detects pauses of this process.
+    on_outage : callable
+        Called when this host found out that an endpoint is down.
     clock : Clock
         Source of monotonic time.
     stack : contextlib.AsyncExitStack
@@ -89,6 +92,7 @@
         "_crash_guard",
         "_host",
         "_metrics",
+        "_on_outage",
         "_part_guard",
         "_pause_guard",
         "_permits",
@@ -114,6 +118,7 @@
         slots: EndpointSlots,
         reachability: EndpointReachability,
         pause_guard: PauseGuard,
+        on_outage: Callable[[], None],
         clock: Clock,
         stack: contextlib.AsyncExitStack,
     ) -> None:
@@ -129,6 +134,7 @@
         self._slots = slots
         self._reachability = reachability
         self._pause_guard = pause_guard
+        self._on_outage = on_outage
         self._clock = clock
         self._stack = stack
 
@@ -139,6 +145,10 @@
             clock=self._clock, cache_life_s=settings.placement.cache_life_s
         )
         selector = self._build_selector(prompt_cache)
+        probes = EndpointProbes(
+            view=self._view, client=self._client, on_outage=self._on_outage
+        )
+        self._stack.callback(probes.close)
         runner = AttemptRunner(
             client=self._client,
             view=self._view,
@@ -153,6 +163,7 @@
             ),
             permits=self._permits,
             reachability=self._reachability,
+            probes=probes,
             slots=self._slots,
             notices=NoticeObserver(
                 view=self._view, permits=self._permits, clock=self._clock
@@ -162,8 +173,6 @@
             metrics=self._metrics,
             clock=self._clock,
         )
-        probes = EndpointProbes(view=self._view, client=self._client)
-        self._stack.callback(probes.close)
         crash_detector = CrashDetector(
             crash_guard=self._crash_guard,
             part_guard=self._part_guard,
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Sequence
 
@@ -27,7 +28,7 @@
     sum_loads,
 )
 from sesameknot.coordination._stored_records import stored_entry
-from sesameknot.coordination.crash_exchange import CrashExchange
+from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_follower import StoreFollower
 from sesameknot.coordination.store_link import StoreLink
@@ -43,6 +44,8 @@
 
 RELAY_COUNT = 2
 EXCHANGE_INTERVAL_S = 0.4
+# Least time between two rounds, also if there is news to share.
+NEWS_DELAY_S = 0.05
 CALL_TIMEOUT_S = 0.3
 # Replies are read at most this long after the call, unless this process was paused.
 REPLY_AGE_LIMIT_S = 2.0 * CALL_TIMEOUT_S
@@ -71,8 +74,8 @@
         Followers of this host.
     link : StoreLink
         Receives whether the store's changes are relayed.
-    crashes, part_crashes : CrashExchange
-        Requests and prompt parts that crashed endpoints.
+    findings : SharedFindings
+        What hosts tell each other of crashes and outages of endpoints.
     snapshots : SnapshotExchange
         Passes on kinds that are too large for a reply.
     peers : PeerClient
@@ -98,8 +101,7 @@
         view: FleetView,
         followers: Sequence[StoreFollower],
         link: StoreLink,
-        crashes: CrashExchange,
-        part_crashes: CrashExchange,
+        findings: SharedFindings,
         snapshots: SnapshotExchange,
         peers: PeerClient,
         host_id: str,
@@ -118,8 +120,8 @@
         self._relay_wait_s = max(0.2, probe_age_limit_s - PROBE_MARGIN_S)
         self._fallback_timer: asyncio.TimerHandle | None = None
         self._link = link
-        self._crashes = crashes
-        self._part_crashes = part_crashes
+        self._findings = findings
+        self._has_news = asyncio.Event()
         self._peers = peers
         self._host_id = host_id
         self._domain = domain
@@ -138,20 +140,37 @@
         """Exchange with other hosts until cancelled."""
         round_count = 0
         while True:
-            await asyncio.sleep(EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1))
+            has_news = await self._wait_for_round()
             relays = self.relays(self._domain)
             if self._host_id in relays or not relays:
                 await self._exchange_as_relay(relays)
-                if round_count % OTHER_DOMAINS_ROUND_COUNT == 0 or self._is_cut_off:
+                call_others = round_count % OTHER_DOMAINS_ROUND_COUNT == 0
+                if call_others or has_news or self._is_cut_off:
                     await self._exchange_with_other_domains()
             else:
                 call_both = round_count % BOTH_RELAYS_ROUND_COUNT == 0
                 await self._exchange_with_relays(
-                    relays, call_both=call_both or not self._link.relayed
+                    relays, call_both=call_both or has_news or not self._link.relayed
                 )
             round_count += 1
             self._loads.apply()
 
+    def share_soon(self) -> None:
+        """Begin the next round soon, because other hosts need news of an endpoint."""
+        self._has_news.set()
+
+    async def _wait_for_round(self) -> bool:
+        """Wait until the next round; return whether news made it begin early."""
+        pause_s = EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                # News that come together are shared together.
+                await asyncio.sleep(NEWS_DELAY_S)
+                await self._has_news.wait()
+        has_news = self._has_news.is_set()
+        self._has_news.clear()
+        return has_news
+
     async def _exchange_as_relay(self, relays: list[str]) -> None:
         serves_hosts = self._loads.serves_hosts_besides(relays)
         wait_s = self._relay_wait_s if serves_hosts else self._default_wait_s
@@ -281,10 +300,9 @@
             host_id=self._host_id,
             versions=list(versions),
             loads=load_columns(loads),
-            crashes=self._crashes.counts(),
-            part_crashes=self._part_crashes.counts(),
             object_limit_bytes=INLINE_LIMIT_BYTES,
         )
+        self._findings.add_to(request)
         results = await asyncio.gather(
             *(self._call(host, request) for host in host_ids)
         )
@@ -297,13 +315,9 @@
             if reply is not None
         }
         for reply in replies.values():
-            self._merge_crashes(reply)
+            self._findings.merge(reply)
         return replies
 
-    def _merge_crashes(self, message: DomainSync | DomainSyncReply) -> None:
-        self._crashes.merge(message.crashes)
-        self._part_crashes.merge(message.part_crashes)
-
     async def _call(self, host_id: str, request: DomainSync) -> DomainSyncReply | None:
         host = self._view.hosts.get(host_id)
         if host is None:
@@ -344,7 +358,9 @@
         same_domain = sender is None or sender.domain == self._domain
         add_report = self._loads.add_host if same_domain else self._loads.add_relay
         add_report(request.host_id, request.loads)
-        self._merge_crashes(request)
+        if self._findings.merge(request) and same_domain:
+            # The relays of other failure domains need it as well.
+            self.share_soon()
         loads = self._loads.domain(without=request.host_id)
         if same_domain:
             loads = sum_loads([loads, self._loads.relayed()])
@@ -353,9 +369,8 @@
             store_failed_age_ms=self._age_ms(self._view.store_failed_s),
             store_era=min(follower.era for follower in self._followers.values()),
             loads=load_columns(loads),
-            crashes=self._crashes.counts(),
-            part_crashes=self._part_crashes.counts(),
         )
+        self._findings.add_to(reply)
         self._change_replies.add_changes(request, reply)
         return reply
 
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -253,6 +253,7 @@
         if self._limits.deadline_s <= self._limits.connect_timeout_s:
             # The caller's deadline passed first.
             return
+        self._runner.probes.check_later(self.endpoint)
         service = self.endpoint.entry.service
         self._runner.reachability.record_failure(
             service,
@@ -364,7 +365,7 @@
             failed=self._result == "failed" or self.status >= SERVER_ERROR_STATUS,
             # Endpoints of a new version have just started, and are slow while cold.
             slow=waited_s > SLOW_SHARE_OF_TARGET * target_s
-            and self.endpoint.cold_until_s <= now_s,
+            and not self._runner.view.cold_left_s(self.endpoint),
         )
 
     def count_stream(self, gap_s: float) -> None:
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -7,6 +7,7 @@
 from sesameknot.coordination.endpoint_slots import EndpointSlots
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.forwarding.attempt import Attempt
+from sesameknot.forwarding.endpoint_probes import EndpointProbes
 from sesameknot.forwarding.endpoint_selector import EndpointSelector, placement_request
 from sesameknot.forwarding.notice_observer import NoticeObserver
 from sesameknot.forwarding.per_service import PerService
@@ -56,6 +57,8 @@
         Receives what endpoints say of themselves.
     reachability : EndpointReachability
         Receives which endpoints accept connections.
+    probes : EndpointProbes
+        Finds out whether an endpoint that accepted no connection is down.
     pause_guard : PauseGuard
         Tells whether what this host knows was confirmed since its last pause.
     settings : AttemptSettings
@@ -80,6 +83,7 @@
         slots: EndpointSlots,
         notices: NoticeObserver,
         reachability: EndpointReachability,
+        probes: EndpointProbes,
         pause_guard: PauseGuard,
         settings: AttemptSettings,
         metrics: RouterMetrics,
@@ -96,6 +100,7 @@
         self.slots = slots
         self.notices = notices
         self.reachability = reachability
+        self.probes = probes
         self.pause_guard = pause_guard
         self.settings = settings
         self.metrics = metrics
--- a/src/sesameknot/forwarding/endpoint_probes.py
+++ b/src/sesameknot/forwarding/endpoint_probes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import structlog
 
+from sesameknot.coordination._background import BackgroundTasks
 from sesameknot.errors import ConnectError
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
@@ -14,27 +16,43 @@
 PROBE_TIMEOUT_S = 0.2
 # A sound endpoint may neither answer nor accept connections for up to this time.
 SOUND_SILENCE_S = 1.5
-# Other endpoints that are asked for a connection before a crash is counted.
+# Other endpoints that are asked for a connection before an endpoint counts as down.
 LINK_CHECK_COUNT = 4
 
 log = structlog.get_logger(__name__)
 
 
 class EndpointProbes:
-    """Finds out which endpoints are down.
+    """Finds out which endpoints are down, and records it in the view.
 
     Parameters
     ----------
     view : FleetView
-        Other endpoints, by which this host checks its own link.
+        Other endpoints, by which this host checks its own link; receives outages.
     client : EndpointClient
         Opens connections to endpoints.
+    on_outage : callable
+        Called when an outage is news that other hosts need.
     """
 
-    def __init__(self, *, view: FleetView, client: EndpointClient) -> None:
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        client: EndpointClient,
+        on_outage: Callable[[], None],
+    ) -> None:
         self._view = view
         self._client = client
+        self._on_outage = on_outage
         self._probes: dict[str, asyncio.Future[bool]] = {}
+        self._checks = BackgroundTasks()
+
+    def check_later(self, endpoint: KnownEndpoint) -> None:
+        """Check an endpoint that accepted no connection, unless that is known."""
+        if self._view.outages.is_recent(endpoint.incarnation_id):
+            return
+        self._checks.spawn(self.is_down(endpoint))
 
     async def stays_down(self, endpoint: KnownEndpoint) -> bool:
         """Return whether a silent endpoint is down for longer than a sound one may be.
@@ -55,12 +73,25 @@
         if await self._accepts_connections(endpoint):
             return False
         others = self._sample_others(endpoint)
-        if not others:
-            return True
-        if any(await asyncio.gather(*map(self._accepts_connections, others))):
-            return True
-        log.info("crash_not_counted", endpoint=endpoint.endpoint_id, checks=len(others))
-        return False
+        accepted = await asyncio.gather(*map(self._accepts_connections, others))
+        if others and not any(accepted):
+            log.info(
+                "outage_not_counted", endpoint=endpoint.endpoint_id, checks=len(others)
+            )
+            return False
+        self._record_outage(endpoint)
+        return True
+
+    def _record_outage(self, endpoint: KnownEndpoint) -> None:
+        if not self._view.outages.note(endpoint.incarnation_id):
+            return
+        log.info(
+            "endpoint_outage",
+            endpoint=endpoint.endpoint_id,
+            started_ms=endpoint.entry.started_ms,
+            cold_s=round(self._view.cold_left_s(endpoint), 3),
+        )
+        self._on_outage()
 
     def _sample_others(self, endpoint: KnownEndpoint) -> list[KnownEndpoint]:
         """Return other endpoints, of several services if there are some."""
@@ -103,5 +134,6 @@
 
     def close(self) -> None:
         """Cancel pending checks."""
+        self._checks.cancel()
         for probe in list(self._probes.values()):
             probe.cancel()
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -23,6 +23,8 @@
 FULL_ENDPOINT_WAIT_S = 0.3
 # Lower limit of the estimated wait for endpoints that limit their request rate.
 MIN_PERMIT_WAIT_S = 0.1
+# Lower limit of the estimated wait for cold endpoints.
+MIN_COLD_WAIT_S = 0.05
 
 log = structlog.get_logger(__name__)
 
@@ -123,7 +125,7 @@
             others_in_flight=chosen.other_in_flight_count,
             failure_share=round(chosen.health.failure_share, 3),
             started_ms=chosen.entry.started_ms,
-            cold_s=round(self._cold_left_s(chosen), 3),
+            cold_s=round(self._view.cold_left_s(chosen), 3),
             limit_per_s=self._view.endpoint_limits.rate_per_s(chosen.incarnation_id),
             attempt=len(request.tried_endpoint_ids) + 1,
         )
@@ -201,13 +203,6 @@
         )
         return max(NO_ENDPOINT_WAIT_S, LAPSE_GRACE_S - elapsed_s)
 
-    def _is_cold(self, endpoint: KnownEndpoint) -> bool:
-        return self._cold_left_s(endpoint) > 0.0
-
-    def _cold_left_s(self, endpoint: KnownEndpoint) -> float:
-        """Return the time for which the endpoint counts as cold; 0 if it does not."""
-        return max(0.0, endpoint.cold_until_s - self._clock.monotonic_s())
-
     def _cold_rate_per_s(self, endpoint: KnownEndpoint) -> float:
         configuration = self._view.configuration
         if configuration is None:
@@ -220,7 +215,7 @@
         admitted = []
         for endpoint in candidates:
             rate_per_s = self._cold_rate_per_s(endpoint)
-            limited = bool(rate_per_s) and self._is_cold(endpoint)
+            limited = bool(rate_per_s) and self._view.cold_left_s(endpoint) > 0.0
             hosts = self._view.hosts
             if not limited or self._cold_start_limiter.may_use(
                 endpoint.endpoint_id, rate_per_s, hosts
@@ -231,15 +226,14 @@
     def take_cold_permit(self, endpoint: KnownEndpoint) -> bool:
         """Count a request to a cold endpoint; return False if it takes none now."""
         rate_per_s = self._cold_rate_per_s(endpoint)
-        if not rate_per_s or not self._is_cold(endpoint):
+        if not rate_per_s or not self._view.cold_left_s(endpoint):
             return True
         return self._cold_start_limiter.take(
             endpoint.endpoint_id, rate_per_s, self._view.hosts
         )
 
     def _cold_wait_s(self, candidates: list[KnownEndpoint]) -> float:
-        now_s = self._clock.monotonic_s()
-        return max(0.05, min(endpoint.cold_until_s for endpoint in candidates) - now_s)
+        return max(MIN_COLD_WAIT_S, min(map(self._view.cold_left_s, candidates)))
 
     def _choose(
         self, candidates: list[KnownEndpoint], request: ForwardedRequest, model: str
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -25,6 +25,7 @@
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
 from sesameknot.coordination.reachability_check import ReachabilityCheck
+from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_link import StoreLink
 from sesameknot.forwarding.ingress import Ingress
@@ -215,8 +216,11 @@
             view=self.view,
             followers=self.followers,
             link=self.store_link,
-            crashes=CrashExchange(self.crash_guard),
-            part_crashes=CrashExchange(self.part_guard),
+            findings=SharedFindings(
+                crashes=CrashExchange(self.crash_guard),
+                part_crashes=CrashExchange(self.part_guard),
+                outages=self.view.outages,
+            ),
             snapshots=self.snapshots,
             peers=self.peer_client,
             host_id=self.host.host_id,
@@ -260,6 +264,7 @@
             slots=self.endpoint_slots,
             reachability=self.reachability,
             pause_guard=self.pause_guard,
+            on_outage=self.domain_exchange.share_soon,
             clock=self.clock,
             stack=self._stack,
         ).build(self.drain)
--- a/src/sesameknot/protocol/_domain.py
+++ b/src/sesameknot/protocol/_domain.py
@@ -6,6 +6,7 @@
 from sesameknot.protocol._records import (
     CrashCount,
     EndpointLoads,
+    EndpointOutageAges,
     ObjectRecord,
     ObjectVersion,
 )
@@ -31,6 +32,8 @@
     object_limit_bytes : int
         Size of a kind's objects up to which the reply may hold them; 0 for any size,
         from hosts that do not fetch deferred kinds.
+    outages : EndpointOutageAges
+        Endpoints that were down lately.
     """
 
     host_id: str = ""
@@ -39,6 +42,7 @@
     crashes: list[CrashCount] = field(default_factory=list)
     part_crashes: list[CrashCount] = field(default_factory=list)
     object_limit_bytes: int = 0
+    outages: EndpointOutageAges = field(default_factory=EndpointOutageAges)
 
 
 @message("domainSyncReply")
@@ -72,6 +76,8 @@
     deferred : list of ObjectVersion
         Kinds whose objects are too large for the reply, and the positions that the
         requester reaches by fetching a snapshot of each.
+    outages : EndpointOutageAges
+        Endpoints that were down lately.
     """
 
     store_age_ms: float = 0.0
@@ -84,6 +90,7 @@
     crashes: list[CrashCount] = field(default_factory=list)
     part_crashes: list[CrashCount] = field(default_factory=list)
     deferred: list[ObjectVersion] = field(default_factory=list)
+    outages: EndpointOutageAges = field(default_factory=EndpointOutageAges)
 
 
 @message("snapshotPartRequest")
--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -162,3 +162,11 @@
     endpoint_ids: list[str] = field(default_factory=list)
     in_flight_counts: list[int] = field(default_factory=list)
     pending_tokens: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True, kw_only=True)
+class EndpointOutageAges:
+    """Time since endpoints were last down, by their incarnations, as columns."""
+
+    incarnation_ids: list[str] = field(default_factory=list)
+    ages_ms: list[int] = field(default_factory=list)
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -289,6 +289,11 @@
   pendingTokens @2 :List(UInt32);
 }
 
+struct EndpointOutageAges {
+  incarnationIds @0 :List(Text);
+  agesMs @1 :List(UInt32);
+}
+
 struct DomainSync {
   hostId @0 :Text;
   versions @1 :List(ObjectVersion);
@@ -296,6 +301,7 @@
   crashes @3 :List(CrashCount);
   partCrashes @4 :List(CrashCount);
   objectLimitBytes @5 :UInt64;
+  outages @6 :EndpointOutageAges;
 }
 
 struct DomainSyncReply {
@@ -309,6 +315,7 @@
   partCrashes @7 :List(CrashCount);
   storeEra @8 :UInt64;
   deferred @9 :List(ObjectVersion);
+  outages @10 :EndpointOutageAges;
 }
 
 struct SnapshotPartRequest {
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -14,6 +14,7 @@
 )
 from sesameknot.state.endpoint_health import EndpointHealth
 from sesameknot.state.endpoint_limits import EndpointLimits
+from sesameknot.state.endpoint_outages import EndpointOutages
 from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.state.store_availability import RECENT_OUTAGE_S, StoreAvailability
 from sesameknot.state.version_filter import VersionFilter
@@ -76,6 +77,8 @@
         Monotonic time at which this host noticed that the store came from a copy.
     endpoint_limits : EndpointLimits
         Request rates that endpoints named in their answers.
+    outages : EndpointOutages
+        When endpoints were last down.
     """
 
     clock: Clock
@@ -96,11 +99,14 @@
     store_failed_s: float = float("-inf")
     store_restored_s: float = float("-inf")
     endpoint_limits: EndpointLimits = field(init=False)
+    outages: EndpointOutages = field(init=False)
     store: StoreAvailability = field(init=False)
 
     def __post_init__(self) -> None:
         self.store = StoreAvailability(self.clock, self.entry_life_s)
         self.endpoint_limits = EndpointLimits(self.clock)
+        restart_shown_s = self.entry_life_s + self.endpoint_leave_s
+        self.outages = EndpointOutages(self.clock, restart_shown_s)
 
     @property
     def ready(self) -> bool:
@@ -195,29 +201,15 @@
             if not in_first_list and self._is_new_version(entry):
                 endpoint.deferred_until_s = now_s + NEW_VERSION_DEFER_S
             self.endpoints[entry.endpoint_id] = endpoint
-        doubted = self._contradicts_leaving(endpoint, entry)
-        endpoint.doubted_until_s = self.rewritten_by_s if doubted else 0.0
+        doubted = endpoint.contradicts_leaving(entry, now_s=now_s)
+        doubted_until_s = self.rewritten_by_s if self.restored_recently else 0.0
+        endpoint.doubted_until_s = doubted_until_s if doubted else 0.0
         if endpoint.entry.address != entry.address:
             endpoint.misdirected_until_s = 0.0
         endpoint.entry = entry
         endpoint.gone_at_s = None
         endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
 
-    def _contradicts_leaving(
-        self, endpoint: KnownEndpoint, entry: EndpointEntry
-    ) -> bool:
-        """Return whether an entry may be older than the endpoint's known leaving."""
-        now_s = self.clock.monotonic_s()
-        if not self.restored_recently or entry.state is not EndpointState.READY:
-            return False
-        if endpoint.entry.state is not EndpointState.READY:
-            return True
-        if endpoint.doubted_until_s > now_s:
-            return endpoint.entry.revision == entry.revision
-        # An endpoint that has registered again has an entry of another revision.
-        gone = endpoint.gone_at_s is not None and endpoint.gone_at_s <= now_s
-        return gone and endpoint.entry.revision == entry.revision
-
     def _is_new_version(self, entry: EndpointEntry) -> bool:
         now_s = self.clock.monotonic_s()
         return not any(
@@ -277,6 +269,7 @@
         self.forget_gone()
         self.forget_unlisted()
         self.endpoint_limits.expire()
+        self.outages.expire()
 
     def forget_gone(self) -> None:
         """Drop endpoints that have been gone for a while and run no attempt."""
@@ -301,6 +294,16 @@
                 cold_s = self._cold_s(endpoint.entry.service)
                 endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
 
+    def cold_left_s(self, endpoint: KnownEndpoint) -> float:
+        """Return the time for which an endpoint is or may be cold; 0 if it is not.
+
+        One that was down may have started again since.
+        """
+        cold_s = self._cold_s(endpoint.entry.service)
+        may_be_until_s = self.outages.cold_until_s(endpoint.incarnation_id, cold_s)
+        until_s = max(endpoint.cold_until_s, may_be_until_s)
+        return max(0.0, until_s - self.clock.monotonic_s())
+
     def _cold_s(self, service: str) -> float:
         if self.configuration is None:
             return 0.0
--- a/src/sesameknot/state/known_endpoint.py
+++ b/src/sesameknot/state/known_endpoint.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sesameknot.protocol.fleet_records import EndpointEntry
+from sesameknot.protocol.fleet_records import EndpointEntry, EndpointState
 from sesameknot.state.endpoint_health import EndpointHealth
 
 
@@ -73,6 +73,18 @@
         started_ms = self.entry.started_ms
         return f"{self.endpoint_id}@{started_ms}" if started_ms else self.endpoint_id
 
+    def contradicts_leaving(self, entry: EndpointEntry, *, now_s: float) -> bool:
+        """Return whether an entry of a restored store may be older than the leaving."""
+        if entry.state is not EndpointState.READY:
+            return False
+        if self.entry.state is not EndpointState.READY:
+            return True
+        if self.doubted_until_s > now_s:
+            return self.entry.revision == entry.revision
+        # An endpoint that has registered again has an entry of another revision.
+        gone = self.gone_at_s is not None and self.gone_at_s <= now_s
+        return gone and self.entry.revision == entry.revision
+
 
 @dataclass(slots=True, frozen=True)
 class HeldSlot:
