Pass outages on between relays at once, and only those that no entry has replaced

A relay that learned of an outage from another failure domain waited for its next round before it told the second relay of its own, so that half of the hosts there learned it up to 0.4 s later. Any news of an outage now begins a relay's next round early. Outages of processes that a later entry has replaced are not sent any more, so that messages carry them for seconds only.

A request that finds only cold endpoints is told to come back when this host's part of a cold rate allows the next request, instead of when the endpoint is warm; the latter grew by the time for which an endpoint is suspected.

Tests: outages by themselves; a host whose link is cut tells the others of none.

--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -315,7 +315,8 @@
             if reply is not None
         }
         for reply in replies.values():
-            self._findings.merge(reply)
+            if self._findings.merge(reply) and not self._link.relayed:
+                self.share_soon()
         return replies
 
     async def _call(self, host_id: str, request: DomainSync) -> DomainSyncReply | None:
@@ -358,8 +359,8 @@
         same_domain = sender is None or sender.domain == self._domain
         add_report = self._loads.add_host if same_domain else self._loads.add_relay
         add_report(request.host_id, request.loads)
-        if self._findings.merge(request) and same_domain:
-            # The relays of other failure domains need it as well.
+        if self._findings.merge(request):
+            # Only the other relays pass it on to all hosts.
             self.share_soon()
         loads = self._loads.domain(without=request.host_id)
         if same_domain:
--- a/src/sesameknot/coordination/shared_findings.py
+++ b/src/sesameknot/coordination/shared_findings.py
@@ -8,10 +8,7 @@
     DomainSyncReply,
     EndpointOutageAges,
 )
-from sesameknot.state.endpoint_outages import EndpointOutages
-
-# A relay of many hosts answers many times a second, so messages must stay small.
-SENT_OUTAGE_LIMIT_COUNT = 256
+from sesameknot.state.fleet_view import FleetView
 
 log = structlog.get_logger(__name__)
 
@@ -23,22 +20,22 @@
     ----------
     crashes, part_crashes : CrashExchange
         Requests and prompt parts that crashed endpoints.
-    outages : EndpointOutages
-        When endpoints were last down.
+    view : FleetView
+        Endpoints, and when they were last down.
     """
 
-    __slots__ = ("_crashes", "_outages", "_part_crashes")
+    __slots__ = ("_crashes", "_part_crashes", "_view")
 
     def __init__(
         self,
         *,
         crashes: CrashExchange,
         part_crashes: CrashExchange,
-        outages: EndpointOutages,
+        view: FleetView,
     ) -> None:
         self._crashes = crashes
         self._part_crashes = part_crashes
-        self._outages = outages
+        self._view = view
 
     def add_to(self, message: DomainSync | DomainSyncReply) -> None:
         """Add what this host knows to a message."""
@@ -53,10 +50,16 @@
         return self._merge_outages(message.outages)
 
     def _outage_ages(self) -> EndpointOutageAges:
-        latest = list(self._outages.ages_s().items())[:SENT_OUTAGE_LIMIT_COUNT]
+        """Return the outages of processes that no entry has replaced yet."""
+        ages_s = self._view.outages.ages_s()
+        current_ids = [
+            endpoint.incarnation_id
+            for endpoint in self._view.endpoints.values()
+            if endpoint.incarnation_id in ages_s
+        ]
         return EndpointOutageAges(
-            incarnation_ids=[incarnation_id for incarnation_id, _ in latest],
-            ages_ms=[round(age_s * 1000.0) for _, age_s in latest],
+            incarnation_ids=current_ids,
+            ages_ms=[round(ages_s[current_id] * 1000.0) for current_id in current_ids],
         )
 
     def _merge_outages(self, columns: EndpointOutageAges) -> bool:
@@ -64,7 +67,7 @@
         new_ids = [
             incarnation_id
             for incarnation_id, age_ms in ages
-            if self._outages.note(incarnation_id, age_s=age_ms / 1000.0)
+            if self._view.outages.note(incarnation_id, age_s=age_ms / 1000.0)
         ]
         if new_ids:
             log.info("endpoint_outages_learned", endpoints=new_ids)
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -233,7 +233,15 @@
         )
 
     def _cold_wait_s(self, candidates: list[KnownEndpoint]) -> float:
-        return max(MIN_COLD_WAIT_S, min(map(self._view.cold_left_s, candidates)))
+        """Return the estimated time until a cold endpoint takes a request."""
+        hosts = self._view.hosts
+        waits_s = []
+        for endpoint in candidates:
+            permit_wait_s = self._cold_start_limiter.wait_s(
+                endpoint.endpoint_id, self._cold_rate_per_s(endpoint), hosts
+            )
+            waits_s.append(min(self._view.cold_left_s(endpoint), permit_wait_s))
+        return max(MIN_COLD_WAIT_S, min(waits_s))
 
     def _choose(
         self, candidates: list[KnownEndpoint], request: ForwardedRequest, model: str
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -219,7 +219,7 @@
             findings=SharedFindings(
                 crashes=CrashExchange(self.crash_guard),
                 part_crashes=CrashExchange(self.part_guard),
-                outages=self.view.outages,
+                view=self.view,
             ),
             snapshots=self.snapshots,
             peers=self.peer_client,
--- a/src/sesameknot/policy/cold_start_limiter.py
+++ b/src/sesameknot/policy/cold_start_limiter.py
@@ -1,5 +1,6 @@
 """Rate limit for requests to endpoints in cold start."""
 
+import math
 from collections.abc import Collection
 
 from sesameknot.clock import Clock
@@ -47,8 +48,16 @@
         self, endpoint_id: str, cold_rate_per_s: float, hosts: Collection[str]
     ) -> bool:
         """Return whether the rate limit allows a request to the endpoint now."""
+        return not self.wait_s(endpoint_id, cold_rate_per_s, hosts)
+
+    def wait_s(
+        self, endpoint_id: str, cold_rate_per_s: float, hosts: Collection[str]
+    ) -> float:
+        """Return the time until the rate limit allows a request; infinite if never."""
         rate_per_s = self.rate_per_s(endpoint_id, cold_rate_per_s, hosts)
-        return rate_per_s > 0.0 and not self._buckets.wait_s(endpoint_id, rate_per_s)
+        if not rate_per_s:
+            return math.inf
+        return self._buckets.wait_s(endpoint_id, rate_per_s)
 
     def take(
         self, endpoint_id: str, cold_rate_per_s: float, hosts: Collection[str]
--- a/src/sesameknot/state/endpoint_outages.py
+++ b/src/sesameknot/state/endpoint_outages.py
@@ -6,8 +6,8 @@
 # Only what is later by more than this is news, so that hosts do not go on telling each
 # other of an outage that is over.
 MIN_NEWS_S = 0.5
-# Time after which an outage is forgotten.
-OUTAGE_LIFE_S = 30.0
+# Time after which an outage is forgotten; longer than a cold start takes.
+OUTAGE_LIFE_S = 60.0
 
 
 class EndpointOutages:
@@ -64,10 +64,12 @@
         return True
 
     def ages_s(self) -> dict[str, float]:
-        """Return the time since each outage, the latest one first."""
+        """Return the time since each outage."""
         now_s = self._clock.monotonic_s()
-        by_time = sorted(self._down_s.items(), key=lambda item: item[1], reverse=True)
-        return {incarnation_id: now_s - down_s for incarnation_id, down_s in by_time}
+        return {
+            incarnation_id: now_s - down_s
+            for incarnation_id, down_s in self._down_s.items()
+        }
 
     def expire(self) -> None:
         """Forget outages that are longer ago than ``OUTAGE_LIFE_S``."""
--- a/tests/forwarding/test_cut_off_hosts.py
+++ b/tests/forwarding/test_cut_off_hosts.py
@@ -216,3 +216,26 @@
         await self.pause(3.0)
         for front in fronts:
             self.assertThat(front.crash_guard.entries(), HasLength(0))
+
+    @gen_test(timeout=60)
+    async def test_cut_off_host_holds_no_endpoint_for_down(self):
+        """Guards against a fleet that spares all endpoints because one link is cut.
+
+        What a host finds out about endpoints is shared, and one that was down gets no
+        more than a cold one.
+        """
+        self.add_endpoints()
+        fronts = await self.start_hosts(4)
+        for hang in (False, True):
+            self.hang = hang
+            self.cut_off = set(fronts[:2])
+            for front in fronts[:2]:
+                await self.press(front, duration_s=2.0)
+            self.cut_off = set()
+            await self.pause(1.0)
+        cold_s = [
+            front.view.cold_left_s(endpoint)
+            for front in fronts
+            for endpoint in front.view.endpoints.values()
+        ]
+        self.assertThat(max(cold_s), Equals(0.0))
