--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -184,11 +184,7 @@
             return
         restarted = endpoint is None or endpoint.entry.started_ms != entry.started_ms
         cold_s = entry.cold_remaining_s
-        if (
-            restarted
-            and not in_first_list
-            and not (endpoint is not None and endpoint.gone_at_s is not None)
-        ):
+        if restarted and not in_first_list:
             cold_s = max(cold_s, self._cold_s(entry.service))
         if endpoint is None or restarted:
             endpoint = KnownEndpoint(entry, EndpointHealth(self.clock))
--- a/tests/state/test_fleet_view.py
+++ b/tests/state/test_fleet_view.py
@@ -101,6 +101,23 @@
         self.view.put_endpoint(endpoint("e1", started_ms=20))
         self.assertTrue(self.cold("e1"))
 
+    def test_endpoint_that_starts_again_after_its_removal_is_cold(self):
+        """Guards against full load on a new process whose entry names no cold time."""
+        self.clock.advance(10.0)
+        self.view.remove_endpoint("e1")
+        self.clock.advance(1.0)
+        self.view.put_endpoint(endpoint("e1", started_ms=20))
+        cold_s = self.view.endpoints["e1"].cold_until_s - self.clock.monotonic_s()
+        self.assertThat(cold_s, Equals(3.0))
+
+    def test_process_that_registers_again_after_its_removal_is_not_cold(self):
+        """Guards against a warm process that is held for cold after an outage."""
+        self.clock.advance(10.0)
+        self.view.remove_endpoint("e1")
+        self.clock.advance(1.0)
+        self.view.put_endpoint(endpoint("e1"))
+        self.assertFalse(self.cold("e1"))
+
     def test_delayed_report_of_the_incarnation_before_is_ignored(self):
         """Guards against applying the state of a process that no longer exists."""
         self.view.put_endpoint(endpoint("e1", started_ms=20, address="9.9.9.9:9"))
