--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -135,7 +135,9 @@
         """Return the component that accepts callers' requests."""
         settings = self._settings
         prompt_cache = PromptCacheTracker(
-            clock=self._clock, cache_life_s=settings.placement.cache_life_s
+            clock=self._clock,
+            cache_life_s=settings.placement.cache_life_s,
+            incarnation_id=self._incarnation_id,
         )
         selector = self._build_selector(prompt_cache)
         runner = AttemptRunner(
@@ -206,6 +208,10 @@
             clock=self._clock,
         )
 
+    def _incarnation_id(self, endpoint_id: str) -> str:
+        endpoint = self._view.endpoints.get(endpoint_id)
+        return endpoint.incarnation_id if endpoint is not None else endpoint_id
+
     def _build_selector(self, prompt_cache: PromptCacheTracker) -> EndpointSelector:
         placement = self._settings.placement
         costs = PlacementCosts(
--- a/src/sesameknot/policy/prompt_placement.py
+++ b/src/sesameknot/policy/prompt_placement.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -85,20 +85,31 @@
         Source of monotonic time.
     cache_life_s : float
         Time in seconds after its last use for which a part counts as cached.
+    incarnation_id : callable
+        Returns the identifier of an endpoint's present process, whose cache is empty at
+        its start.
     """
 
-    __slots__ = ("_last_used_s", "cache_life_s", "clock")
+    __slots__ = ("_incarnation_id", "_last_used_s", "cache_life_s", "clock")
 
-    def __init__(self, *, clock: Clock, cache_life_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        cache_life_s: float,
+        incarnation_id: Callable[[str], str],
+    ) -> None:
         self.clock = clock
         self.cache_life_s = cache_life_s
+        self._incarnation_id = incarnation_id
         self._last_used_s: OrderedDict[tuple[str, str, str], float] = OrderedDict()
 
     def record_prompt(self, endpoint_id: str, request: PlacementRequest) -> None:
         """Record that an endpoint processes the prompt of a request."""
         now_s = self.clock.monotonic_s()
+        incarnation_id = self._incarnation_id(endpoint_id)
         for part_id, _ in request.prompt:
-            key = (endpoint_id, request.model, part_id)
+            key = (incarnation_id, request.model, part_id)
             self._last_used_s[key] = now_s
             self._last_used_s.move_to_end(key)
         while len(self._last_used_s) > CACHE_ENTRY_LIMIT_COUNT:
@@ -107,9 +118,11 @@
     def cached_tokens(self, endpoint_id: str, request: PlacementRequest) -> int:
         """Return the number of leading prompt tokens that count as cached."""
         oldest_valid_s = self.clock.monotonic_s() - self.cache_life_s
+        incarnation_id = self._incarnation_id(endpoint_id)
         cached_count = 0
         for part_id, token_count in request.prompt:
-            last_used_s = self._last_used_s.get((endpoint_id, request.model, part_id))
+            key = (incarnation_id, request.model, part_id)
+            last_used_s = self._last_used_s.get(key)
             if last_used_s is None or last_used_s < oldest_valid_s:
                 break
             cached_count += token_count
--- a/tests/policy/test_front_policies.py
+++ b/tests/policy/test_front_policies.py
@@ -147,7 +147,12 @@
 class PlacementTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.cache = PromptCacheTracker(clock=ManualClock(), cache_life_s=10.0)
+        self.start_numbers = {}
+        self.cache = PromptCacheTracker(
+            clock=ManualClock(),
+            cache_life_s=10.0,
+            incarnation_id=lambda e: f"{e}@{self.start_numbers.get(e, 1)}",
+        )
         self.request = PlacementRequest(
             model="m", prompt=(("a", 500), ("b", 4000), ("c", 2000))
         )
@@ -185,6 +190,15 @@
         chosen = placement.choose(self.candidates(**busy), self.request)
         self.assertThat(chosen.endpoint_id == cached_id, Equals(False))
 
+    def test_endpoint_that_starts_again_has_nothing_cached(self):
+        """Guards against counting the cache of a process that no longer exists."""
+        self.cache.record_prompt("e0", self.request)
+        self.assertThat(self.cache.cached_tokens("e0", self.request), Equals(6500))
+        self.start_numbers["e0"] = 2
+        self.assertThat(self.cache.cached_tokens("e0", self.request), Equals(0))
+        self.cache.record_prompt("e0", self.request)
+        self.assertThat(self.cache.cached_tokens("e0", self.request), Equals(6500))
+
     def test_failing_endpoint_gets_little(self):
         """Guards against an endpoint that looks idle because it fails fast."""
         placement = self.placement("least_busy")
