--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -20,6 +20,9 @@
 PROBE_TIMEOUT_S = 0.2
 # A sound endpoint may neither answer nor accept connections for up to this time.
 SOUND_SILENCE_S = 1.5
+# Hosts have the entry of a process this soon after its start; it took up to about 1.6 s
+# on a day with crashes (issue 43).
+ENTRY_ARRIVAL_S = 2.0
 # Other endpoints that are asked for a connection before a crash is counted.
 LINK_CHECK_COUNT = 4
 # A request that crashes endpoints does so this soon after its run has begun.
@@ -95,12 +98,13 @@
         if not await self._is_down(endpoint):
             return
         self._record(request, endpoint, reason=error.message)
-        await self._record_abandoned(request, request.abandoned_runs)
+        # The retry waits for this check, so it does not wait for entries.
+        await self._record_abandoned(request, request.abandoned_runs, entry_wait_s=0.0)
 
     async def _record_silent(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, reason: str
     ) -> None:
-        if await self._stays_down(endpoint):
+        if await self._stays_down(endpoint, entry_wait_s=ENTRY_ARRIVAL_S):
             self._record(request, endpoint, reason=reason)
 
     def check_abandoned_runs(self, request: ForwardedRequest) -> None:
@@ -126,14 +130,18 @@
         self, request: ForwardedRequest, runs: list[AbandonedRun]
     ) -> None:
         await asyncio.sleep(CRASH_DELAY_LIMIT_S)
-        await self._record_abandoned(request, runs)
+        await self._record_abandoned(request, runs, entry_wait_s=ENTRY_ARRIVAL_S)
 
     async def _record_abandoned(
-        self, request: ForwardedRequest, runs: list[AbandonedRun]
+        self,
+        request: ForwardedRequest,
+        runs: list[AbandonedRun],
+        *,
+        entry_wait_s: float,
     ) -> None:
         downs = await asyncio.gather(
             *(
-                self._stays_down(run.endpoint)
+                self._stays_down(run.endpoint, entry_wait_s=entry_wait_s)
                 if run.began_s is None
                 else self._is_down(run.endpoint)
                 for run in runs
@@ -161,16 +169,23 @@
             reason=reason,
         )
 
-    async def _stays_down(self, endpoint: KnownEndpoint) -> bool:
+    async def _stays_down(
+        self, endpoint: KnownEndpoint, *, entry_wait_s: float
+    ) -> bool:
         """Return whether a silent endpoint is down for longer than a sound one may be.
 
         An endpoint that has crashed closes its connections; one that has not may be
-        silent for other reasons.
+        silent for other reasons. One that has started again meanwhile accepts
+        connections like a sound one; only its entry tells them apart.
         """
         if not await self._is_down(endpoint):
             return False
         await asyncio.sleep(SOUND_SILENCE_S)
-        return await self._is_down(endpoint)
+        if await self._is_down(endpoint):
+            return True
+        await asyncio.sleep(entry_wait_s)
+        known = self._view.endpoints.get(endpoint.endpoint_id)
+        return known is not None and known.incarnation_id != endpoint.incarnation_id
 
     async def _is_down(self, endpoint: KnownEndpoint) -> bool:
         """Return whether the endpoint accepts no connection, but others do.
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -2,10 +2,19 @@
 
 import asyncio
 
+from examples.local_deployment import reserve_port
 from testtools.matchers import Equals, HasLength
 from tornado.testing import gen_test
 
-from tests.front_world import MODEL_SERVICE, STREAM_PATH, FrontWorld, configuration
+from sesameknot.platform.standin import FleetEndpoint
+from tests.front_world import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    STREAM_PATH,
+    FrontWorld,
+    configuration,
+    server_entry,
+)
 from tests.support import eventually
 from tests.virtual_time import VirtualTimeMixin
 
@@ -18,6 +27,7 @@
     "X-Token-Usage": "1000,80",
     "X-Prompt-Prefix": "5c1e:400,91bd:400,e440:200",
 }
+NEVER_COLD = [{"Name": MODEL_SERVICE}, {"Name": PLAIN_SERVICE}]
 
 
 class CrashingRequestTest(VirtualTimeMixin, FrontWorld):
@@ -125,6 +135,55 @@
         crashed = [endpoint for endpoint in lives if endpoint.runs]
         self.assertThat(crashed, HasLength(CRASH_LIMIT_COUNT))
 
+    def add_restarting_engine(self, endpoint_id, *, down_s, registration_s):
+        """Start an engine that crashes silently and starts again under its id."""
+        engine = FleetEndpoint(
+            endpoint_id=endpoint_id, crash_body=CRASHING_BODY, crash_silently=True
+        )
+        port = reserve_port()
+        engine.server().listen(port, "127.0.0.1")
+        self.closing(lambda: self.io_loop.run_sync(engine.stop))
+        self.endpoints[endpoint_id] = engine
+
+        def register(started_ms):
+            entry = server_entry(MODEL_SERVICE, f"127.0.0.1:{port}", born=started_ms)
+            self.store.put("servers", endpoint_id, entry)
+
+        async def restart():
+            for number in range(1, 100):
+                await eventually(
+                    lambda count=number: len(engine.runs) == count,
+                    limit_s=60.0,
+                    interval_s=0.1,
+                )
+                await self.pause(down_s)
+                engine.start_again(port)
+                await self.pause(registration_s)
+                register(1000 + round(engine.started_s[-1] * 1000))
+
+        register(1000)
+        task = asyncio.create_task(restart())
+        self.closing(task.cancel)
+
+    @gen_test(timeout=60)
+    async def test_silent_crash_counts_if_the_endpoint_soon_starts_again(self):
+        """Guards against crashes that no one counts because the endpoint is back.
+
+        A sound endpoint may be silent for as long, but has no new process. The third
+        run of a request lasts until its deadline and is not counted, as its endpoint is
+        back by then; two requests show enough crashes.
+        """
+        self.store.put("config", "main", configuration(2, Services=NEVER_COLD))
+        for number in range(8):
+            self.add_restarting_engine(f"e{number}", down_s=1.3, registration_s=1.0)
+        front = await self.start_front()
+        run_counts = []
+        for _ in range(4):
+            await self.ask(front, STREAM_PATH, body=CRASHING_BODY, headers=PROMPT)
+            await self.pause(2.0 * CONTACT_S)
+            run_counts.append(sum(len(e.runs) for e in self.endpoints.values()))
+        self.assertThat(run_counts, Equals([3, 6, 6, 6]))
+
     @gen_test(timeout=30)
     async def test_refused_request_stays_refused_after_all_hosts_were_killed(self):
         """Guards against crashes that are needed again after a kill of all hosts."""
