--- a/tests/state/test_fleet_view.py
+++ b/tests/state/test_fleet_view.py
@@ -1,5 +1,7 @@
 """Tests of a host's local view of the fleet."""
 
+from dataclasses import fields
+
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
@@ -11,7 +13,10 @@
     RolloutOrder,
     RolloutOutcome,
 )
+from sesameknot.state.endpoint_health import EndpointHealth
+from sesameknot.state.endpoint_limits import NamedLimit
 from sesameknot.state.fleet_view import FleetView
+from sesameknot.state.known_endpoint import KnownEndpoint
 
 
 def endpoint(endpoint_id="e1", **fields):
@@ -27,6 +32,11 @@
     return EndpointEntry(endpoint_id=endpoint_id, **values)
 
 
+def shallow_values(record):
+    """Return the values of a record's fields by name."""
+    return {field.name: getattr(record, field.name) for field in fields(record)}
+
+
 class FleetViewTest(TestCase):
     def setUp(self):
         super().setUp()
@@ -110,6 +120,28 @@
         cold_s = self.view.endpoints["e1"].cold_until_s - self.clock.monotonic_s()
         self.assertThat(cold_s, Equals(3.0))
 
+    def test_endpoint_that_starts_again_has_no_past(self):
+        """Guards against what one process said or did that binds the next one."""
+        before = self.view.endpoints["e1"]
+        for name in ("paused_until_s", "full_until_s"):
+            setattr(before, name, self.clock.monotonic_s() + 60.0)
+        before.overload_limit_per_s = 5.0
+        before.in_flight_count, before.pending_tokens = 3, 900
+        before.health.unreachable()
+        self.view.note_leaving(before)
+        self.view.note_misdirected(before)
+        limit = NamedLimit(2.0, self.clock.monotonic_s())
+        self.view.endpoint_limits.merge(before.incarnation_id, limit)
+        entry = endpoint("e1", started_ms=20)
+        self.view.put_endpoint(entry)
+        known = self.view.endpoints["e1"]
+        fresh = KnownEndpoint(entry, EndpointHealth(self.clock))
+        fresh.cold_until_s = self.clock.monotonic_s() + 3.0
+        self.assertThat(shallow_values(known), Equals(shallow_values(fresh)))
+        limits = self.view.endpoint_limits
+        self.assertThat(limits.rate_per_s(known.incarnation_id), Equals(None))
+        self.assertThat(self.usable(), Equals(["e1", "e2"]))
+
     def test_process_that_registers_again_after_its_removal_is_not_cold(self):
         """Guards against a warm process that is held for cold after an outage."""
         self.clock.advance(10.0)
