--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -186,6 +186,10 @@
         cold_s = entry.cold_remaining_s
         if restarted and not in_first_list:
             cold_s = max(cold_s, self._cold_s(entry.service))
+        if endpoint is not None and restarted:
+            # Attempts that still run hold the earlier record. They were mostly sent to
+            # the new process, whose answers are slow while it is cold.
+            endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
         if endpoint is None or restarted:
             endpoint = KnownEndpoint(entry, EndpointHealth(self.clock))
             if not in_first_list and self._is_new_version(entry):
