--- a/src/sesameknot/coordination/grant_owner.py
+++ b/src/sesameknot/coordination/grant_owner.py
@@ -312,7 +312,10 @@
 
     def _revoke(self, endpoint_id: str, owned: _OwnedEndpoint) -> None:
         report = self.table.latest_report(endpoint_id)
+        # The engine may have started again, so that holders must forget its cache until
+        # they get its present content.
         report.prefix_hashes = []
+        report.prefix_digest = 0
         for key, address in owned.book.holders_to_revoke():
             number = self._next_grant_number()
             owned.book.record_grant(key, number, 0)
