--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -82,12 +82,15 @@
         if not await self._probes.is_down(endpoint):
             return
         self._record(request, endpoint, reason=error.message)
-        await self._record_abandoned(request, request.abandoned_runs)
+        # The retry waits for this check, so it does not wait for entries.
+        await self._record_abandoned(
+            request, request.abandoned_runs, await_entries=False
+        )
 
     async def _record_silent(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, reason: str
     ) -> None:
-        if await self._probes.stays_down(endpoint):
+        if await self._probes.stays_down(endpoint, await_entry=True):
             self._record(request, endpoint, reason=reason)
 
     def check_abandoned_runs(self, request: ForwardedRequest) -> None:
@@ -113,14 +116,18 @@
         self, request: ForwardedRequest, runs: list[AbandonedRun]
     ) -> None:
         await asyncio.sleep(CRASH_DELAY_LIMIT_S)
-        await self._record_abandoned(request, runs)
+        await self._record_abandoned(request, runs, await_entries=True)
 
     async def _record_abandoned(
-        self, request: ForwardedRequest, runs: list[AbandonedRun]
+        self,
+        request: ForwardedRequest,
+        runs: list[AbandonedRun],
+        *,
+        await_entries: bool,
     ) -> None:
         downs = await asyncio.gather(
             *(
-                self._probes.stays_down(run.endpoint)
+                self._probes.stays_down(run.endpoint, await_entry=await_entries)
                 if run.began_s is None
                 else self._probes.is_down(run.endpoint)
                 for run in runs
--- a/src/sesameknot/forwarding/endpoint_probes.py
+++ b/src/sesameknot/forwarding/endpoint_probes.py
@@ -54,16 +54,27 @@
             return
         self._checks.spawn(self.is_down(endpoint))
 
-    async def stays_down(self, endpoint: KnownEndpoint) -> bool:
+    async def stays_down(self, endpoint: KnownEndpoint, *, await_entry: bool) -> bool:
         """Return whether a silent endpoint is down for longer than a sound one may be.
 
         An endpoint that has crashed closes its connections; one that has not may be
-        silent for other reasons.
+        silent for other reasons. One that has started again meanwhile accepts
+        connections like a sound one; only its entry tells them apart.
+
+        Parameters
+        ----------
+        await_entry : bool
+            Whether to wait until the entry of a new process would have arrived.
         """
         if not await self.is_down(endpoint):
             return False
         await asyncio.sleep(SOUND_SILENCE_S)
-        return await self.is_down(endpoint)
+        if await self.is_down(endpoint):
+            return True
+        if await_entry:
+            await asyncio.sleep(self._view.endpoint_leave_s)
+        known = self._view.endpoints.get(endpoint.endpoint_id)
+        return known is not None and known.incarnation_id != endpoint.incarnation_id
 
     async def is_down(self, endpoint: KnownEndpoint) -> bool:
         """Return whether the endpoint accepts no connection, but others do.
