Try the next process of an endpoint whose previous one was tried

What callers saw: a request was refused by an endpoint that was down, its answer from another one broke off, and by then the first had started again and registered; the caller got 502 'all endpoints were tried' though a process that had never had the request was ready.

Cause: a request remembers the endpoints that it tried by their ids, which a restart keeps. Slots that a request holds had the same key. Both are now kept by incarnation. The attempts of a request stay limited by MaxAttempts as before.

--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -97,7 +97,7 @@
         endpoint.in_flight_count += 1
         self._pending_token_count = self.request.metadata.prompt_token_count
         endpoint.pending_tokens += self._pending_token_count
-        self.request.tried_endpoint_ids.add(endpoint.endpoint_id)
+        self.request.tried_incarnation_ids.add(endpoint.incarnation_id)
         self._exchange = self._runner.start_exchange(self)
         return self
 
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -147,7 +147,7 @@
         refused: bool = False,
     ) -> None:
         """Give back the slot of an endpoint that a request holds, if it does."""
-        slot = request.slots.pop(endpoint.endpoint_id, None)
+        slot = request.slots.pop(endpoint.incarnation_id, None)
         if slot is not None:
             self.slots.release(slot, refused=refused)
 
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -127,7 +127,7 @@
             started_ms=chosen.entry.started_ms,
             cold_s=round(self._view.cold_left_s(chosen), 3),
             limit_per_s=self._view.endpoint_limits.rate_per_s(chosen.incarnation_id),
-            attempt=len(request.tried_endpoint_ids) + 1,
+            attempt=len(request.tried_incarnation_ids) + 1,
         )
         return chosen
 
@@ -292,7 +292,7 @@
     return [
         endpoint
         for endpoint in endpoints
-        if endpoint.endpoint_id not in request.tried_endpoint_ids
+        if endpoint.incarnation_id not in request.tried_incarnation_ids
     ]
 
 
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -50,8 +50,8 @@
     session_position : float
         Hash of the session between 0 and 1, the same on all hosts; compared with the
         share of a roll-out.
-    tried_endpoint_ids : set of str
-        Endpoints of all attempts so far.
+    tried_incarnation_ids : set of str
+        Incarnations of the endpoints of all attempts so far.
     run_count : int
         Attempts that an endpoint may have run.
     not_run_count : int
@@ -69,7 +69,7 @@
     last_event_id : str
         ID of the last event that was sent to the caller; empty before the first.
     slots : dict of str to HeldSlot
-        Slots of endpoints that the request holds, by endpoint.
+        Slots of endpoints that the request holds, by incarnation.
     abandoned_runs : list of AbandonedRun
         Runs that this host ended before their end.
     """
@@ -85,7 +85,7 @@
     arrived_s: float
     deadline_s: float
     session_position: float
-    tried_endpoint_ids: set[str] = field(default_factory=set)
+    tried_incarnation_ids: set[str] = field(default_factory=set)
     run_count: int = 0
     not_run_count: int = 0
     unsuited_count: int = 0
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -126,7 +126,7 @@
         )
         if slot is None:
             return False
-        request.slots[endpoint.endpoint_id] = slot
+        request.slots[endpoint.incarnation_id] = slot
         return True
 
     def _permit_patience_s(self, request: ForwardedRequest) -> float:
@@ -268,6 +268,6 @@
             "retry_budget_spent",
             request_id=request.request_id,
             service=request.service,
-            attempts=len(request.tried_endpoint_ids),
+            attempts=len(request.tried_incarnation_ids),
         )
         return False
