Leave the time limit of a cancelled call to the store alone

Cause: a watch that is cancelled, because another one shows that the store is away or an entry came from a relay, leaves its request to the HTTP client. The next part of the answer extended the time limit of a call that had ended. The limit is now forgotten at the end of the call.

test_call_that_is_cancelled_leaves_its_answer_alone failed before and passes.

--- a/src/sesameknot/transport/json_http.py
+++ b/src/sesameknot/transport/json_http.py
@@ -101,6 +101,9 @@
             raise PlatformTimeoutError(reason, step=step, peer=self.url) from error
         except (HTTPClientError, OSError) as error:
             raise PlatformError(str(error), step=step, peer=self.url) from error
+        finally:
+            # The rest of the answer to a cancelled call may still arrive.
+            body_reader.time_limit = None
         return body_reader.complete(response)
 
     def close(self) -> None:
--- a/tests/transport/test_json_http.py
+++ b/tests/transport/test_json_http.py
@@ -102,3 +102,17 @@
         loop.call_later(1.0, lambda: loop.pause(5.0))
         with self.assertRaises(PlatformTimeoutError):
             await client.fetch("GET", "/", step="watch")
+
+    @gen_test(timeout=30)
+    async def test_call_that_is_cancelled_leaves_its_answer_alone(self):
+        """Guards against errors of answers that go on to arrive after their calls.
+
+        A watch is cancelled when another one shows that the store is away.
+        """
+        client = self.make_client(self.serve_parts(0.5))
+        call = asyncio.create_task(client.fetch("GET", "/", step="watch"))
+        await asyncio.sleep(1.2)
+        call.cancel()
+        with self.assertNoLogs("tornado.application"):
+            await asyncio.sleep(5.0)
+        self.assertTrue(call.cancelled())
