--- a/tests/system/test_mixed_builds.py
+++ b/tests/system/test_mixed_builds.py
@@ -24,8 +24,6 @@
 )
 from tests.support import eventually
 
-# Releases that may run beside this build, as in docs/design.md, 10.7.
-RELEASED_COMMITS = ("6992407", "db93ffe", "91d21a3")
 # Even numbers, so that all hosts are in one failure domain.
 HOST_NUMBERS = (0, 2, 4, 6)
 ROUTE_COUNT = 2000
@@ -199,11 +197,21 @@
         self.check_outcomes()
 
     @gen_test(timeout=110)
-    async def test_hosts_of_the_release_before_the_last_run_beside_this_build(self):
+    async def test_hosts_of_build_6992407_run_beside_this_build(self):
         """Guards against requests that are cut or run twice during an upgrade."""
-        await self.play(RELEASED_COMMITS[0])
+        await self.play("6992407")
 
     @gen_test(timeout=110)
-    async def test_hosts_of_the_last_release_run_beside_this_build(self):
+    async def test_hosts_of_build_db93ffe_run_beside_this_build(self):
         """Guards against requests that are cut or run twice during an upgrade."""
-        await self.play(RELEASED_COMMITS[1])
+        await self.play("db93ffe")
+
+    @gen_test(timeout=110)
+    async def test_hosts_of_build_91d21a3_run_beside_this_build(self):
+        """Guards against requests that are cut or run twice during an upgrade."""
+        await self.play("91d21a3")
+
+    @gen_test(timeout=110)
+    async def test_hosts_of_build_2638ec3_run_beside_this_build(self):
+        """Guards against requests that are cut or run twice during an upgrade."""
+        await self.play("2638ec3")
