Reserve the ports of test endpoints beyond their crashes

Suspected: a crashed stand-in gave its port back, and the check whether it is down connects to whatever listens there. That it was this in the one run is not shown.

Ports of stand-in endpoints now stay reserved until the process ends, so that no other run can listen on them.

--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -101,7 +101,12 @@
     ):
         """Start an endpoint and register it."""
         endpoint = FleetEndpoint(endpoint_id=endpoint_id, **options)
-        address = self.listen(endpoint.server())
+        # No other process may listen on the port after a crash of the endpoint.
+        port = reserve_port()
+        server = endpoint.server()
+        server.listen(port, "127.0.0.1")
+        self.closing(server.stop)
+        address = f"127.0.0.1:{port}"
         entry = server_entry(service, address, domain=domain, version=version)
         self.store.put("servers", endpoint_id, entry)
         self.endpoints[endpoint_id] = endpoint
