--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -9,8 +9,6 @@
 """
 
 import asyncio
-import contextlib
-import random
 from collections.abc import Sequence
 
 import structlog
@@ -27,6 +25,7 @@
     load_columns,
     sum_loads,
 )
+from sesameknot.coordination._round_timer import RoundTimer
 from sesameknot.coordination._stored_records import stored_entry
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
@@ -45,7 +44,7 @@
 RELAY_COUNT = 2
 EXCHANGE_INTERVAL_S = 0.4
 # Least time between two rounds, also if there is news to share.
-NEWS_DELAY_S = 0.05
+MIN_INTERVAL_S = 0.05
 CALL_TIMEOUT_S = 0.3
 # Replies are read at most this long after the call, unless this process was paused.
 REPLY_AGE_LIMIT_S = 2.0 * CALL_TIMEOUT_S
@@ -121,7 +120,9 @@
         self._fallback_timer: asyncio.TimerHandle | None = None
         self._link = link
         self._findings = findings
-        self._has_news = asyncio.Event()
+        self._rounds = RoundTimer(
+            interval_s=EXCHANGE_INTERVAL_S, min_interval_s=MIN_INTERVAL_S
+        )
         self._peers = peers
         self._host_id = host_id
         self._domain = domain
@@ -140,13 +141,16 @@
         """Exchange with other hosts until cancelled."""
         round_count = 0
         while True:
-            has_news = await self._wait_for_round()
+            has_news = await self._rounds.wait()
             relays = self.relays(self._domain)
             if self._host_id in relays or not relays:
-                await self._exchange_as_relay(relays)
+                calls = [self._exchange_as_relay(relays)]
                 call_others = round_count % OTHER_DOMAINS_ROUND_COUNT == 0
                 if call_others or has_news or self._is_cut_off:
-                    await self._exchange_with_other_domains()
+                    calls.append(self._exchange_with_other_domains())
+                if has_news:
+                    calls.append(self._notify_hosts(relays))
+                await asyncio.gather(*calls)
             else:
                 call_both = round_count % BOTH_RELAYS_ROUND_COUNT == 0
                 await self._exchange_with_relays(
@@ -156,20 +160,8 @@
             self._loads.apply()
 
     def share_soon(self) -> None:
-        """Begin the next round soon, because other hosts need news of an endpoint."""
-        self._has_news.set()
-
-    async def _wait_for_round(self) -> bool:
-        """Wait until the next round; return whether news made it begin early."""
-        pause_s = EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(pause_s):
-                # News that come together are shared together.
-                await asyncio.sleep(NEWS_DELAY_S)
-                await self._has_news.wait()
-        has_news = self._has_news.is_set()
-        self._has_news.clear()
-        return has_news
+        """Begin the next round early, because other hosts need news of an endpoint."""
+        self._rounds.begin_early()
 
     async def _exchange_as_relay(self, relays: list[str]) -> None:
         serves_hosts = self._loads.serves_hosts_besides(relays)
@@ -186,6 +178,17 @@
         for relay, reply in replies.items():
             self._take_changes(relay, reply)
 
+    async def _notify_hosts(self, relays: list[str]) -> None:
+        """Tell the hosts that this relay serves what it knows of endpoints."""
+        served_hosts = [
+            host.host_id
+            for host in self._view.hosts.values()
+            if host.domain == self._domain
+            and host.host_id not in relays
+            and rendezvous_order(host.host_id, relays)[0] == self._host_id
+        ]
+        await self._sync(served_hosts, loads={})
+
     @property
     def _is_cut_off(self) -> bool:
         """Whether the store does not answer this host.
@@ -294,7 +297,7 @@
         loads: Loads,
         versions: Sequence[ObjectVersion] = (),
     ) -> dict[str, DomainSyncReply]:
-        """Call hosts concurrently, merge their crash counts and return the replies."""
+        """Call hosts concurrently, merge their findings and return the replies."""
         started_s = self._clock.boot_s()
         request = DomainSync(
             host_id=self._host_id,
@@ -359,8 +362,8 @@
         same_domain = sender is None or sender.domain == self._domain
         add_report = self._loads.add_host if same_domain else self._loads.add_relay
         add_report(request.host_id, request.loads)
-        if self._findings.merge(request):
-            # Only the other relays pass it on to all hosts.
+        if self._findings.merge(request) and not self._link.relayed:
+            # Relays pass it on to all hosts.
             self.share_soon()
         loads = self._loads.domain(without=request.host_id)
         if same_domain:
--- a/src/sesameknot/coordination/shared_findings.py
+++ b/src/sesameknot/coordination/shared_findings.py
@@ -50,16 +50,22 @@
         return self._merge_outages(message.outages)
 
     def _outage_ages(self) -> EndpointOutageAges:
-        """Return the outages of processes that no entry has replaced yet."""
-        ages_s = self._view.outages.ages_s()
-        current_ids = [
-            endpoint.incarnation_id
-            for endpoint in self._view.endpoints.values()
-            if endpoint.incarnation_id in ages_s
-        ]
+        """Return the outages that other hosts may need.
+
+        Those of processes that a later entry has replaced are needed by hosts that do
+        not have the entry yet.
+        """
+        view = self._view
+        current_ids = {e.incarnation_id for e in view.endpoints.values()}
+        ages_s = {
+            incarnation_id: age_s
+            for incarnation_id, age_s in view.outages.ages_s().items()
+            if incarnation_id in current_ids
+            or age_s <= view.entry_life_s + view.endpoint_leave_s
+        }
         return EndpointOutageAges(
-            incarnation_ids=current_ids,
-            ages_ms=[round(ages_s[current_id] * 1000.0) for current_id in current_ids],
+            incarnation_ids=list(ages_s),
+            ages_ms=[round(age_s * 1000.0) for age_s in ages_s.values()],
         )
 
     def _merge_outages(self, columns: EndpointOutageAges) -> bool:
@@ -67,7 +73,7 @@
         new_ids = [
             incarnation_id
             for incarnation_id, age_ms in ages
-            if self._view.outages.note(incarnation_id, age_s=age_ms / 1000.0)
+            if self._view.outages.merge(incarnation_id, age_s=age_ms / 1000.0)
         ]
         if new_ids:
             log.info("endpoint_outages_learned", endpoints=new_ids)
--- a/src/sesameknot/errors.py
+++ b/src/sesameknot/errors.py
@@ -37,6 +37,10 @@
     """A connection could not be opened; no byte was sent."""
 
 
+class ConnectTimeoutError(ConnectError):
+    """A peer neither accepted nor refused a connection in time."""
+
+
 class DeadlineError(TransportError):
     """A peer made no progress before a deadline."""
 
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -141,14 +141,9 @@
             If the endpoint became unusable while the connection was being opened, or
             this host was paused and does not know yet.
         """
-        if not self._runner.pause_guard.confirmed:
-            raise NotSentError(
-                "this host was paused", step="send", peer=self.endpoint.endpoint_id
-            )
-        if not self._runner.selector.is_usable(self.request, self.endpoint):
-            raise NotSentError(
-                "endpoint became unusable", step="send", peer=self.endpoint.endpoint_id
-            )
+        reason = self._runner.refusal_reason(self.request, self.endpoint)
+        if reason:
+            raise NotSentError(reason, step="send", peer=self.endpoint.endpoint_id)
         self._runner.reachability.record_connected(
             self.endpoint.entry.service, endpoint_id=self.endpoint.endpoint_id
         )
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -139,6 +139,16 @@
             claim_retry=claim_retry,
         )
 
+    def refusal_reason(self, request: ForwardedRequest, endpoint: KnownEndpoint) -> str:
+        """Return why the request must not be sent now; empty if it may."""
+        if not self.pause_guard.confirmed:
+            return "this host was paused"
+        if not self.selector.is_usable(request, endpoint):
+            return "endpoint became unusable"
+        if not self.selector.take_cold_permit(request, endpoint):
+            return "endpoint may have started again"
+        return ""
+
     def release_slot(
         self,
         request: ForwardedRequest,
--- a/src/sesameknot/forwarding/endpoint_probes.py
+++ b/src/sesameknot/forwarding/endpoint_probes.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from enum import Enum, auto
 
 import structlog
 
 from sesameknot.coordination._background import BackgroundTasks
-from sesameknot.errors import ConnectError
+from sesameknot.errors import ConnectError, ConnectTimeoutError
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.transport.endpoint_client import EndpointClient
@@ -22,8 +23,23 @@
 log = structlog.get_logger(__name__)
 
 
+class ProbeResult(Enum):
+    """What an endpoint does with a new connection.
+
+    ``UNKNOWN`` if the link of this host may be to blame.
+    """
+
+    ACCEPTED = auto()
+    REFUSED = auto()
+    SILENT = auto()
+    UNKNOWN = auto()
+
+
+DOWN_RESULTS = frozenset({ProbeResult.REFUSED, ProbeResult.SILENT})
+
+
 class EndpointProbes:
-    """Finds out which endpoints are down, and records it in the view.
+    """Checks endpoints, and records in the view which ones are down.
 
     Parameters
     ----------
@@ -32,7 +48,7 @@
     client : EndpointClient
         Opens connections to endpoints.
     on_outage : callable
-        Called when an outage is news that other hosts need.
+        Called when other hosts need to know of an outage.
     """
 
     def __init__(
@@ -45,14 +61,23 @@
         self._view = view
         self._client = client
         self._on_outage = on_outage
-        self._probes: dict[str, asyncio.Future[bool]] = {}
+        self._probes: dict[str, asyncio.Future[ProbeResult]] = {}
+        self._checked_ids: set[str] = set()
         self._checks = BackgroundTasks()
 
     def check_later(self, endpoint: KnownEndpoint) -> None:
-        """Check an endpoint that accepted no connection, unless that is known."""
-        if self._view.outages.is_recent(endpoint.incarnation_id):
-            return
-        self._checks.spawn(self.is_down(endpoint))
+        """Check in the background an endpoint that accepted no connection."""
+        incarnation_id = endpoint.incarnation_id
+        is_known = self._view.outages.is_recent(incarnation_id)
+        if not is_known and incarnation_id not in self._checked_ids:
+            self._checked_ids.add(incarnation_id)
+            self._checks.spawn(self._check(endpoint))
+
+    async def _check(self, endpoint: KnownEndpoint) -> None:
+        try:
+            await self.stays_down(endpoint, await_entry=False)
+        finally:
+            self._checked_ids.discard(endpoint.incarnation_id)
 
     async def stays_down(self, endpoint: KnownEndpoint, *, await_entry: bool) -> bool:
         """Return whether a silent endpoint is down for longer than a sound one may be.
@@ -70,6 +95,7 @@
             return False
         await asyncio.sleep(SOUND_SILENCE_S)
         if await self.is_down(endpoint):
+            self._record_outage(endpoint)
             return True
         if await_entry:
             await asyncio.sleep(self._view.endpoint_leave_s)
@@ -79,22 +105,41 @@
     async def is_down(self, endpoint: KnownEndpoint) -> bool:
         """Return whether the endpoint accepts no connection, but others do.
 
-        If no endpoint accepts one, the link of this host is to blame.
+        An endpoint that refuses connections has ended, so its outage is recorded at
+        once; a silent one may be sound.
         """
-        if await self._accepts_connections(endpoint):
-            return False
+        result = await self._probe_twice(endpoint)
+        if result is ProbeResult.REFUSED:
+            self._record_outage(endpoint)
+        return result in DOWN_RESULTS
+
+    async def _probe_twice(self, endpoint: KnownEndpoint) -> ProbeResult:
+        """Probe an endpoint, then others, then it again.
+
+        If no other endpoint accepts a connection, the link of this host is to blame,
+        and it may have come back after the first probe.
+        """
+        result = await self._probe(endpoint)
+        if result is ProbeResult.ACCEPTED:
+            return result
         others = self._sample_others(endpoint)
-        accepted = await asyncio.gather(*map(self._accepts_connections, others))
-        if others and not any(accepted):
+        if not others:
+            return result
+        if not await self._any_accepts(others):
             log.info(
                 "outage_not_counted", endpoint=endpoint.endpoint_id, checks=len(others)
             )
-            return False
-        self._record_outage(endpoint)
-        return True
+            return ProbeResult.UNKNOWN
+        return await self._probe(endpoint)
+
+    async def _any_accepts(self, endpoints: Sequence[KnownEndpoint]) -> bool:
+        for probe in asyncio.as_completed(map(self._probe, endpoints)):
+            if await probe is ProbeResult.ACCEPTED:
+                return True
+        return False
 
     def _record_outage(self, endpoint: KnownEndpoint) -> None:
-        if not self._view.outages.note(endpoint.incarnation_id):
+        if not self._view.outages.observe(endpoint.incarnation_id):
             return
         log.info(
             "endpoint_outage",
@@ -116,20 +161,20 @@
         rest = [other for other in others if other not in by_service.values()]
         return [*by_service.values(), *rest][:LINK_CHECK_COUNT]
 
-    async def _accepts_connections(self, endpoint: KnownEndpoint) -> bool:
-        """Return whether the endpoint accepts a connection now.
+    async def _probe(self, endpoint: KnownEndpoint) -> ProbeResult:
+        """Open a connection to an endpoint; probes of one endpoint at a time share it.
 
-        Requests that end together at one endpoint share a check.
+        Requests that end together at one endpoint need one probe only.
         """
         incarnation_id = endpoint.incarnation_id
         probe = self._probes.get(incarnation_id)
         if probe is None:
-            probe = asyncio.ensure_future(self._probe(endpoint))
+            probe = asyncio.ensure_future(self._connect(endpoint))
             self._probes[incarnation_id] = probe
             probe.add_done_callback(lambda _: self._probes.pop(incarnation_id, None))
         return await asyncio.shield(probe)
 
-    async def _probe(self, endpoint: KnownEndpoint) -> bool:
+    async def _connect(self, endpoint: KnownEndpoint) -> ProbeResult:
         try:
             await self._client.check_connection(
                 endpoint.entry.address, timeout_s=PROBE_TIMEOUT_S
@@ -140,8 +185,9 @@
                 endpoint=endpoint.endpoint_id,
                 reason=error.message,
             )
-            return False
-        return True
+            is_silent = isinstance(error, ConnectTimeoutError)
+            return ProbeResult.SILENT if is_silent else ProbeResult.REFUSED
+        return ProbeResult.ACCEPTED
 
     def close(self) -> None:
         """Cancel pending checks."""
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -223,14 +223,21 @@
                 admitted.append(endpoint)
         return admitted
 
-    def take_cold_permit(self, endpoint: KnownEndpoint) -> bool:
-        """Count a request to a cold endpoint; return False if it takes none now."""
+    def take_cold_permit(
+        self, request: ForwardedRequest, endpoint: KnownEndpoint
+    ) -> bool:
+        """Count a request to a cold endpoint, once; return False if it takes none."""
+        if endpoint.incarnation_id in request.cold_permit_ids:
+            return True
         rate_per_s = self._cold_rate_per_s(endpoint)
         if not rate_per_s or not self._view.cold_left_s(endpoint):
             return True
-        return self._cold_start_limiter.take(
+        permitted = self._cold_start_limiter.take(
             endpoint.endpoint_id, rate_per_s, self._view.hosts
         )
+        if permitted:
+            request.cold_permit_ids.add(endpoint.incarnation_id)
+        return permitted
 
     def _cold_wait_s(self, candidates: list[KnownEndpoint]) -> float:
         """Return the estimated time until a cold endpoint takes a request."""
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -52,6 +52,8 @@
         share of a roll-out.
     tried_incarnation_ids : set of str
         Incarnations of the endpoints of all attempts so far.
+    cold_permit_ids : set of str
+        Incarnations of cold endpoints to whose request rate this request was counted.
     run_count : int
         Attempts that an endpoint may have run.
     not_run_count : int
@@ -86,6 +88,7 @@
     deadline_s: float
     session_position: float
     tried_incarnation_ids: set[str] = field(default_factory=set)
+    cold_permit_ids: set[str] = field(default_factory=set)
     run_count: int = 0
     not_run_count: int = 0
     unsuited_count: int = 0
--- a/src/sesameknot/forwarding/retry_policy.py
+++ b/src/sesameknot/forwarding/retry_policy.py
@@ -110,7 +110,7 @@
             )
             if not permitted or not await self._take_slot(request, endpoint):
                 continue
-            if self.selector.take_cold_permit(endpoint):
+            if self.selector.take_cold_permit(request, endpoint):
                 return endpoint
             self.runner.release_slot(request, endpoint)
         raise self.ended_error(request, "endpoints are at their limits")
--- a/src/sesameknot/router/attempts.py
+++ b/src/sesameknot/router/attempts.py
@@ -192,7 +192,7 @@
         """Return whether a failed attempt may be followed by another one."""
         if call.remaining_s(self._clock) <= 0.0:
             return False
-        if len(call.tried_incarnation_ids) >= ATTEMPT_LIMIT_COUNT:
+        if len(call.tried_endpoint_ids) >= ATTEMPT_LIMIT_COUNT:
             return False
         if self._crash_guard.refuses(call.fingerprint):
             return False
@@ -226,4 +226,4 @@
 
 def last_endpoint_id(call: Call) -> str:
     """Return the endpoint of the last attempt; empty if there was none."""
-    return call.tried_incarnation_ids[-1] if call.tried_incarnation_ids else ""
+    return call.tried_endpoint_ids[-1] if call.tried_endpoint_ids else ""
--- a/src/sesameknot/router/bills.py
+++ b/src/sesameknot/router/bills.py
@@ -82,7 +82,7 @@
                 customer=call.customer_name,
                 service=service,
                 model=model,
-                endpoint_id=",".join(call.tried_incarnation_ids),
+                endpoint_id=",".join(call.tried_endpoint_ids),
                 outcome=UNKNOWN,
                 wall_ms=self._clock.wall_ms(),
             )
--- a/src/sesameknot/router/call.py
+++ b/src/sesameknot/router/call.py
@@ -67,7 +67,7 @@
         Claim attempt that holds the idempotency key; empty if there is none.
     may_have_run : bool, default=False
         Whether any attempt may have started the request at an endpoint.
-    tried_incarnation_ids : list of str
+    tried_endpoint_ids : list of str
         Endpoint of each attempt, in order.
     """
 
@@ -82,7 +82,7 @@
     bill_id: str = ""
     claimant: str = ""
     may_have_run: bool = False
-    tried_incarnation_ids: list[str] = field(default_factory=list)
+    tried_endpoint_ids: list[str] = field(default_factory=list)
 
     @property
     def team(self) -> str:
--- a/src/sesameknot/router/chat_pipeline.py
+++ b/src/sesameknot/router/chat_pipeline.py
@@ -165,7 +165,7 @@
         """Make one attempt; return its failure, or None if the answer is complete."""
         endpoint_id = picked.endpoint.endpoint_id
         may_have_run_before = call.may_have_run
-        call.tried_incarnation_ids.append(endpoint_id)
+        call.tried_endpoint_ids.append(endpoint_id)
         writer.set_route(
             choice.qualified_version, _answer_headers(call, choice, endpoint_id)
         )
@@ -205,7 +205,7 @@
             pinned=choice.pinned,
             endpoint=picked.endpoint.endpoint_id,
             domain=picked.endpoint.domain,
-            attempt=len(call.tried_incarnation_ids),
+            attempt=len(call.tried_endpoint_ids),
             offset=offset,
         )
 
--- a/src/sesameknot/router/endpoint_picker.py
+++ b/src/sesameknot/router/endpoint_picker.py
@@ -254,7 +254,7 @@
 
     def _preferred_views(self, call: Call, query: EndpointQuery) -> list[EndpointView]:
         views = self._usable_views(query)
-        untried = [v for v in views if v.endpoint_id not in call.tried_incarnation_ids]
+        untried = [v for v in views if v.endpoint_id not in call.tried_endpoint_ids]
         return untried or views
 
     def _usable_views(self, query: EndpointQuery) -> list[EndpointView]:
--- a/src/sesameknot/router/service_pipeline.py
+++ b/src/sesameknot/router/service_pipeline.py
@@ -112,7 +112,7 @@
         idempotent: bool,
     ) -> EndpointAnswer | AttemptFailure:
         may_have_run_before = call.may_have_run
-        call.tried_incarnation_ids.append(picked.endpoint.endpoint_id)
+        call.tried_endpoint_ids.append(picked.endpoint.endpoint_id)
         log.info(
             "route",
             request_id=call.request_id,
@@ -121,7 +121,7 @@
             method=request.method,
             endpoint=picked.endpoint.endpoint_id,
             domain=picked.endpoint.domain,
-            attempt=len(call.tried_incarnation_ids),
+            attempt=len(call.tried_endpoint_ids),
         )
         try:
             answer = await self._client.call(self._endpoint_call(call, request, picked))
--- a/src/sesameknot/transport/endpoint_client.py
+++ b/src/sesameknot/transport/endpoint_client.py
@@ -14,7 +14,13 @@
 from tornado.tcpclient import TCPClient
 
 from sesameknot.clock import Clock
-from sesameknot.errors import ConnectError, FrameError, RouterError, TransportError
+from sesameknot.errors import (
+    ConnectError,
+    ConnectTimeoutError,
+    FrameError,
+    RouterError,
+    TransportError,
+)
 from sesameknot.protocol.chat import ChatChunk, SseParser, parse_chunk
 from sesameknot.protocol.messages import EndpointReport
 from sesameknot.protocol.orders import (
@@ -200,14 +206,20 @@
 
         Raises
         ------
+        ConnectTimeoutError
+            If the endpoint does not answer in time.
         ConnectError
-            If it cannot be opened in time.
+            If it refuses the connection.
         """
         ip, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(timeout_s):
                 stream = await self._probe_client.connect(ip, int(port))
-        except (OSError, StreamClosedError, TimeoutError) as error:
+        except TimeoutError as error:
+            raise ConnectTimeoutError(
+                f"no answer in {timeout_s} s", step="check", peer=address
+            ) from error
+        except (OSError, StreamClosedError) as error:
             raise ConnectError(repr(error), step="check", peer=address) from error
         stream.close()
 
--- a/tests/forwarding/test_cut_off_hosts.py
+++ b/tests/forwarding/test_cut_off_hosts.py
@@ -239,3 +239,57 @@
             for endpoint in front.view.endpoints.values()
         ]
         self.assertThat(max(cold_s), Equals(0.0))
+
+    def silence_only(self, endpoint_id):
+        """Let connections to one endpoint hang, for hosts in ``cut_off``."""
+        address = self.store.get("servers", endpoint_id)["Spec"]["Address"]
+        port = int(address.rpartition(":")[2])
+        self.endpoint_ports = lambda: {port}
+        self.hang = True
+
+    @gen_test(timeout=60)
+    async def test_endpoint_that_falls_silent_for_a_second_is_not_held_for_cold(self):
+        """Guards against a sound endpoint that loses its load after a short silence."""
+        self.add_endpoints()
+        fronts = await self.start_hosts(4)
+        self.silence_only("m0")
+        self.cut_off = set(fronts)
+        await asyncio.gather(
+            *(self.press(f, duration_s=1.0, paths=(STREAM_PATH,)) for f in fronts)
+        )
+        self.cut_off = set()
+        await self.pause(3.0)
+        cold_s = [f.view.cold_left_s(f.view.endpoints["m0"]) for f in fronts]
+        self.assertThat(max(cold_s), Equals(0.0))
+
+    @gen_test(timeout=60)
+    async def test_endpoint_that_stays_silent_is_held_for_cold_by_all(self):
+        """Guards against the usual load on a process that crashed in silence."""
+        self.add_endpoints()
+        fronts = await self.start_hosts(4)
+        self.silence_only("m0")
+        self.cut_off = set(fronts[:2])
+        await asyncio.gather(
+            *(self.press(f, duration_s=4.0, paths=(STREAM_PATH,)) for f in fronts)
+        )
+        cold_s = [f.view.cold_left_s(f.view.endpoints["m0"]) for f in fronts]
+        self.assertThat(min(cold_s) > 0.0, Equals(True))
+
+    @gen_test(timeout=60)
+    async def test_link_that_is_back_between_two_probes_shows_no_outage(self):
+        """Guards against all endpoints taken for down as a host's cut ends."""
+        self.add_endpoints()
+        front, _ = await self.start_hosts(2)
+        probes = front.ingress._runner.probes
+        for hang in (False, True):
+            self.hang = hang
+            self.cut_off = {front}
+            checks = [
+                asyncio.create_task(probes.is_down(endpoint))
+                for endpoint in front.view.endpoints.values()
+            ]
+            await self.pause(0.1 if hang else 0.0)
+            self.cut_off = set()
+            downs = await asyncio.gather(*checks)
+            self.assertThat(downs, Equals([False] * len(downs)))
+            self.assertThat(front.view.outages.ages_s(), Equals({}))
--- a/tests/forwarding/test_restarted_endpoints.py
+++ b/tests/forwarding/test_restarted_endpoints.py
@@ -145,3 +145,32 @@
         self._check_answered(await self._press(fronts[2:], duration_s=3.0))
         await restart
         self._check_cold_load(endpoint)
+
+    @gen_test(timeout=60)
+    async def test_requests_whose_connections_are_being_opened_are_counted(self):
+        """Guards against requests that reach the endpoint after its outage is known."""
+        fronts = await self._start_hosts(HOST_COUNT)
+        endpoint = await self._find_hot_endpoint(fronts)
+        for front in fronts:
+            self._delay_connections(front)
+        before_count = len(endpoint.runs)
+        tasks = [
+            asyncio.create_task(self.ask(front, STREAM_PATH, headers=HOT_PROMPT))
+            for front in fronts * 3
+        ]
+        await self.pause(0.1)
+        for front in fronts:
+            known = front.view.endpoints[endpoint.endpoint_id]
+            front.view.outages.observe(known.incarnation_id)
+        self._check_answered(await asyncio.gather(*tasks))
+        sent_count = len(endpoint.runs) - before_count
+        self.assertThat(sent_count <= ALLOWED_COUNT, Equals(True), f"{sent_count}")
+
+    def _delay_connections(self, front):
+        connect = front.endpoint_client._http.tcp_client.connect
+
+        async def connect_later(*args, **options):
+            await asyncio.sleep(0.2)
+            return await connect(*args, **options)
+
+        front.endpoint_client._http.tcp_client.connect = connect_later
--- a/tests/state/test_endpoint_outages.py
+++ b/tests/state/test_endpoint_outages.py
@@ -6,6 +6,7 @@
 from sesameknot.clock import ManualClock
 from sesameknot.protocol.configuration import Configuration, ServiceConfiguration
 from sesameknot.protocol.fleet_records import EndpointEntry
+from sesameknot.state.endpoint_outages import EndpointOutages
 from sesameknot.state.fleet_view import FleetView
 
 ENTRY_LIFE_S = 3.6
@@ -51,38 +52,82 @@
         arrive, and it is cold from its start on.
         """
         self.assertThat(self._cold_left_s(), Equals(0.0))
-        self.view.outages.note(self._endpoint.incarnation_id)
+        self.view.outages.observe(self._endpoint.incarnation_id)
         self.assertThat(self._cold_left_s(), Equals(ENTRY_LIFE_S + LEAVE_S + COLD_S))
         self.clock.advance(ENTRY_LIFE_S + LEAVE_S + COLD_S)
         self.assertThat(self._cold_left_s(), Equals(0.0))
 
     def test_entry_of_the_next_process_replaces_the_outage(self):
         """Guards against a suspicion that outlives the process that it is about."""
-        self.view.outages.note(self._endpoint.incarnation_id)
+        self.view.outages.observe(self._endpoint.incarnation_id)
         self.view.put_endpoint(self._entry(started_ms=2000))
         self.assertThat(self._cold_left_s(), Equals(COLD_S))
 
     def test_later_outage_extends_the_suspicion(self):
         """Guards against an endpoint that is down for longer than it is suspected."""
-        self.view.outages.note(self._endpoint.incarnation_id)
+        self.view.outages.observe(self._endpoint.incarnation_id)
         self.clock.advance(4.0)
         self.assertThat(
-            self.view.outages.note(self._endpoint.incarnation_id), Equals(True)
+            self.view.outages.observe(self._endpoint.incarnation_id), Equals(True)
         )
         self.assertThat(self._cold_left_s(), Equals(ENTRY_LIFE_S + LEAVE_S + COLD_S))
 
-    def test_report_of_a_known_outage_is_no_news(self):
+    def test_report_of_a_known_outage_does_not_extend_it(self):
         """Guards against hosts that extend one outage by telling each other of it."""
-        self.view.outages.note(self._endpoint.incarnation_id)
+        self.view.outages.observe(self._endpoint.incarnation_id)
         self.clock.advance(0.6)
-        news = self.view.outages.note(self._endpoint.incarnation_id, age_s=0.4)
-        self.assertThat(news, Equals(False))
+        is_new = self.view.outages.merge(self._endpoint.incarnation_id, age_s=0.4)
+        self.assertThat(is_new, Equals(False))
         age_s = self.view.outages.ages_s()[self._endpoint.incarnation_id]
         self.assertThat(round(age_s, 6), Equals(0.6))
 
     def test_outages_are_forgotten(self):
         """Guards against records that grow with the restarts of endpoints."""
-        self.view.outages.note(self._endpoint.incarnation_id)
-        self.clock.advance(61.0)
+        self.view.outages.observe(self._endpoint.incarnation_id)
+        self.clock.advance(ENTRY_LIFE_S + LEAVE_S + COLD_S + 10.1)
         self.view.forget_outdated()
-        self.assertThat(self.view.outages.ages_s(), Equals({}))
+        self.assertThat(self.view.outages._down_s, Equals({}))
+
+
+class OutageReportsTest(TestCase):
+    """Two hosts that report outages to each other."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.hosts = [EndpointOutages(self.clock, 5.6) for _ in range(2)]
+        self.hosts[0].observe("e@1")
+
+    def report(self, sender, receiver, *, delay_s=0.0):
+        """Report what one host knows; return the number of outages that are new."""
+        ages_s = sender.ages_s()
+        self.clock.advance(delay_s)
+        return sum(
+            receiver.merge(incarnation_id, age_s=age_s)
+            for incarnation_id, age_s in ages_s.items()
+        )
+
+    def test_forgotten_outage_is_not_learned_again(self):
+        """Guards against an outage that hosts report to each other without end."""
+        first, second = self.hosts
+        new_count = 0
+        for step in range(1, 4000):
+            self.clock.advance(0.1)
+            # Each host forgets at moments of its own.
+            if step % 20 == 0:
+                first.expire()
+            if step % 20 == 10:
+                second.expire()
+            if step % 5 == 0:
+                new_count += self.report(first, second) + self.report(second, first)
+        self.assertThat(new_count, Equals(1))
+        self.assertThat([first.ages_s(), second.ages_s()], Equals([{}, {}]))
+
+    def test_slow_exchange_does_not_extend_an_outage(self):
+        """Guards against an endpoint that is cold for as long as a host is slow."""
+        first, second = self.hosts
+        new_count = 0
+        for _ in range(20):
+            new_count += self.report(first, second, delay_s=0.6)
+            new_count += self.report(second, first, delay_s=0.6)
+        self.assertThat(new_count, Equals(1))
