--- a/src/sesameknot/coordination/crash_archive.py
+++ b/src/sesameknot/coordination/crash_archive.py
@@ -47,6 +47,12 @@
     def merge(self, entries: list[CrashEntry]) -> None:
         """Merge entries that the store holds."""
 
+    def count(self, fingerprint: int) -> int:
+        """Return the number of crashes that still count."""
+
+    def answered_since(self, fingerprint: int) -> bool:
+        """Return whether what was refused is known as sound since."""
+
 
 class CrashArchive:
     """Task that reads crash reports at the start, and writes those of this host.
@@ -129,8 +135,7 @@
     async def _take(self, entry: StoredEntry) -> None:
         try:
             report = decode_crash_report(entry)
-            kind, _, digits = report.name.partition("-")
-            source, fingerprint = self._sources[kind], int(digits, 16)
+            source, fingerprint = self._source(report.name)
         except (EntryError, KeyError, ValueError) as error:
             log.warning("entry_rejected", entry=entry.key, reason=str(error))
             return
@@ -141,11 +146,24 @@
         self._stored_names.add(report.name)
         source.merge([CrashEntry(fingerprint, report.endpoint_ids, age_s)])
 
+    def _source(self, name: str) -> tuple[RefusalSource, int]:
+        """Return the source and the fingerprint that the name of a report states."""
+        kind, _, digits = name.partition("-")
+        return self._sources[kind], int(digits, 16)
+
+    def _is_sound(self, name: str) -> bool:
+        source, fingerprint = self._source(name)
+        return source.answered_since(fingerprint)
+
+    def _counts(self, name: str) -> bool:
+        source, fingerprint = self._source(name)
+        return source.count(fingerprint) > 0
+
     async def write_reports(self) -> int:
         """Write the reports of this host that the store does not hold yet.
 
         The reports with the most crashes go first. Reports of this host that have
-        expired are deleted.
+        expired are deleted, and those of any host of what is known as sound since.
 
         Returns
         -------
@@ -162,10 +180,13 @@
             self._stored_names.clear()
         self._store_era = self._store.era
         reports = {report.name: report for report in self._reports()}
-        for name in self._own_names - set(reports):
+        sound_names = {name for name in self._stored_names if self._is_sound(name)}
+        for name in (self._own_names - set(reports)) | sound_names:
             await self._store.delete(CRASH_KIND, name)
+            log.info("crash_report_deleted", report=name, sound=name in sound_names)
             self._own_names.discard(name)
-        self._stored_names &= set(reports)
+            self._stored_names.discard(name)
+        self._stored_names = {n for n in self._stored_names if self._counts(n)}
         new_reports = [
             report for name, report in reports.items() if name not in self._stored_names
         ]
--- a/src/sesameknot/coordination/crash_exchange.py
+++ b/src/sesameknot/coordination/crash_exchange.py
@@ -6,8 +6,9 @@
 import structlog
 
 from sesameknot.coordination._ping_content import PeerObservation
+from sesameknot.policy.crash_evidence import Crash
 from sesameknot.policy.crash_guard import CrashEntry
-from sesameknot.protocol.messages import CrashCount
+from sesameknot.protocol.messages import CrashCount, CrashTiming
 
 # A relay of many hosts answers many times a second, so messages must stay small. What
 # repeats is among the first entries, as relays add up the counts of their hosts.
@@ -80,11 +81,26 @@
 
 def _message(entry: CrashEntry) -> CrashCount:
     answered_age_s = entry.answered_age_s
+    endpoint_ids = sorted(entry.endpoint_ids)
+    crashes = [entry.crashes[endpoint_id] for endpoint_id in endpoint_ids]
+    timed = any(c.began_s is not None or c.answered for c in crashes)
     return CrashCount(
         fingerprint=entry.fingerprint,
-        endpoint_ids=sorted(entry.endpoint_ids),
+        endpoint_ids=endpoint_ids,
         age_ms=int(entry.age_s * 1000),
         answered_age_ms=-1 if answered_age_s is None else int(answered_age_s * 1000),
+        timings=[_timing(crash) for crash in crashes] if timed else [],
+    )
+
+
+def _timing(crash: Crash) -> CrashTiming:
+    run_ms = -1
+    if crash.began_s is not None:
+        run_ms = max(0, int((crash.ended_s - crash.began_s) * 1000))
+    return CrashTiming(
+        age_ms=max(0, int(-crash.ended_s * 1000)),
+        run_ms=run_ms,
+        answered=crash.answered,
     )
 
 
@@ -95,4 +111,17 @@
         endpoint_ids=frozenset(count.endpoint_ids),
         age_s=count.age_ms / 1000.0,
         answered_age_s=None if answered_age_ms < 0 else answered_age_ms / 1000.0,
+        crashes={
+            endpoint_id: _crash(timing)
+            # Older builds send no timings.
+            for endpoint_id, timing in zip(
+                count.endpoint_ids, count.timings, strict=False
+            )
+        },
     )
+
+
+def _crash(timing: CrashTiming) -> Crash:
+    ended_s = -timing.age_ms / 1000.0
+    began_s = None if timing.run_ms < 0 else ended_s - timing.run_ms / 1000.0
+    return Crash(ended_s, began_s, timing.answered)
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -154,6 +154,7 @@
         )
         self._sent = True
         self._sent_s = self._runner.clock.monotonic_s()
+        self.request.sent_s[self.endpoint.endpoint_id] = self._sent_s
         self.request.count_run()
 
     def may_give_up(self) -> bool:
--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -64,9 +64,7 @@
 
     def refusal_reason(self, request: ForwardedRequest) -> str:
         """Return why the request must not run; empty if it may."""
-        if self._crash_guard.has_entries and self._crash_guard.refuses(
-            _fingerprint(request)
-        ):
+        if self._crash_guard.has_entries and not self._admits(request):
             return "request takes endpoints down"
         if self._part_guard.has_entries and self._part_guard.refuses(
             _shared_parts(request)
@@ -74,8 +72,34 @@
             return "part of the prompt takes endpoints down"
         return ""
 
+    def _admits(self, request: ForwardedRequest) -> bool:
+        fingerprint = _fingerprint(request)
+        if not self._crash_guard.in_doubt(fingerprint):
+            return True
+        if self._crash_guard.admits(fingerprint):
+            request.doubted_run_count = request.run_count
+            log.info(
+                "request_in_doubt_sent",
+                request_id=request.request_id,
+                fingerprint=f"{fingerprint:016x}",
+                crashes=self._crash_guard.count(fingerprint),
+            )
+            return True
+        # The turn is for one run, which an endpoint that is down has not begun.
+        return request.doubted_run_count == request.run_count
+
     def record_answer(self, request: ForwardedRequest) -> None:
         """Record that the request's answer crashed no endpoint."""
+        fingerprint = _fingerprint(request)
+        if self._crash_guard.in_doubt(fingerprint):
+            log.info(
+                "request_known_as_sound",
+                request_id=request.request_id,
+                fingerprint=f"{fingerprint:016x}",
+                crashes=self._crash_guard.count(fingerprint),
+            )
+        began_s = max(request.sent_s.values(), default=None)
+        self._crash_guard.record_answer(fingerprint, began_s=began_s)
         self._part_guard.record_answer(_shared_parts(request))
 
     async def record_if_down(
@@ -92,16 +116,18 @@
             # The retry need not wait: a silent endpoint takes long to check.
             self._spawn(self._record_silent(request, endpoint, error.message))
             return
+        ended_s = self._clock.monotonic_s()
         if not await self._is_down(endpoint):
             return
-        self._record(request, endpoint, reason=error.message)
+        self._record(request, endpoint, reason=error.message, ended_s=ended_s)
         await self._record_abandoned(request, request.abandoned_runs)
 
     async def _record_silent(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, reason: str
     ) -> None:
+        ended_s = self._clock.monotonic_s()
         if await self._stays_down(endpoint):
-            self._record(request, endpoint, reason=reason)
+            self._record(request, endpoint, reason=reason, ended_s=ended_s)
 
     def check_abandoned_runs(self, request: ForwardedRequest) -> None:
         """Check later whether runs of a request without an answer crashed endpoints.
@@ -131,6 +157,7 @@
     async def _record_abandoned(
         self, request: ForwardedRequest, runs: list[AbandonedRun]
     ) -> None:
+        ended_s = self._clock.monotonic_s()
         downs = await asyncio.gather(
             *(
                 self._stays_down(run.endpoint)
@@ -141,13 +168,24 @@
         )
         for run, down in zip(runs, downs, strict=True):
             if down:
-                self._record(request, run.endpoint, reason="run was ended before")
+                reason = "run was ended before"
+                self._record(request, run.endpoint, reason=reason, ended_s=ended_s)
 
     def _record(
-        self, request: ForwardedRequest, endpoint: KnownEndpoint, *, reason: str
+        self,
+        request: ForwardedRequest,
+        endpoint: KnownEndpoint,
+        *,
+        reason: str,
+        ended_s: float,
     ) -> None:
         fingerprint = _fingerprint(request)
-        self._crash_guard.record(fingerprint, endpoint.incarnation_id)
+        self._crash_guard.record(
+            fingerprint,
+            endpoint.incarnation_id,
+            began_s=request.sent_s.get(endpoint.endpoint_id),
+            ended_s=ended_s,
+        )
         parts = _shared_parts(request)
         self._part_guard.record_crash(parts, endpoint.incarnation_id)
         log.warning(
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -57,6 +57,7 @@
                     body = await attempt.read_all()
                     if self._is_final(request, attempt):
                         attempt.record_answer()
+                        self._note_sound(request, attempt)
                         headers = headers_for_caller(attempt.headers)
                         await caller.send_complete(attempt.status, headers, body)
                         return
@@ -69,6 +70,15 @@
                         request, error.message
                     ) from error
 
+    def _note_sound(self, request: ForwardedRequest, attempt: Attempt) -> None:
+        """Tell the crash detector of an answer that its endpoint completed.
+
+        An answer that ends with its connection may have been cut by a crash, and a
+        server error may have come before the request began to run.
+        """
+        if attempt.status < SERVER_ERROR_STATUS and not attempt.ends_with_connection:
+            self._retry_policy.crash_detector.record_answer(request)
+
     def _answer_timeout_s(
         self, request: ForwardedRequest, endpoint: KnownEndpoint
     ) -> float:
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -72,6 +72,11 @@
         Slots of endpoints that the request holds, by endpoint.
     abandoned_runs : list of AbandonedRun
         Runs that this host ended before their end.
+    doubted_run_count : int or None
+        Number of runs at which it took this host's turn, as a request that may crash
+        endpoints; None if it has not.
+    sent_s : dict of str to float
+        Monotonic time at which the request was last sent to each endpoint.
     """
 
     metadata: RequestMetadata
@@ -96,6 +101,8 @@
     last_event_id: str = ""
     slots: dict[str, HeldSlot] = field(default_factory=dict)
     abandoned_runs: list[AbandonedRun] = field(default_factory=list)
+    doubted_run_count: int | None = None
+    sent_s: dict[str, float] = field(default_factory=dict)
 
     @property
     def request_id(self) -> str:
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -35,6 +35,7 @@
 )
 from sesameknot.policy.crash_guard import CrashGuard
 from sesameknot.policy.prompt_part_guard import PromptPartGuard
+from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.fleet_records import HostEntry
 from sesameknot.protocol.messages import (
     DomainSync,
@@ -175,7 +176,11 @@
             peers=self.peer_client,
             addresses=self._other_addresses,
         )
-        self.crash_guard = CrashGuard(clock=self.clock, limit_count=CRASH_LIMIT_COUNT)
+        self.crash_guard = CrashGuard(
+            clock=self.clock,
+            limit_count=CRASH_LIMIT_COUNT,
+            place=self._place_of_this_host,
+        )
         self.part_guard = PromptPartGuard(clock=self.clock)
         self.crash_archive = CrashArchive(
             {"request": self.crash_guard, "part": self.part_guard},
@@ -226,6 +231,12 @@
             apply_limit_s=self._change_limit_s(),
         )
 
+    def _place_of_this_host(self, fingerprint: int) -> tuple[int, int]:
+        """Return this host's place for a request in doubt, and the number of hosts."""
+        hosts = {*self.view.hosts, self.host.host_id}
+        order = rendezvous_order(f"{fingerprint:016x}", hosts)
+        return order.index(self.host.host_id), len(order)
+
     def _information_confirmed_s(self) -> float:
         """Return when a relay or the store last told what this host knows."""
         relay_answered_s = self.domain_exchange.relay_answered_s
--- a/src/sesameknot/policy/prompt_part_guard.py
+++ b/src/sesameknot/policy/prompt_part_guard.py
@@ -208,6 +208,10 @@
         """Return the number of crashes at which a part was present."""
         return self._counts.count(fingerprint)
 
+    def answered_since(self, fingerprint: int) -> bool:
+        """Return whether a part was answered after all crashes that are known."""
+        return not self._counts.count(fingerprint) and self._answered(fingerprint)
+
     def merge(self, entries: Iterable[CrashEntry]) -> None:
         """Merge the entries of another host."""
         now_s = self.clock.monotonic_s()
@@ -220,7 +224,8 @@
                 continue
             for endpoint_id in entry.endpoint_ids:
                 self._crashed_s.setdefault(endpoint_id, now_s - entry.age_s)
-            self._counts.merge([entry])
+            # This guard judges by answers itself.
+            self._counts.merge([replace(entry, answered_age_s=None)])
         self._groups = None
 
     def entries_to_share(self) -> list[CrashEntry]:
--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -118,18 +118,33 @@
     slow_count: int = 0
 
 
+@dataclass(slots=True, kw_only=True)
+class CrashTiming:
+    """Crash of one endpoint.
+
+    ``run_ms`` is the time from the start of the run until its end was seen, negative if
+    it is not known; ``answered`` whether the request was answered soundly after it.
+    """
+
+    age_ms: int = 0
+    run_ms: int = -1
+    answered: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class CrashCount:
     """Endpoints that crashed on requests with the same fingerprint.
 
     ``answered_age_ms`` is the time since such a request was answered without a crash;
-    negative if none was.
+    negative if none was. ``timings`` belong to ``endpoint_ids``, in their order; there
+    are none from older builds, and if nothing but the last crash is known.
     """
 
     fingerprint: int = 0
     endpoint_ids: list[str] = field(default_factory=list)
     age_ms: int = 0
     answered_age_ms: int = -1
+    timings: list[CrashTiming] = field(default_factory=list)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -87,6 +87,13 @@
   endpointIds @1 :List(Text);
   ageMs @2 :UInt64;
   answeredAgeMs @3 :Int64 = -1;
+  timings @4 :List(CrashTiming);
+}
+
+struct CrashTiming {
+  ageMs @0 :UInt64;
+  runMs @1 :Int64 = -1;
+  answered @2 :Bool;
 }
 
 struct Ping {
--- a/tests/coordination/test_crash_archive.py
+++ b/tests/coordination/test_crash_archive.py
@@ -65,6 +65,24 @@
         await archive.write_reports()
         self.assertThat(self.store.get(CRASH_KIND, REPORT_NAME), Equals(None))
 
+    @gen_test
+    async def test_report_is_deleted_once_the_request_is_known_as_sound(self):
+        """Guards against a refusal that comes back with the next host that starts.
+
+        The host that wrote the report is gone; another one knows it.
+        """
+        writer, writer_archive = self.new_host()
+        self.crash(writer)
+        await writer_archive.write_reports()
+        guard, archive = self.new_host()
+        await archive.read_reports()
+        await archive.write_reports()
+        self.assertNotEqual(self.store.get(CRASH_KIND, REPORT_NAME), None)
+        self.clock.advance(1.0)
+        guard.record_answer(REQUEST)
+        await archive.write_reports()
+        self.assertThat(self.store.get(CRASH_KIND, REPORT_NAME), Equals(None))
+
     @gen_test
     async def test_many_refusals_are_written_a_few_at_a_time_the_worst_first(self):
         """Guards against a burst of writes when many requests meet crashes."""
