--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -102,6 +102,22 @@
         self._crash_guard.record_answer(fingerprint, began_s=began_s)
         self._part_guard.record_answer(_shared_parts(request))
 
+    def check_answer(self, request: ForwardedRequest, endpoint: KnownEndpoint) -> None:
+        """Record a whole answer later if its endpoint still accepts connections then.
+
+        An endpoint that crashes may end its connection like one that has finished.
+        Without anything that counts as an answer, no suspicion could be judged.
+        """
+        if self._crash_guard.has_entries or self._part_guard.has_entries:
+            self._spawn(self._record_answer_if_up(request, endpoint))
+
+    async def _record_answer_if_up(
+        self, request: ForwardedRequest, endpoint: KnownEndpoint
+    ) -> None:
+        await asyncio.sleep(CRASH_DELAY_LIMIT_S)
+        if await self._accepts_connections(endpoint):
+            self.record_answer(request)
+
     async def record_if_down(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, error: RouterError
     ) -> None:
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -73,11 +73,15 @@
     def _note_sound(self, request: ForwardedRequest, attempt: Attempt) -> None:
         """Tell the crash detector of an answer that its endpoint completed.
 
-        An answer that ends with its connection may have been cut by a crash, and a
-        server error may have come before the request began to run.
+        A server error may have come before the request began to run.
         """
-        if attempt.status < SERVER_ERROR_STATUS and not attempt.ends_with_connection:
-            self._retry_policy.crash_detector.record_answer(request)
+        if attempt.status >= SERVER_ERROR_STATUS:
+            return
+        crash_detector = self._retry_policy.crash_detector
+        if attempt.ends_with_connection:
+            crash_detector.check_answer(request, attempt.endpoint)
+        else:
+            crash_detector.record_answer(request)
 
     def _answer_timeout_s(
         self, request: ForwardedRequest, endpoint: KnownEndpoint
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -298,6 +298,9 @@
             await caller.send_head(attempt.status, headers_for_caller(attempt.headers))
         attempt.record_answer()
         answer_watch.answer_ended()
+        if attempt.ends_with_connection:
+            crash_detector = self._retry_policy.crash_detector
+            crash_detector.check_answer(request, attempt.endpoint)
         caller.finish()
 
     def _split(self, state: _StreamState, attempt: Attempt, data: bytes) -> bytes:
