--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -51,9 +51,7 @@
 
     def refusal_reason(self, request: ForwardedRequest) -> str:
         """Return why the request must not run; empty if it may."""
-        if self._crash_guard.has_entries and self._crash_guard.refuses(
-            _fingerprint(request)
-        ):
+        if self._crash_guard.has_entries and not self._admits(request):
             return "request takes endpoints down"
         if self._part_guard.has_entries and self._part_guard.refuses(
             _shared_parts(request)
@@ -61,10 +59,52 @@
             return "part of the prompt takes endpoints down"
         return ""
 
+    def _admits(self, request: ForwardedRequest) -> bool:
+        fingerprint = _fingerprint(request)
+        if not self._crash_guard.in_doubt(fingerprint):
+            return True
+        if self._crash_guard.admits(fingerprint):
+            request.doubted_run_count = request.run_count
+            log.info(
+                "request_in_doubt_sent",
+                request_id=request.request_id,
+                fingerprint=f"{fingerprint:016x}",
+                crashes=self._crash_guard.count(fingerprint),
+            )
+            return True
+        # The turn is for one run, which an endpoint that is down has not begun.
+        return request.doubted_run_count == request.run_count
+
     def record_answer(self, request: ForwardedRequest) -> None:
         """Record that the request's answer crashed no endpoint."""
+        fingerprint = _fingerprint(request)
+        if self._crash_guard.in_doubt(fingerprint):
+            log.info(
+                "request_known_as_sound",
+                request_id=request.request_id,
+                fingerprint=f"{fingerprint:016x}",
+                crashes=self._crash_guard.count(fingerprint),
+            )
+        began_s = max(request.sent_s.values(), default=None)
+        self._crash_guard.record_answer(fingerprint, began_s=began_s)
         self._part_guard.record_answer(_shared_parts(request))
 
+    def check_answer(self, request: ForwardedRequest, endpoint: KnownEndpoint) -> None:
+        """Record a whole answer later if its endpoint still accepts connections then.
+
+        An endpoint that crashes may end its connection like one that has finished.
+        Without anything that counts as an answer, no suspicion could be judged.
+        """
+        if self._crash_guard.has_entries or self._part_guard.has_entries:
+            self._spawn(self._record_answer_if_up(request, endpoint))
+
+    async def _record_answer_if_up(
+        self, request: ForwardedRequest, endpoint: KnownEndpoint
+    ) -> None:
+        await asyncio.sleep(CRASH_DELAY_LIMIT_S)
+        if await self._probes.accepts_connections(endpoint):
+            self.record_answer(request)
+
     async def record_if_down(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, error: RouterError
     ) -> None:
@@ -79,9 +119,10 @@
             # The retry need not wait: a silent endpoint takes long to check.
             self._spawn(self._record_silent(request, endpoint, error.message))
             return
+        ended_s = self._clock.monotonic_s()
         if not await self._probes.is_down(endpoint):
             return
-        self._record(request, endpoint, reason=error.message)
+        self._record(request, endpoint, reason=error.message, ended_s=ended_s)
         # The retry waits for this check, so it does not wait for entries.
         await self._record_abandoned(
             request, request.abandoned_runs, await_entries=False
@@ -90,8 +131,9 @@
     async def _record_silent(
         self, request: ForwardedRequest, endpoint: KnownEndpoint, reason: str
     ) -> None:
+        ended_s = self._clock.monotonic_s()
         if await self._probes.stays_down(endpoint, await_entry=True):
-            self._record(request, endpoint, reason=reason)
+            self._record(request, endpoint, reason=reason, ended_s=ended_s)
 
     def check_abandoned_runs(self, request: ForwardedRequest) -> None:
         """Check later whether runs of a request without an answer crashed endpoints.
@@ -125,6 +167,7 @@
         *,
         await_entries: bool,
     ) -> None:
+        ended_s = self._clock.monotonic_s()
         downs = await asyncio.gather(
             *(
                 self._probes.stays_down(run.endpoint, await_entry=await_entries)
@@ -135,13 +178,24 @@
         )
         for run, down in zip(runs, downs, strict=True):
             if down:
-                self._record(request, run.endpoint, reason="run was ended before")
+                reason = "run was ended before"
+                self._record(request, run.endpoint, reason=reason, ended_s=ended_s)
 
     def _record(
-        self, request: ForwardedRequest, endpoint: KnownEndpoint, *, reason: str
+        self,
+        request: ForwardedRequest,
+        endpoint: KnownEndpoint,
+        *,
+        reason: str,
+        ended_s: float,
     ) -> None:
         fingerprint = _fingerprint(request)
-        self._crash_guard.record(fingerprint, endpoint.incarnation_id)
+        self._crash_guard.record(
+            fingerprint,
+            endpoint.incarnation_id,
+            began_s=request.sent_s.get(endpoint.incarnation_id),
+            ended_s=ended_s,
+        )
         parts = _shared_parts(request)
         self._part_guard.record_crash(parts, endpoint.incarnation_id)
         log.warning(
--- a/src/sesameknot/forwarding/endpoint_probes.py
+++ b/src/sesameknot/forwarding/endpoint_probes.py
@@ -102,6 +102,10 @@
         known = self._view.endpoints.get(endpoint.endpoint_id)
         return known is not None and known.incarnation_id != endpoint.incarnation_id
 
+    async def accepts_connections(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether the endpoint accepts a connection now."""
+        return await self._probe(endpoint) is ProbeResult.ACCEPTED
+
     async def is_down(self, endpoint: KnownEndpoint) -> bool:
         """Return whether the endpoint accepts no connection, but others do.
 
