--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -286,5 +286,8 @@
         self._cancel_deadline_timer()
         if not self._fetch_done:
             self.connection.abandon()
+        # The event loop keeps the context of a cancelled timer until its time, and with
+        # it this connection; the callback refers to the whole request.
+        self.connection.before_send = None
         if self._buffer_drained is not None and not self._buffer_drained.done():
             self._buffer_drained.set_result(None)
--- a/tests/transport/test_endpoint_client.py
+++ b/tests/transport/test_endpoint_client.py
@@ -1,8 +1,10 @@
 """Tests of the client of endpoints."""
 
 import asyncio
+import gc
 import socket
 import struct
+import weakref
 
 from testtools.matchers import Contains, Equals, Is, IsInstance
 from tornado.tcpserver import TCPServer
@@ -105,6 +107,28 @@
         with self.assertRaises(ConnectError):
             await self.endpoint_client.call(self._plain_call())
 
+    @gen_test
+    async def test_a_closed_attempt_holds_nothing_until_its_time_limit(self):
+        """Guards against bodies of ended requests that are kept until the deadline."""
+
+        class Request:
+            def before_send(self):
+                pass
+
+        self._start(kind="plain")
+        request = Request()
+        limits = CallLimits(deadline_s=3600.0)
+        call = self._plain_call(limits=limits, before_send=request.before_send)
+        exchange = self.endpoint_client.start_exchange(call)
+        await exchange.read_headers()
+        while await exchange.read():
+            pass
+        exchange.close()
+        kept = weakref.ref(request)
+        del request, call, exchange
+        gc.collect()
+        self.assertThat(kept(), Is(None))
+
     @gen_test
     async def test_a_refusal_at_the_moment_of_sending_sends_nothing(self):
         """Guards against a request that is sent after its grant expired."""
