--- a/src/sesameknot/forwarding/crash_detector.py
+++ b/src/sesameknot/forwarding/crash_detector.py
@@ -10,7 +10,7 @@
 from sesameknot.clock import Clock
 from sesameknot.errors import ConnectError, DeadlineError, RouterError, TransportError
 from sesameknot.forwarding.request import AbandonedRun, ForwardedRequest
-from sesameknot.policy.crash_guard import CrashGuard, request_fingerprint
+from sesameknot.policy.crash_guard import CrashGuard
 from sesameknot.policy.prompt_part_guard import PromptPartGuard, part_fingerprint
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
@@ -235,8 +235,7 @@
 
 
 def _fingerprint(request: ForwardedRequest) -> int:
-    customer = request.customer.name if request.customer is not None else ""
-    return request_fingerprint(customer, request.uri, request.body or b"")
+    return request.fingerprint
 
 
 def _shared_parts(request: ForwardedRequest) -> list[int]:
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -34,6 +34,7 @@
 from sesameknot.router.drain import Drain
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.state.fleet_view import FleetView
+from sesameknot.transport.request_body import RequestBody
 
 NO_ROUTE_STATUS = 404
 UNAUTHORIZED_STATUS = 401
@@ -107,13 +108,15 @@
         self._time_limits: set[asyncio.Timeout] = set()
         self._start_limit_s = clock.monotonic_s() + START_LIMIT_S
 
-    def accept(self, http_request: HTTPServerRequest) -> None:
+    def accept(self, http_request: HTTPServerRequest, body: RequestBody) -> None:
         """Start handling a request whose body has been read completely."""
-        self._start(self._handle(http_request, handed_over=False))
+        self._start(self._handle(http_request, body, handed_over=False))
 
-    def accept_handed_over(self, http_request: HTTPServerRequest) -> None:
+    def accept_handed_over(
+        self, http_request: HTTPServerRequest, body: RequestBody
+    ) -> None:
         """Start handling a request that another host hands over."""
-        self._start(self._handle(http_request, handed_over=True))
+        self._start(self._handle(http_request, body, handed_over=True))
 
     def end_requests(self) -> None:
         """Let the deadline of all requests in flight pass now.
@@ -131,7 +134,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _handle(
-        self, http_request: HTTPServerRequest, *, handed_over: bool
+        self, http_request: HTTPServerRequest, body: RequestBody, *, handed_over: bool
     ) -> None:
         caller = CallerConnection(http_request)
         caller.close_after_answer = self._drain.draining
@@ -144,7 +147,7 @@
         with self._drain.track_request():
             try:
                 await self._wait_until_informed(metadata)
-                request = self._admit(http_request, metadata, arrived_s)
+                request = self._admit(http_request, body, metadata, arrived_s)
                 if handed_over:
                     request.handed_over = True
                     request.prior_run_count = parse_run_count(http_request.headers)
@@ -164,6 +167,8 @@
                 await self._send_error(
                     caller, ErrorAnswer(status=INTERNAL_ERROR_STATUS, reason=reason)
                 )
+            finally:
+                body.release()
         duration_s = self._clock.monotonic_s() - arrived_s
         self._metrics.observe_request(outcome, caller.status, duration_s)
         log.info(
@@ -210,6 +215,7 @@
             raise
         finally:
             self._runner.release_slots(request)
+            request.release_body()
 
     async def _forward_until_deadline(
         self, request: ForwardedRequest, caller: CallerConnection
@@ -274,6 +280,7 @@
     def _admit(
         self,
         http_request: HTTPServerRequest,
+        body: RequestBody,
         metadata: RequestMetadata,
         arrived_s: float,
     ) -> ForwardedRequest:
@@ -307,7 +314,7 @@
             method=http_request.method,
             uri=http_request.uri,
             headers=http_request.headers,
-            body=http_request.body if _has_body(http_request) else None,
+            body=body if _has_body(http_request) else None,
             route=route,
             customer=customer,
             service=_choose_service(route, session),
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -5,8 +5,10 @@
 from tornado.httputil import HTTPHeaders
 
 from sesameknot.platform import RequestMetadata
+from sesameknot.policy.crash_guard import request_fingerprint
 from sesameknot.protocol.configuration import Customer, Route
 from sesameknot.state.known_endpoint import HeldSlot, KnownEndpoint
+from sesameknot.transport.request_body import RequestBody
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,8 +39,8 @@
         Forwarded unchanged.
     headers : HTTPHeaders
         Headers as received.
-    body : bytes or None
-        Body as received; None if there was none.
+    body : RequestBody or None
+        Body as received, until :meth:`release_body`; None if there was none.
     route : Route
         The matching route.
     customer : Customer or None
@@ -78,7 +80,7 @@
     method: str
     uri: str
     headers: HTTPHeaders
-    body: bytes | None
+    body: RequestBody | None
     route: Route
     customer: Customer | None
     service: str
@@ -96,6 +98,22 @@
     last_event_id: str = ""
     slots: dict[str, HeldSlot] = field(default_factory=dict)
     abandoned_runs: list[AbandonedRun] = field(default_factory=list)
+    _fingerprint: int | None = None
+
+    @property
+    def fingerprint(self) -> int:
+        """Hash of customer, target and body, the same on all hosts."""
+        if self._fingerprint is None:
+            customer = self.customer.name if self.customer is not None else ""
+            blocks = self.body.blocks if self.body is not None else []
+            self._fingerprint = request_fingerprint(customer, self.uri, *blocks)
+        return self._fingerprint
+
+    def release_body(self) -> None:
+        """Drop the body; the fingerprint remains for crashes that show later."""
+        if self.body is not None:
+            _ = self.fingerprint
+            self.body.release()
 
     @property
     def request_id(self) -> str:
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -57,6 +57,7 @@
 from sesameknot.transport.endpoint_client import EndpointClient
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
+from sesameknot.transport.request_body import RequestBody
 
 CLEANUP_INTERVAL_S = 1.0
 # The platform removes the entry of an endpoint that is silent for so many heartbeats.
@@ -312,9 +313,9 @@
         )
         self._listeners.close()
 
-    def _accept(self, request: HTTPServerRequest) -> None:
+    def _accept(self, request: HTTPServerRequest, body: RequestBody) -> None:
         self._apply_caller_limits()
-        self.ingress.accept(request)
+        self.ingress.accept(request, body)
 
     def _apply_caller_limits(self) -> None:
         configuration = self.view.configuration
--- a/src/sesameknot/policy/crash_guard.py
+++ b/src/sesameknot/policy/crash_guard.py
@@ -8,7 +8,7 @@
 from sesameknot.clock import Clock
 
 
-def request_fingerprint(customer: str, target: str, body: bytes) -> int:
+def request_fingerprint(customer: str, target: str, *body: bytes) -> int:
     """Return a stable hash of a customer's request.
 
     Parameters
@@ -17,11 +17,12 @@
         Name of the customer.
     target : str
         Service path or model that the request is for.
-    body : bytes
-        Body of the request.
+    *body : bytes
+        Body of the request, whole or in parts, which do not change the hash.
     """
     digest = xxhash.xxh3_64(f"{customer}\0{target}\0".encode())
-    digest.update(body)
+    for part in body:
+        digest.update(part)
     return digest.intdigest()
 
 
--- a/src/sesameknot/transport/_endpoint_call.py
+++ b/src/sesameknot/transport/_endpoint_call.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from sesameknot.errors import RouterError
+from sesameknot.transport.request_body import RequestBody
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -48,7 +49,7 @@
         HTTP method.
     headers : dict of str to str or HTTPHeaders
         Request headers.
-    body : bytes or None, default=None
+    body : bytes, RequestBody or None, default=None
         Request body.
     limits : CallLimits
         Time limits.
@@ -64,7 +65,7 @@
     path: str
     method: str = "POST"
     headers: dict[str, str] | HTTPHeaders = field(default_factory=dict)
-    body: bytes | None = None
+    body: bytes | RequestBody | None = None
     limits: CallLimits = field(default_factory=CallLimits)
     before_send: Callable[[], None] | None = None
     may_give_up: Callable[[], bool] | None = None
--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -19,6 +19,7 @@
     AttemptHTTPClient,
 )
 from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
+from sesameknot.transport.request_body import RequestBody
 
 # Above this, reading from the endpoint pauses until the buffered body has been read. A
 # host runs hundreds of attempts at a time.
@@ -85,11 +86,17 @@
 
     def _start(self, http: AttemptHTTPClient) -> None:
         limits = self._limits
+        headers = HTTPHeaders(self.call.headers)
+        body, send_body = self.call.body, None
+        if isinstance(body, RequestBody):
+            headers["Content-Length"] = str(body.size_bytes)
+            body, send_body = None, body.send
         request = HTTPRequest(
             self.call.url + self.call.path,
             method=self.call.method,
-            headers=HTTPHeaders(self.call.headers),
-            body=self.call.body,
+            headers=headers,
+            body=body,
+            body_producer=send_body,
             connect_timeout=min(limits.connect_timeout_s, limits.deadline_s),
             # The deadline timer ends the attempt earlier; this limit is a backstop.
             request_timeout=limits.deadline_s + limits.connect_timeout_s,
--- a/src/sesameknot/transport/caller_server.py
+++ b/src/sesameknot/transport/caller_server.py
@@ -14,9 +14,11 @@
     RequestStartLine,
 )
 
+from sesameknot.transport.request_body import RequestBody
+
 log = structlog.get_logger(__name__)
 
-RequestCallback = Callable[[HTTPServerRequest], None]
+RequestCallback = Callable[[HTTPServerRequest, RequestBody], None]
 
 
 class CallerConnections(HTTPServerConnectionDelegate):
@@ -25,7 +27,8 @@
     Parameters
     ----------
     on_request : callable
-        Called with each request whose body is complete.
+        Called with each request whose body is complete, and the body, which it must
+        release.
     """
 
     def __init__(self, on_request: RequestCallback) -> None:
@@ -63,7 +66,7 @@
         self._connections = connections
         self._server_conn = server_conn
         self._request_conn = request_conn
-        self._body_chunks: list[bytes] = []
+        self._body = RequestBody()
         self._request: HTTPServerRequest | None = None
 
     def headers_received(
@@ -75,7 +78,7 @@
         )
 
     def data_received(self, chunk: bytes) -> None:
-        self._body_chunks.append(chunk)
+        self._body.append(chunk)
 
     def finish(self) -> None:
         if self._request is None:
@@ -84,8 +87,8 @@
             # The connection was closed in the loop iteration that read the request.
             log.info("request_dropped", path=self._request.path, reason="closed")
             return
-        self._request.body = b"".join(self._body_chunks)
-        self._connections.on_request(self._request)
+        self._body.finish()
+        self._connections.on_request(self._request, self._body)
 
     def on_connection_close(self) -> None:
         self._connections.idle_connections.discard(self._server_conn)
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -168,8 +168,12 @@
         key=KEY,
         deadline_ms=3000,
         request_id=None,
+        body_producer=None,
     ) -> HTTPResponse:
-        """Send a caller's request and return the answer."""
+        """Send a caller's request and return the answer.
+
+        ``body_producer`` sends the body in chunks instead of ``body``.
+        """
         self._request_count += 1
         all_headers = HTTPHeaders(
             {
@@ -184,7 +188,8 @@
             f"http://{front.host.caller_address}{path}",
             method=method,
             headers=all_headers,
-            body=body if method != "GET" else None,
+            body=body if method != "GET" and body_producer is None else None,
+            body_producer=body_producer,
             request_timeout=15.0,
             raise_error=False,
         )
