--- a/soak/_fronts.py
+++ b/soak/_fronts.py
@@ -32,6 +32,8 @@
         Directory for settings and logs.
     source : Path, default=ROOT / "src"
         Folder of the package that the process runs; another build's may be given.
+    memory_mb : int or None, default=None
+        Memory limit that the node file names; None if it names none.
     """
 
     def __init__(
@@ -41,10 +43,12 @@
         directory: Path,
         *,
         source: Path = ROOT / "src",
+        memory_mb: int | None = None,
     ) -> None:
         self.host_id = f"host-{host_number}"
         self.domain = "ab"[host_number % 2]
         self.source = source
+        self.memory_mb = memory_mb
         self.store_proxy = Proxy(store_address)
         self.undisturbed_since_s = 0.0
         self.freeze_count = 0
@@ -110,6 +114,7 @@
             "InternalPorts": [self._handover_port, self._handover_port],
             "Seeds": seed_addresses,
             "Platform": {"Address": self.store_proxy.address},
+            "Limits": {} if self.memory_mb is None else {"MemoryMb": self.memory_mb},
             "Bounds": {
                 "GraceS": GRACE_S,
                 "RetryBudgetRatio": 0.9,
--- a/src/sesameknot/forwarding/caller.py
+++ b/src/sesameknot/forwarding/caller.py
@@ -91,14 +91,33 @@
         if self.head_sent:
             self.abort()
             return
-        body = (error_answer.reason + "\n").encode()
-        headers = HTTPHeaders({"Content-Type": "text/plain"})
-        if error_answer.retry_after_s:
-            headers["Retry-After"] = f"{error_answer.retry_after_s:.3f}"
-        if error_answer.unreachable:
-            headers[UNREACHABLE_HEADER] = "1"
+        headers, body = _error_content(error_answer)
         await self.send_complete(error_answer.status, headers, body)
 
+    def send_error_early(self, error_answer: ErrorAnswer) -> None:
+        """Send an error answer while the caller still sends the request's body.
+
+        The reader of the body marks the answer as complete.
+        """
+        headers, body = _error_content(error_answer)
+        headers["Content-Length"] = str(len(body))
+        if self.close_after_answer:
+            headers["Connection"] = "close"
+        self.head_sent = True
+        self.status = error_answer.status
+        start_line = ResponseStartLine("HTTP/1.1", error_answer.status, "Answer")
+        self._connection.write_headers(start_line, headers, body)
+
     def abort(self) -> None:
         """Close the connection, so that an incomplete answer does not look complete."""
         self._connection.close()
+
+
+def _error_content(error_answer: ErrorAnswer) -> tuple[HTTPHeaders, bytes]:
+    """Return headers and body of an error answer."""
+    headers = HTTPHeaders({"Content-Type": "text/plain"})
+    if error_answer.retry_after_s:
+        headers["Retry-After"] = f"{error_answer.retry_after_s:.3f}"
+    if error_answer.unreachable:
+        headers[UNREACHABLE_HEADER] = "1"
+    return headers, (error_answer.reason + "\n").encode()
--- a/src/sesameknot/platform/_node_file.py
+++ b/src/sesameknot/platform/_node_file.py
@@ -1,11 +1,16 @@
 """Loading of the node file, in which the platform passes settings to a process."""
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
 from sesameknot.errors import SettingsError
-from sesameknot.settings.host import HostBounds, HostSettings
+from sesameknot.settings.host import (
+    DEFAULT_MEMORY_LIMIT_BYTES,
+    HostBounds,
+    HostSettings,
+)
 
 NODE_FILE_VARIABLE = "SESAMEKNOT_NODE_FILE"
 
@@ -17,6 +22,11 @@
     control: str = ""
 
 
+class _Limits(msgspec.Struct, rename="pascal"):
+    # Memory above which the process is killed; 0 or nothing if it has no limit.
+    memory_mb: Annotated[float, msgspec.Meta(ge=0.0)] | None = None
+
+
 class _Platform(msgspec.Struct, rename="pascal"):
     address: str
 
@@ -53,6 +63,7 @@
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_ms: float = 1200.0
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load_host_settings(path: Path) -> HostSettings:
@@ -86,9 +97,17 @@
         store_address=node_file.platform.address,
         bounds=_host_bounds(node_file.bounds),
         heartbeat_s=node_file.heartbeat_ms / 1000.0,
+        memory_limit_bytes=_memory_limit_bytes(node_file.limits),
     )
 
 
+def _memory_limit_bytes(limits: _Limits) -> int:
+    if not limits.memory_mb:
+        return DEFAULT_MEMORY_LIMIT_BYTES
+    # The platform does not say which megabytes it means; these are the smaller ones.
+    return int(limits.memory_mb * 1_000_000)
+
+
 def _host_bounds(bounds: _Bounds) -> HostBounds:
     return HostBounds(
         endpoint_leave_ms=bounds.drain_ms,
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -86,6 +86,24 @@
     small_answer_bytes: PositiveCount = 32 * 1024
 
 
+class MemorySettings(SettingsStruct):
+    """Division of the host's memory limit."""
+
+    # Set aside for the process itself. One without requests takes 42 MB in a small
+    # deployment; the state of 144 endpoints with their routes adds 30 MB.
+    process_mb: PositiveCount = 80
+    # Share of the rest, less all answers, for the bodies of requests. What remains
+    # covers the buffers of connections and memory that the allocator can't reuse.
+    body_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.6
+    # Bodies up to this size may use all of it; larger ones leave a share to them.
+    small_body_bytes: PositiveCount = 32 * 1024
+    small_body_share: Share = 0.25
+    # Least memory for bodies, however small the host's limit is.
+    least_body_mb: PositiveCount = 8
+    # Callers whose body finds no memory are asked to come again after this time.
+    retry_after_s: DurationS = 0.5
+
+
 class RolloutPlanSettings(SettingsStruct):
     """Schedule of a roll-out; times are shares of its duration."""
 
@@ -111,6 +129,7 @@
     pressure: PressureSettings = field(default_factory=PressureSettings)
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     attempts: AttemptSettings = field(default_factory=AttemptSettings)
+    memory: MemorySettings = field(default_factory=MemorySettings)
     rollouts: RolloutPlanSettings = field(default_factory=RolloutPlanSettings)
     log: LogSettings = field(default_factory=LogSettings)
     metrics_port: PositiveCount = 9464
--- a/src/sesameknot/settings/host.py
+++ b/src/sesameknot/settings/host.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass, field
 
+# For a host whose limit is not named; below that of the deployments so far (300 MB).
+DEFAULT_MEMORY_LIMIT_BYTES = 256 * 1024 * 1024
+
 
 @dataclass(slots=True, frozen=True, kw_only=True)
 class HostBounds:
@@ -77,6 +80,8 @@
         Limits that the deployment sets.
     heartbeat_s : float
         Time between two heartbeats of an endpoint.
+    memory_limit_bytes : int
+        Memory above which the platform ends the process.
     """
 
     host_id: str
@@ -92,3 +97,4 @@
     seeds: tuple[str, ...] = ()
     bounds: HostBounds = field(default_factory=HostBounds)
     heartbeat_s: float = 1.2
+    memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
--- a/src/sesameknot/transport/caller_server.py
+++ b/src/sesameknot/transport/caller_server.py
@@ -1,6 +1,7 @@
 """Server delegate for callers' connections that reads requests and tracks idle ones."""
 
 from collections.abc import Callable
+from typing import Protocol
 from weakref import WeakSet
 
 import structlog
@@ -21,6 +22,19 @@
 RequestCallback = Callable[[HTTPServerRequest, RequestBody], None]
 
 
+class BodyPolicy(Protocol):
+    """Decides which bodies are read."""
+
+    def new_body(self) -> RequestBody:
+        """Return an empty body."""
+
+    def refuse(self, http_request: HTTPServerRequest) -> None:
+        """Send the answer to a request whose body finds no memory.
+
+        The reader marks it as complete, as the caller may still be sending.
+        """
+
+
 class CallerConnections(HTTPServerConnectionDelegate):
     """Delegate of an HTTP server that tracks idle connections.
 
@@ -29,10 +43,15 @@
     on_request : callable
         Called with each request whose body is complete, and the body, which it must
         release.
+    body_policy : BodyPolicy or None, default=None
+        Decides which bodies are read; None reads all of them.
     """
 
-    def __init__(self, on_request: RequestCallback) -> None:
+    def __init__(
+        self, on_request: RequestCallback, *, body_policy: BodyPolicy | None = None
+    ) -> None:
         self.on_request = on_request
+        self.body_policy = body_policy
         self.idle_connections: WeakSet[HTTP1ServerConnection] = WeakSet()
 
     def start_request(
@@ -67,6 +86,7 @@
         self._server_conn = server_conn
         self._request_conn = request_conn
         self._body = RequestBody()
+        self._refused = False
         self._request: HTTPServerRequest | None = None
 
     def headers_received(
@@ -76,15 +96,47 @@
         self._request = HTTPServerRequest(
             connection=self._request_conn, start_line=start_line, headers=headers
         )
+        if self._connections.body_policy is not None:
+            self._body = self._connections.body_policy.new_body()
+            if not self._body.reserve(self._declared_bytes(headers)):
+                self._refuse()
+
+    def _declared_bytes(self, headers: HTTPHeaders) -> int:
+        """Return the body's length; 0 if none is declared or the server rejects it."""
+        length = headers.get("Content-Length", "")
+        size_bytes = int(length) if length.isdecimal() else 0
+        limit_bytes = self._server_conn.params.max_body_size
+        return 0 if limit_bytes is not None and size_bytes > limit_bytes else size_bytes
+
+    def _refuse(self) -> None:
+        """Answer at once, and read the rest of the body without keeping it.
+
+        Closing the connection with unread bytes would reset it, and the caller could
+        lose the answer.
+        """
+        policy, request = self._connections.body_policy, self._request
+        if policy is None or request is None:
+            return
+        self._refused = True
+        self._body.release()
+        policy.refuse(request)
+        if "Expect" in request.headers:
+            # The caller waits for permission to send the body and gets none.
+            self._request_conn.finish()
 
     def data_received(self, chunk: bytes) -> None:
-        self._body.append(chunk)
+        if not self._refused and not self._body.append(chunk):
+            self._refuse()
 
     def finish(self) -> None:
         if self._request is None:
             return
+        if self._refused:
+            self._request_conn.finish()
+            return
         if self._server_conn.stream.closed():
             # The connection was closed in the loop iteration that read the request.
+            self._body.release()
             log.info("request_dropped", path=self._request.path, reason="closed")
             return
         self._body.finish()
@@ -92,3 +144,4 @@
 
     def on_connection_close(self) -> None:
         self._connections.idle_connections.discard(self._server_conn)
+        self._body.release()
