--- a/src/sesameknot/_front_memory.py
+++ b/src/sesameknot/_front_memory.py
@@ -1,13 +1,28 @@
 """Part of the composition root: the memory for bodies of requests."""
 
+from sesameknot.forwarding.body_admission import BodyAdmission
 from sesameknot.policy.memory_budget import MemoryBudget
+from sesameknot.router.drain import Drain
+from sesameknot.router.metrics import RouterMetrics
 from sesameknot.settings.front import FrontSettings
 from sesameknot.settings.host import HostSettings
 
 MB_BYTES = 1024 * 1024
 
 
-def build_body_budget(host: HostSettings, settings: FrontSettings) -> MemoryBudget:
+def build_body_admission(
+    host: HostSettings, settings: FrontSettings, *, drain: Drain, metrics: RouterMetrics
+) -> BodyAdmission:
+    """Return the component that refuses bodies which the host's memory can't hold."""
+    return BodyAdmission(
+        _build_budget(host, settings),
+        retry_after_s=settings.memory.retry_after_s,
+        drain=drain,
+        metrics=metrics,
+    )
+
+
+def _build_budget(host: HostSettings, settings: FrontSettings) -> MemoryBudget:
     """Return the budget for the bodies of all requests.
 
     It is a share of what the host's limit leaves beside the process itself and the
--- a/src/sesameknot/forwarding/body_admission.py
+++ b/src/sesameknot/forwarding/body_admission.py
@@ -60,6 +60,7 @@
         caller.close_after_answer = self._drain.draining
         caller.send_error_early(error_answer)
         self._metrics.observe_request("ended", error_answer.status, 0.0)
+        self._metrics.refused_bodies.inc({})
         log.info(
             "request_body_refused",
             request_id=metadata.request_id,
@@ -69,3 +70,12 @@
             used_bytes=self.budget.used_bytes,
             limit_bytes=self.budget.limit_bytes,
         )
+        log.info(
+            "request_finished",
+            request_id=metadata.request_id,
+            path=http_request.path,
+            outcome="ended",
+            status=error_answer.status,
+            reason=error_answer.reason,
+            duration_ms=0,
+        )
--- a/src/sesameknot/forwarding/status_pages.py
+++ b/src/sesameknot/forwarding/status_pages.py
@@ -7,6 +7,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.platform import READY_PATH
+from sesameknot.policy.memory_budget import MemoryBudget
 from sesameknot.router.drain import Drain
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.state.fleet_view import FleetView
@@ -28,6 +29,8 @@
         Tells whether the process is shutting down.
     metrics : RouterMetrics
         Metrics to render.
+    body_budget : MemoryBudget
+        Memory for the bodies of requests.
     store_call_count : callable
         Returns the number of calls made to the store so far.
     clock : Clock
@@ -40,12 +43,14 @@
         view: FleetView,
         drain: Drain,
         metrics: RouterMetrics,
+        body_budget: MemoryBudget,
         store_call_count: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._view = view
         self._drain = drain
         self._metrics = metrics
+        self._body_budget = body_budget
         self._store_call_count = store_call_count
         self._clock = clock
 
@@ -65,6 +70,8 @@
             return
         metrics = self._metrics
         metrics.in_flight.set({}, self._drain.in_flight_count)
+        metrics.body_bytes.set({}, self._body_budget.used_bytes)
+        metrics.body_limit_bytes.set({}, self._body_budget.limit_bytes)
         metrics.platform_calls.set({}, self._store_call_count())
         metrics.limited_endpoints.set({}, self._view.endpoint_limits.limited_count)
         config_age_s = self._clock.monotonic_s() - self._view.configuration_applied_s
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -12,7 +12,7 @@
 
 from sesameknot._front_followers import build_followers
 from sesameknot._front_listeners import FrontListeners
-from sesameknot._front_memory import build_body_budget
+from sesameknot._front_memory import build_body_admission
 from sesameknot._front_request_path import RequestPathBuilder
 from sesameknot._front_rollouts import build_rollout_coordinator
 from sesameknot._front_shutdown import finish_requests
@@ -28,7 +28,6 @@
 from sesameknot.coordination.reachability_check import ReachabilityCheck
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_link import StoreLink
-from sesameknot.forwarding.body_admission import BodyAdmission
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.status_pages import StatusPages
 from sesameknot.platform import (
@@ -117,15 +116,11 @@
             on_restored=self.view.note_store_restored,
         )
         self._caller_server: HTTPServer | None = None
-        self.body_budget = build_body_budget(host, settings)
-        self._body_admission = BodyAdmission(
-            self.body_budget,
-            retry_after_s=settings.memory.retry_after_s,
-            drain=self.drain,
-            metrics=self.metrics,
+        self.body_admission = build_body_admission(
+            host, settings, drain=self.drain, metrics=self.metrics
         )
         self._caller_connections = CallerConnections(
-            self._accept, body_policy=self._body_admission
+            self._accept, body_policy=self.body_admission
         )
         self._build()
 
@@ -217,6 +212,7 @@
             view=self.view,
             drain=self.drain,
             metrics=self.metrics,
+            body_budget=self.body_admission.budget,
             store_call_count=lambda: self.store.call_count,
             clock=self.clock,
         )
@@ -314,7 +310,7 @@
         self._listeners.serve(self._caller_server, self.host.caller_address)
         if self.host.handover_address:
             handed_over = CallerConnections(
-                self.ingress.accept_handed_over, body_policy=self._body_admission
+                self.ingress.accept_handed_over, body_policy=self.body_admission
             )
             self._listeners.serve(HTTPServer(handed_over), self.host.handover_address)
         self._listeners.serve(
--- a/src/sesameknot/router/metrics.py
+++ b/src/sesameknot/router/metrics.py
@@ -55,6 +55,21 @@
         self.in_flight = Gauge(
             "sesameknot_requests_in_flight", "Requests in flight", registry=registry
         )
+        self.body_bytes = Gauge(
+            "sesameknot_body_bytes",
+            "Memory reserved for bodies of requests",
+            registry=registry,
+        )
+        self.body_limit_bytes = Gauge(
+            "sesameknot_body_limit_bytes",
+            "Limit on the memory for bodies of requests",
+            registry=registry,
+        )
+        self.refused_bodies = Counter(
+            "sesameknot_refused_bodies_total",
+            "Requests refused as the memory could not hold their bodies",
+            registry=registry,
+        )
         self.limited_endpoints = Gauge(
             "sesameknot_limited_endpoints",
             "Endpoints that named a limit on their request rate",
--- a/tests/forwarding/test_body_admission.py
+++ b/tests/forwarding/test_body_admission.py
@@ -43,7 +43,7 @@
         host = dataclasses.replace(self.host_settings(), memory_limit_bytes=1)
         settings = FrontSettings(metrics_port=reserve_port(), memory=MEMORY)
         self.front = await self.start_front_with(host, settings=settings)
-        self.budget = self.front.body_budget
+        self.budget = self.front.body_admission.budget
         return self.front
 
     def connect(self):
@@ -81,6 +81,18 @@
         self.assertThat(connection._writer, Is(kept_writer))
         self.assertThat([run.request_id for run in self.endpoint.runs], Equals(["r2"]))
 
+    @gen_test
+    async def test_refusals_are_counted(self):
+        """Guards against refusals that operators can't see."""
+        front = await self.start_small_front()
+        await self.send_on(self.connect(), "r1", TOO_LARGE_BODY)
+        url = f"http://127.0.0.1:{front.settings.metrics_port}/metrics"
+        page = (await self.http.fetch(url)).body.decode()
+        limit_bytes = front.body_admission.budget.limit_bytes
+        self.assertThat(page, Contains("sesameknot_refused_bodies_total 1"))
+        self.assertThat(page, Contains("sesameknot_body_bytes 0"))
+        self.assertThat(page, Contains(f"sesameknot_body_limit_bytes {limit_bytes}"))
+
     @gen_test
     async def test_refusal_comes_before_the_body_is_sent(self):
         """Guards against reading a body for which there is no memory."""
