--- a/src/sesameknot/_front_memory.py
+++ b/src/sesameknot/_front_memory.py
@@ -17,6 +17,7 @@
     return BodyAdmission(
         _build_budget(host, settings),
         retry_after_s=settings.memory.retry_after_s,
+        body_limit_s=settings.memory.body_limit_s,
         drain=drain,
         metrics=metrics,
     )
--- a/src/sesameknot/forwarding/error_answer.py
+++ b/src/sesameknot/forwarding/error_answer.py
@@ -6,6 +6,7 @@
 from sesameknot.errors import RouterError
 
 NOT_RUN_STATUS = 503
+REQUEST_TIMEOUT_STATUS = 408
 UNSUITED_STATUS = 421
 UNKNOWN_OUTCOME_STATUS = 502
 TIMEOUT_STATUS = 504
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -102,6 +102,8 @@
     least_body_mb: PositiveCount = 8
     # Callers whose body finds no memory are asked to come again after this time.
     retry_after_s: DurationS = 0.5
+    # Time within which a body must come, unless its caller's deadline is earlier.
+    body_limit_s: DurationS = 30.0
 
 
 class RolloutPlanSettings(SettingsStruct):
--- a/src/sesameknot/transport/caller_server.py
+++ b/src/sesameknot/transport/caller_server.py
@@ -1,5 +1,6 @@
 """Server delegate for callers' connections that reads requests and tracks idle ones."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol
 from weakref import WeakSet
@@ -34,6 +35,12 @@
         The reader marks it as complete, as the caller may still be sending.
         """
 
+    def refuse_late(self, http_request: HTTPServerRequest) -> None:
+        """Send the answer to a request whose body has not come in time."""
+
+    def time_limit_s(self, http_request: HTTPServerRequest) -> float:
+        """Return the time within which a body must come."""
+
 
 class CallerConnections(HTTPServerConnectionDelegate):
     """Delegate of an HTTP server that tracks idle connections.
@@ -87,6 +94,7 @@
         self._request_conn = request_conn
         self._body = RequestBody()
         self._refused = False
+        self._timer: asyncio.TimerHandle | None = None
         self._request: HTTPServerRequest | None = None
 
     def headers_received(
@@ -96,10 +104,17 @@
         self._request = HTTPServerRequest(
             connection=self._request_conn, start_line=start_line, headers=headers
         )
-        if self._connections.body_policy is not None:
-            self._body = self._connections.body_policy.new_body()
-            if not self._body.reserve(self._declared_bytes(headers)):
-                self._refuse()
+        policy = self._connections.body_policy
+        if policy is None:
+            return
+        self._body = policy.new_body()
+        declared_bytes = self._declared_bytes(headers)
+        if declared_bytes or "Transfer-Encoding" in headers:
+            self._timer = asyncio.get_running_loop().call_later(
+                policy.time_limit_s(self._request), self._give_up
+            )
+        if not self._body.reserve(declared_bytes):
+            self._refuse()
 
     def _declared_bytes(self, headers: HTTPHeaders) -> int:
         """Return the body's length; 0 if none is declared or the server rejects it."""
@@ -124,11 +139,29 @@
             # The caller waits for permission to send the body and gets none.
             self._request_conn.finish()
 
+    def _give_up(self) -> None:
+        """End a request whose body has not come in time."""
+        policy, request = self._connections.body_policy, self._request
+        if policy is None or request is None or self._server_conn.stream.closed():
+            return
+        if not self._refused:
+            self._refused = True
+            self._body.release()
+            policy.refuse_late(request)
+        # This closes the connection, as the body is not complete.
+        self._request_conn.finish()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def data_received(self, chunk: bytes) -> None:
         if not self._refused and not self._body.append(chunk):
             self._refuse()
 
     def finish(self) -> None:
+        self._stop_timer()
         if self._request is None:
             return
         if self._refused:
@@ -143,5 +176,6 @@
         self._connections.on_request(self._request, self._body)
 
     def on_connection_close(self) -> None:
+        self._stop_timer()
         self._connections.idle_connections.discard(self._server_conn)
         self._body.release()
--- a/tests/forwarding/test_body_admission.py
+++ b/tests/forwarding/test_body_admission.py
@@ -89,7 +89,9 @@
         url = f"http://127.0.0.1:{front.settings.metrics_port}/metrics"
         page = (await self.http.fetch(url)).body.decode()
         limit_bytes = front.body_admission.budget.limit_bytes
-        self.assertThat(page, Contains("sesameknot_refused_bodies_total 1"))
+        self.assertThat(
+            page, Contains('sesameknot_refused_bodies_total{reason="memory"} 1')
+        )
         self.assertThat(page, Contains("sesameknot_body_bytes 0"))
         self.assertThat(page, Contains(f"sesameknot_body_limit_bytes {limit_bytes}"))
 
@@ -139,6 +141,31 @@
         served = await self.send_on(self.connect(), "r2", LARGE_BODY)
         self.assertThat(served.status, Equals(200))
 
+    @gen_test
+    async def test_body_that_comes_too_slowly_is_given_up(self):
+        """Guards against memory that is reserved for callers who stop sending."""
+        await self.start_small_front()
+        reader, writer = await self.begin_body(
+            len(LARGE_BODY), **{"X-Deadline-Ms": "300"}
+        )
+        writer.write(LARGE_BODY[:100_000])
+        answer = await reader.read()
+        self.assertThat(answer, Contains(b"HTTP/1.1 408"))
+        await eventually(lambda: self.budget.used_bytes == 0)
+        self.assertThat(self.endpoint.runs, Equals([]))
+
+    @gen_test
+    async def test_refused_caller_that_goes_on_slowly_is_cut_off(self):
+        """Guards against connections that send what is not read for ever."""
+        await self.start_small_front()
+        reader, writer = await self.begin_body(
+            len(TOO_LARGE_BODY), **{"X-Deadline-Ms": "300"}
+        )
+        writer.write(TOO_LARGE_BODY[:100_000])
+        answer = await reader.read()
+        self.assertThat(answer.count(b"HTTP/1.1"), Equals(1))
+        self.assertThat(answer, Contains(b"HTTP/1.1 503"))
+
     @gen_test
     async def test_memory_is_free_after_each_end_of_a_request(self):
         """Guards against a budget that shrinks with each request."""
