--- a/src/sesameknot/router/caller_handlers.py
+++ b/src/sesameknot/router/caller_handlers.py
@@ -9,6 +9,7 @@
 from tornado.web import RequestHandler, stream_request_body
 
 from sesameknot.errors import RequestError, TransportError
+from sesameknot.policy.memory_budget import MemoryBudget
 from sesameknot.router._handler_sink import HandlerSink
 from sesameknot.router.call import NOT_RUN, UNKNOWN, AnswerSink, CallHeaders
 from sesameknot.router.call import read_headers as read_call_headers
@@ -48,6 +49,8 @@
         Called with the kind of request, the HTTP status and the duration in seconds.
     body_limit_bytes : int
         Maximum size of a request body.
+    body_budget : MemoryBudget
+        Limit on the bodies of all requests.
     default_deadline_s : float
         Duration until the deadline of a request without the header ``X-Deadline-Ms``.
     """
@@ -58,6 +61,7 @@
     refusal_reason: Callable[[], str]
     observe_request: Callable[[str, int, float], None]
     body_limit_bytes: int
+    body_budget: MemoryBudget
     default_deadline_s: float
 
 
@@ -78,19 +82,58 @@
         self.api = api
         self._body_chunks: list[bytes] = []
         self._body_size_bytes = 0
+        self._reservation = api.body_budget.reservation()
+        self._has_memory = True
+        self._serving = False
+
+    def prepare(self) -> None:
+        """Reserve memory for a body of declared length; called before it is read."""
+        length = self.request.headers.get("Content-Length", "")
+        declared_bytes = int(length) if length.isdecimal() else 0
+        if declared_bytes <= self.api.body_limit_bytes:
+            self._reserve(declared_bytes)
+
+    def _reserve(self, size_bytes: int) -> None:
+        if not self._has_memory or size_bytes <= self._reservation.size_bytes:
+            return
+        self._has_memory = self._reservation.hold(size_bytes)
+        if not self._has_memory:
+            log.info(
+                "request_body_refused",
+                path=self.request.path,
+                length=size_bytes,
+                used_bytes=self.api.body_budget.used_bytes,
+                limit_bytes=self.api.body_budget.limit_bytes,
+            )
+            self._drop_body()
+
+    def _drop_body(self) -> None:
+        self._body_chunks.clear()
+        self._reservation.release()
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a chunk of the body, or drop the body if it is over the limit."""
+        """Store a chunk of the body, or drop the body if it is over a limit."""
         # A body over the limit is read to its end: if the connection were closed while
         # the caller still sends, it would be reset before the caller reads the error.
         # The HTTP server rejects bodies of more than twice the limit.
         self._body_size_bytes += len(chunk)
         if self._body_size_bytes > self.api.body_limit_bytes:
-            self._body_chunks.clear()
-        else:
+            self._drop_body()
+            return
+        self._reserve(self._body_size_bytes)
+        if self._has_memory:
             self._body_chunks.append(chunk)
 
-    def _check_body_size(self) -> None:
+    def _check_body(self) -> None:
+        if not self._has_memory:
+            raise RequestError(
+                "no memory for the body",
+                status=503,
+                outcome=NOT_RUN,
+                error_type="unavailable",
+                step="read_body",
+                retry_after_s=1.0,
+            )
         if self._body_size_bytes > self.api.body_limit_bytes:
             raise RequestError(
                 f"body of {self._body_size_bytes} bytes, expected at most "
@@ -106,8 +149,9 @@
     ) -> None:
         """Check the request, run a pipeline and answer its errors."""
         sink = HandlerSink(self)
+        self._serving = True
         try:
-            self._check_body_size()
+            self._check_body()
             reason = self.api.refusal_reason()
             if reason:
                 raise RequestError(
@@ -139,6 +183,14 @@
                     step="serve",
                 ),
             )
+        finally:
+            self._drop_body()
+
+    def on_connection_close(self) -> None:
+        """Free the memory of a body that will not be complete."""
+        super().on_connection_close()
+        if not self._serving:
+            self._drop_body()
 
     def _answer_error(self, sink: HandlerSink, error: RequestError) -> None:
         if not sink.started:
@@ -164,8 +216,10 @@
 
     @property
     def body(self) -> bytes:
-        """The request body."""
-        return b"".join(self._body_chunks)
+        """The request body; its parts are not kept beside it."""
+        body = b"".join(self._body_chunks)
+        self._body_chunks = [body]
+        return body
 
 
 class ChatHandler(CallerHandler):
--- a/src/sesameknot/settings/process.py
+++ b/src/sesameknot/settings/process.py
@@ -42,6 +42,11 @@
     first_byte_timeout_s: DurationS = 5.0
     progress_timeout_s: DurationS = 2.0
     body_limit_bytes: PositiveCount = 4 * 1024 * 1024
+    # The design page allows a router 128 MB, of which it takes 64 MB without requests.
+    all_bodies_limit_bytes: PositiveCount = 48 * 1024 * 1024
+    # Larger bodies leave a share of that to those up to this size.
+    small_body_bytes: PositiveCount = 32 * 1024
+    small_body_share: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.25
     concurrent_limit_count: PositiveCount = 512
     retry_ratio: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.2
     crash_limit_count: PositiveCount = 2
--- a/src/sesameknot/wiring.py
+++ b/src/sesameknot/wiring.py
@@ -14,6 +14,7 @@
 from sesameknot._wiring_requests import RequestPath, build_request_path
 from sesameknot.clock import Clock, SystemClock
 from sesameknot.coordination.freshness import Verdict
+from sesameknot.policy.memory_budget import MemoryBudget
 from sesameknot.protocol.messages import StatsReply, StatsRequest
 from sesameknot.router.caller_handlers import CallerApi, ChatHandler, ServiceHandler
 from sesameknot.router.drain import Drain
@@ -143,6 +144,11 @@
             refusal_reason=self._refusal_reason,
             observe_request=self.request_path.metrics.observe_request,
             body_limit_bytes=self.settings.requests.body_limit_bytes,
+            body_budget=MemoryBudget(
+                self.settings.requests.all_bodies_limit_bytes,
+                small_bytes=self.settings.requests.small_body_bytes,
+                small_share=self.settings.requests.small_body_share,
+            ),
             default_deadline_s=self.settings.requests.default_deadline_s,
         )
 
