--- a/src/sesameknot/forwarding/caller.py
+++ b/src/sesameknot/forwarding/caller.py
@@ -8,6 +8,11 @@
 from sesameknot.errors import TransportError
 from sesameknot.forwarding.error_answer import ErrorAnswer
 from sesameknot.platform import UNREACHABLE_HEADER
+from sesameknot.policy.answer_buffer import AnswerBuffer
+
+# A body up to this size is sent together with the head, which copies it; a larger one
+# would be held twice until the caller has read it.
+JOINED_BYTES = 64 * 1024
 
 
 class CallerConnection:
@@ -79,9 +84,24 @@
             If the caller closed the connection.
         """
         headers["Content-Length"] = str(len(body))
-        await self.send_head(status, headers, data=body)
+        if len(body) <= JOINED_BYTES:
+            await self.send_head(status, headers, data=body)
+        else:
+            await self.send_head(status, headers)
+            await self.send(body)
         self.finish()
 
+    async def send_counted(
+        self, answers: AnswerBuffer, status: int, headers: HTTPHeaders, body: bytes
+    ) -> None:
+        """Send a complete answer that counts against a limit until it is sent.
+
+        Its bytes must have been released just before, so that there is room for them.
+        """
+        with answers.reservation() as reservation:
+            reservation.hold(len(body))
+            await self.send_complete(status, headers, body)
+
     def finish(self) -> None:
         """Mark the answer as complete."""
         self._connection.finish()
--- a/src/sesameknot/forwarding/peer_handover.py
+++ b/src/sesameknot/forwarding/peer_handover.py
@@ -323,8 +323,10 @@
                         reservation.reason, step="body", peer=host.host_id
                     )
                 chunks.append(data)
-        headers = headers_for_caller(exchange.headers)
-        await caller.send_complete(exchange.status, headers, b"".join(chunks))
+            body = b"".join(chunks)
+            chunks.clear()
+            headers = headers_for_caller(exchange.headers)
+            await caller.send_complete(exchange.status, headers, body)
 
     async def _relay_stream(
         self,
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -58,7 +58,10 @@
                     if self._is_final(request, attempt):
                         attempt.record_answer()
                         headers = headers_for_caller(attempt.headers)
-                        await caller.send_complete(attempt.status, headers, body)
+                        answers = self._retry_policy.runner.answer_buffer
+                        await caller.send_counted(
+                            answers, attempt.status, headers, body
+                        )
                         return
                     attempt.record_answer("repeated")
             except (TransportError, NotSentError) as error:
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -174,9 +174,9 @@
             raise self._retry_policy.ended_error(
                 request, f"endpoint answered {attempt.status}"
             )
-        await caller.send_complete(
-            attempt.status, headers_for_caller(attempt.headers), body
-        )
+        answers = self._retry_policy.runner.answer_buffer
+        headers = headers_for_caller(attempt.headers)
+        await caller.send_counted(answers, attempt.status, headers, body)
         return True
 
     async def _try_larger_model(
