--- a/src/sesameknot/transport/caller_server.py
+++ b/src/sesameknot/transport/caller_server.py
@@ -135,7 +135,7 @@
         self._refused = True
         self._body.release()
         policy.refuse(request)
-        if "Expect" in request.headers:
+        if "Expect" in request.headers and not self._body.size_bytes:
             # The caller waits for permission to send the body and gets none.
             self._request_conn.finish()
 
--- a/tests/forwarding/test_body_admission.py
+++ b/tests/forwarding/test_body_admission.py
@@ -126,6 +126,29 @@
         self.assertThat(self.endpoint.runs, Equals([]))
         self.assertThat(self.budget.used_bytes, Equals(0))
 
+    @gen_test
+    async def test_refusal_in_the_course_of_a_body_does_not_reset_the_connection(self):
+        """Guards against a lost answer to callers that got permission to send."""
+        await self.start_small_front()
+        ip, _, port = self.front.host.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        self.closing(writer.close)
+        lines = [f"POST {UNSAFE_PATH} HTTP/1.1", "Transfer-Encoding: chunked"]
+        headers = {**HEADERS, "X-Request-Id": "r1", "Expect": "100-continue"}
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        permission = await reader.readuntil(b"\r\n\r\n")
+        self.assertThat(permission, Contains(b"100 (Continue)"))
+        for _ in range(30):
+            writer.write(b"%x\r\n%b\r\n" % (30_000, bytes(30_000)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n" + b"GET /none HTTP/1.1\r\nHost: x\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertThat(head, Contains(b"HTTP/1.1 503"))
+        await reader.readuntil(b"\n")
+        next_head = await reader.readuntil(b"\r\n\r\n")
+        self.assertThat(next_head, Contains(b"HTTP/1.1 404"))
+
     @gen_test
     async def test_small_request_is_served_beside_large_ones(self):
         """Guards against small requests that are refused because of large ones."""
