--- /dev/null
+++ b/src/sesameknot/_front_exchange.py
@@ -0,0 +1,47 @@
+"""Part of the composition root: builds the exchange between front hosts."""
+
+from collections.abc import Sequence
+
+from sesameknot.clock import Clock
+from sesameknot.coordination.domain_exchange import DomainExchange
+from sesameknot.coordination.shared_findings import SharedFindings
+from sesameknot.coordination.snapshot_exchange import SnapshotExchange
+from sesameknot.coordination.store_follower import StoreFollower
+from sesameknot.coordination.store_link import StoreLink
+from sesameknot.platform import CONFIGURATION_KIND
+from sesameknot.settings.host import HostBounds, HostSettings
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.transport.peer_client import PeerClient
+
+
+def build_domain_exchange(
+    *,
+    host: HostSettings,
+    view: FleetView,
+    followers: Sequence[StoreFollower],
+    link: StoreLink,
+    findings: SharedFindings,
+    snapshots: SnapshotExchange,
+    peers: PeerClient,
+    clock: Clock,
+) -> DomainExchange:
+    """Return the task that exchanges the store's changes and loads with other hosts."""
+    by_kind = {follower.kind: follower for follower in followers}
+    return DomainExchange(
+        view=view,
+        followers=followers,
+        link=link,
+        findings=findings,
+        snapshots=snapshots,
+        peers=peers,
+        host_id=host.host_id,
+        domain=host.domain,
+        clock=clock,
+        probe=by_kind[CONFIGURATION_KIND],
+        apply_limit_s=_change_limit_s(host.bounds),
+    )
+
+
+def _change_limit_s(bounds: HostBounds) -> float:
+    """Return the time within which every change in the store must be in force."""
+    return min(bounds.configuration_apply_ms, bounds.endpoint_leave_ms) / 1000.0
--- a/src/sesameknot/forwarding/caller.py
+++ b/src/sesameknot/forwarding/caller.py
@@ -8,6 +8,11 @@
 from sesameknot.errors import TransportError
 from sesameknot.forwarding.error_answer import ErrorAnswer
 from sesameknot.platform import UNREACHABLE_HEADER
+from sesameknot.policy.answer_buffer import AnswerBuffer
+
+# A body up to this size is sent together with the head, which copies it; a larger one
+# would be held twice until the caller has read it.
+JOINED_BYTES = 64 * 1024
 
 
 class CallerConnection:
@@ -79,9 +84,24 @@
             If the caller closed the connection.
         """
         headers["Content-Length"] = str(len(body))
-        await self.send_head(status, headers, data=body)
+        if len(body) <= JOINED_BYTES:
+            await self.send_head(status, headers, data=body)
+        else:
+            await self.send_head(status, headers)
+            await self.send(body)
         self.finish()
 
+    async def send_counted(
+        self, answers: AnswerBuffer, status: int, headers: HTTPHeaders, body: bytes
+    ) -> None:
+        """Send a complete answer that counts against a limit until it is sent.
+
+        Its bytes must have been released just before, so that there is room for them.
+        """
+        with answers.reservation() as reservation:
+            reservation.hold(len(body))
+            await self.send_complete(status, headers, body)
+
     def finish(self) -> None:
         """Mark the answer as complete."""
         self._connection.finish()
@@ -91,14 +111,33 @@
         if self.head_sent:
             self.abort()
             return
-        body = (error_answer.reason + "\n").encode()
-        headers = HTTPHeaders({"Content-Type": "text/plain"})
-        if error_answer.retry_after_s:
-            headers["Retry-After"] = f"{error_answer.retry_after_s:.3f}"
-        if error_answer.unreachable:
-            headers[UNREACHABLE_HEADER] = "1"
+        headers, body = _error_content(error_answer)
         await self.send_complete(error_answer.status, headers, body)
 
+    def send_error_early(self, error_answer: ErrorAnswer) -> None:
+        """Send an error answer while the caller still sends the request's body.
+
+        The reader of the body marks the answer as complete.
+        """
+        headers, body = _error_content(error_answer)
+        headers["Content-Length"] = str(len(body))
+        if self.close_after_answer:
+            headers["Connection"] = "close"
+        self.head_sent = True
+        self.status = error_answer.status
+        start_line = ResponseStartLine("HTTP/1.1", error_answer.status, "Answer")
+        self._connection.write_headers(start_line, headers, body)
+
     def abort(self) -> None:
         """Close the connection, so that an incomplete answer does not look complete."""
         self._connection.close()
+
+
+def _error_content(error_answer: ErrorAnswer) -> tuple[HTTPHeaders, bytes]:
+    """Return headers and body of an error answer."""
+    headers = HTTPHeaders({"Content-Type": "text/plain"})
+    if error_answer.retry_after_s:
+        headers["Retry-After"] = f"{error_answer.retry_after_s:.3f}"
+    if error_answer.unreachable:
+        headers[UNREACHABLE_HEADER] = "1"
+    return headers, (error_answer.reason + "\n").encode()
--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -59,7 +59,10 @@
                         attempt.record_answer()
                         self._note_sound(request, attempt)
                         headers = headers_for_caller(attempt.headers)
-                        await caller.send_complete(attempt.status, headers, body)
+                        answers = self._retry_policy.runner.answer_buffer
+                        await caller.send_counted(
+                            answers, attempt.status, headers, body
+                        )
                         return
                     attempt.record_answer("repeated")
             except (TransportError, NotSentError) as error:
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -10,15 +10,16 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
 
+from sesameknot._front_exchange import build_domain_exchange
 from sesameknot._front_followers import build_followers
 from sesameknot._front_listeners import FrontListeners
+from sesameknot._front_memory import build_body_admission
 from sesameknot._front_request_path import RequestPathBuilder
 from sesameknot._front_rollouts import build_rollout_coordinator
 from sesameknot._front_shutdown import finish_requests
 from sesameknot.clock import Clock, SystemClock
 from sesameknot.coordination.crash_archive import CrashArchive
 from sesameknot.coordination.crash_exchange import CrashExchange
-from sesameknot.coordination.domain_exchange import DomainExchange
 from sesameknot.coordination.endpoint_permits import EndpointPermits
 from sesameknot.coordination.endpoint_slots import EndpointSlots
 from sesameknot.coordination.host_directory import HostDirectory
@@ -30,10 +31,7 @@
 from sesameknot.coordination.store_link import StoreLink
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.status_pages import StatusPages
-from sesameknot.platform import (
-    CONFIGURATION_KIND,
-    StoreClient,
-)
+from sesameknot.platform import StoreClient
 from sesameknot.policy.crash_guard import CrashGuard
 from sesameknot.policy.prompt_part_guard import PromptPartGuard
 from sesameknot.policy.rendezvous import rendezvous_order
@@ -59,6 +57,7 @@
 from sesameknot.transport.endpoint_client import EndpointClient
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
+from sesameknot.transport.request_body import RequestBody
 
 CLEANUP_INTERVAL_S = 1.0
 # The platform removes the entry of an endpoint that is silent for so many heartbeats.
@@ -116,7 +115,12 @@
             on_restored=self.view.note_store_restored,
         )
         self._caller_server: HTTPServer | None = None
-        self._caller_connections = CallerConnections(self._accept)
+        self.body_admission = build_body_admission(
+            host, settings, drain=self.drain, metrics=self.metrics
+        )
+        self._caller_connections = CallerConnections(
+            self._accept, body_policy=self.body_admission
+        )
         self._build()
 
     def _build(self) -> None:
@@ -191,7 +195,20 @@
             store_answers=self._store_answers,
             clock=self.clock,
         )
-        self.domain_exchange = self._build_domain_exchange()
+        self.domain_exchange = build_domain_exchange(
+            host=self.host,
+            view=self.view,
+            followers=self.followers,
+            link=self.store_link,
+            findings=SharedFindings(
+                crashes=CrashExchange(self.crash_guard),
+                part_crashes=CrashExchange(self.part_guard),
+                view=self.view,
+            ),
+            snapshots=self.snapshots,
+            peers=self.peer_client,
+            clock=self.clock,
+        )
         self.rollout_coordinator = build_rollout_coordinator(
             self.settings.rollouts,
             host=self.host,
@@ -211,30 +228,11 @@
             view=self.view,
             drain=self.drain,
             metrics=self.metrics,
+            body_budget=self.body_admission.budget,
             store_call_count=lambda: self.store.call_count,
             clock=self.clock,
         )
 
-    def _build_domain_exchange(self) -> DomainExchange:
-        by_kind = {follower.kind: follower for follower in self.followers}
-        return DomainExchange(
-            view=self.view,
-            followers=self.followers,
-            link=self.store_link,
-            findings=SharedFindings(
-                crashes=CrashExchange(self.crash_guard),
-                part_crashes=CrashExchange(self.part_guard),
-                view=self.view,
-            ),
-            snapshots=self.snapshots,
-            peers=self.peer_client,
-            host_id=self.host.host_id,
-            domain=self.host.domain,
-            clock=self.clock,
-            probe=by_kind[CONFIGURATION_KIND],
-            apply_limit_s=self._change_limit_s(),
-        )
-
     def _place_of_this_host(self, fingerprint: int) -> tuple[int, int]:
         """Return this host's place for a request in doubt, and the number of hosts."""
         hosts = {*self.view.hosts, self.host.host_id}
@@ -250,11 +248,6 @@
         """Return whether the store has answered since its last known failure."""
         return self._information_confirmed_s() > self.view.store_failed_s
 
-    def _change_limit_s(self) -> float:
-        """Return the time within which every change in the store must be in force."""
-        bounds = self.host.bounds
-        return min(bounds.configuration_apply_ms, bounds.endpoint_leave_ms) / 1000.0
-
     def _other_addresses(self) -> list[str]:
         """Return peer addresses of other hosts, seeds first."""
         listed_addresses = [host.peer_address for host in self.view.hosts.values()]
@@ -317,7 +310,9 @@
         )
         self._listeners.serve(self._caller_server, self.host.caller_address)
         if self.host.handover_address:
-            handed_over = CallerConnections(self.ingress.accept_handed_over)
+            handed_over = CallerConnections(
+                self.ingress.accept_handed_over, body_policy=self.body_admission
+            )
             self._listeners.serve(HTTPServer(handed_over), self.host.handover_address)
         self._listeners.serve(
             HTTPServer(self._status_pages.answer_ready), self.host.ready_address
@@ -328,9 +323,9 @@
         )
         self._listeners.close()
 
-    def _accept(self, request: HTTPServerRequest) -> None:
+    def _accept(self, request: HTTPServerRequest, body: RequestBody) -> None:
         self._apply_caller_limits()
-        self.ingress.accept(request)
+        self.ingress.accept(request, body)
 
     def _apply_caller_limits(self) -> None:
         configuration = self.view.configuration
--- a/src/sesameknot/transport/caller_server.py
+++ b/src/sesameknot/transport/caller_server.py
@@ -1,6 +1,8 @@
 """Server delegate for callers' connections that reads requests and tracks idle ones."""
 
+import asyncio
 from collections.abc import Callable
+from typing import Protocol
 from weakref import WeakSet
 
 import structlog
@@ -14,9 +16,30 @@
     RequestStartLine,
 )
 
+from sesameknot.transport.request_body import RequestBody
+
 log = structlog.get_logger(__name__)
 
-RequestCallback = Callable[[HTTPServerRequest], None]
+RequestCallback = Callable[[HTTPServerRequest, RequestBody], None]
+
+
+class BodyPolicy(Protocol):
+    """Decides which bodies are read."""
+
+    def new_body(self) -> RequestBody:
+        """Return an empty body."""
+
+    def refuse(self, http_request: HTTPServerRequest) -> None:
+        """Send the answer to a request whose body finds no memory.
+
+        The reader marks it as complete, as the caller may still be sending.
+        """
+
+    def refuse_late(self, http_request: HTTPServerRequest) -> None:
+        """Send the answer to a request whose body has not come in time."""
+
+    def time_limit_s(self, http_request: HTTPServerRequest) -> float:
+        """Return the time within which a body must come."""
 
 
 class CallerConnections(HTTPServerConnectionDelegate):
@@ -25,11 +48,17 @@
     Parameters
     ----------
     on_request : callable
-        Called with each request whose body is complete.
+        Called with each request whose body is complete, and the body, which it must
+        release.
+    body_policy : BodyPolicy or None, default=None
+        Decides which bodies are read; None reads all of them.
     """
 
-    def __init__(self, on_request: RequestCallback) -> None:
+    def __init__(
+        self, on_request: RequestCallback, *, body_policy: BodyPolicy | None = None
+    ) -> None:
         self.on_request = on_request
+        self.body_policy = body_policy
         self.idle_connections: WeakSet[HTTP1ServerConnection] = WeakSet()
 
     def start_request(
@@ -63,7 +92,9 @@
         self._connections = connections
         self._server_conn = server_conn
         self._request_conn = request_conn
-        self._body_chunks: list[bytes] = []
+        self._body = RequestBody()
+        self._refused = False
+        self._timer: asyncio.TimerHandle | None = None
         self._request: HTTPServerRequest | None = None
 
     def headers_received(
@@ -73,19 +104,78 @@
         self._request = HTTPServerRequest(
             connection=self._request_conn, start_line=start_line, headers=headers
         )
+        policy = self._connections.body_policy
+        if policy is None:
+            return
+        self._body = policy.new_body()
+        declared_bytes = self._declared_bytes(headers)
+        if declared_bytes or "Transfer-Encoding" in headers:
+            self._timer = asyncio.get_running_loop().call_later(
+                policy.time_limit_s(self._request), self._give_up
+            )
+        if not self._body.reserve(declared_bytes):
+            self._refuse()
+
+    def _declared_bytes(self, headers: HTTPHeaders) -> int:
+        """Return the body's length; 0 if none is declared or the server rejects it."""
+        length = headers.get("Content-Length", "")
+        size_bytes = int(length) if length.isdecimal() else 0
+        limit_bytes = self._server_conn.params.max_body_size
+        return 0 if limit_bytes is not None and size_bytes > limit_bytes else size_bytes
+
+    def _refuse(self) -> None:
+        """Answer at once, and read the rest of the body without keeping it.
+
+        Closing the connection with unread bytes would reset it, and the caller could
+        lose the answer.
+        """
+        policy, request = self._connections.body_policy, self._request
+        if policy is None or request is None:
+            return
+        self._refused = True
+        self._body.release()
+        policy.refuse(request)
+        if "Expect" in request.headers and not self._body.size_bytes:
+            # The caller waits for permission to send the body and gets none.
+            self._request_conn.finish()
+
+    def _give_up(self) -> None:
+        """End a request whose body has not come in time."""
+        policy, request = self._connections.body_policy, self._request
+        if policy is None or request is None or self._server_conn.stream.closed():
+            return
+        if not self._refused:
+            self._refused = True
+            self._body.release()
+            policy.refuse_late(request)
+        # This closes the connection, as the body is not complete.
+        self._request_conn.finish()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     def data_received(self, chunk: bytes) -> None:
-        self._body_chunks.append(chunk)
+        if not self._refused and not self._body.append(chunk):
+            self._refuse()
 
     def finish(self) -> None:
+        self._stop_timer()
         if self._request is None:
             return
+        if self._refused:
+            self._request_conn.finish()
+            return
         if self._server_conn.stream.closed():
             # The connection was closed in the loop iteration that read the request.
+            self._body.release()
             log.info("request_dropped", path=self._request.path, reason="closed")
             return
-        self._request.body = b"".join(self._body_chunks)
-        self._connections.on_request(self._request)
+        self._body.finish()
+        self._connections.on_request(self._request, self._body)
 
     def on_connection_close(self) -> None:
+        self._stop_timer()
         self._connections.idle_connections.discard(self._server_conn)
+        self._body.release()
