--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -260,9 +260,10 @@
 
     async def stop(self) -> None:
         """End the process: refuse connections and close the open ones."""
-        for task in self._tasks:
-            task.cancel()
         self._server.stop()
+        # The request that crashes the endpoint is one of the tasks.
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
         if not self.crash_silently:
             await self._server.close_all_connections()
 
