--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,9 @@
 
 from absl import app, flags
 
-from soak._rollouts import FRONT_COUNT, RolloutCase, RolloutScenario
+from soak import _restarts, _rollouts
+from soak._restarts import RestartScenario
+from soak._rollouts import RolloutCase, RolloutScenario
 from soak._scenario import Scenario
 
 SHOWN_VIOLATION_COUNT = 8
@@ -19,8 +21,11 @@
 _ROLLOUTS = flags.DEFINE_boolean(
     "rollouts", False, "Play a roll-out of a bad or good version for each seed."
 )
+_RESTARTS = flags.DEFINE_boolean(
+    "restarts", False, "Restart endpoints under their ids before many fronts."
+)
 _FRONTS = flags.DEFINE_integer(
-    "fronts", FRONT_COUNT, "Front processes of a roll-out.", lower_bound=1
+    "fronts", 0, "Front processes of --rollouts and --restarts; 0 for their default."
 )
 _KEEP_DIRECTORY = flags.DEFINE_string(
     "keep", "", "Directory in which settings and logs of each seed are kept."
@@ -29,7 +34,9 @@
 
 async def _run_rollout(seed: int, directory: Path) -> list[str]:
     scenario = RolloutScenario(
-        RolloutCase.draw(seed), directory, front_count=_FRONTS.value
+        RolloutCase.draw(seed),
+        directory,
+        front_count=_FRONTS.value or _rollouts.FRONT_COUNT,
     )
     await scenario.run()
     print(
@@ -40,13 +47,33 @@
     return scenario.violations
 
 
+async def _run_restarts(seed: int, directory: Path) -> list[str]:
+    scenario = RestartScenario(
+        seed, directory, front_count=_FRONTS.value or _restarts.FRONT_COUNT
+    )
+    await _play(scenario, _DURATION_S.value)
+    for line in scenario.restart_lines:
+        print(f"seed {seed}: {line}", flush=True)
+    _print_counts(scenario, seed)
+    return scenario.violations
+
+
 async def _run_seed(seed: int, directory: Path) -> list[str]:
     scenario = Scenario(seed, directory)
+    await _play(scenario, _DURATION_S.value)
+    _print_counts(scenario, seed)
+    return scenario.violations
+
+
+async def _play(scenario: Scenario, duration_s: float) -> None:
     try:
         await scenario.start()
-        await scenario.run(_DURATION_S.value)
+        await scenario.run(duration_s)
     finally:
         await scenario.close()
+
+
+def _print_counts(scenario: Scenario, seed: int) -> None:
     served_count = sum(
         request.answer.status == 200 for request in scenario.sent_requests
     )
@@ -54,7 +81,6 @@
         f"seed {seed}: {len(scenario.sent_requests)} requests, {served_count} served",
         flush=True,
     )
-    return scenario.violations
 
 
 def _main(argv: list[str]) -> int:
@@ -68,7 +94,11 @@
         with tempfile.TemporaryDirectory() as temporary:
             directory = Path(_KEEP_DIRECTORY.value or temporary) / f"seed-{seed}"
             directory.mkdir(parents=True, exist_ok=True)
-            play = _run_rollout if _ROLLOUTS.value else _run_seed
+            play = _run_seed
+            if _ROLLOUTS.value:
+                play = _run_rollout
+            elif _RESTARTS.value:
+                play = _run_restarts
             violations = asyncio.run(play(seed, directory))
         for violation in violations[:SHOWN_VIOLATION_COUNT]:
             print(f"seed {seed}: BROKEN: {violation}", flush=True)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -12,6 +12,14 @@
 LEAVE_LIMIT_S = 2.0
 EVACUATION_LIMIT_S = 5.0
 CONFIGURATION_LIMIT_S = 2.0
+# Service whose endpoints are cold for a time after their start.
+MODEL_SERVICE = "advisor"
+COLD_S = 3.0
+COLD_RATE_PER_S = 4.0
+# What a cold endpoint may get within one second: the rate times the overage, and the
+# slack. Faults that affect hosts don't change it.
+COLD_OVERAGE = 1.5
+COLD_SLACK_COUNT = 5
 # Callers, endpoints and hosts read the clock at different moments of a request.
 CLOCK_TOLERANCE_S = 0.3
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -114,3 +122,40 @@
                 f"{request.request_id} got a body that is not the whole one"
             )
     return violations
+
+
+def find_cold_floods(
+    cold_starts_s: dict[str, list[float]], runs: dict[str, list[RecordedRun]]
+) -> list[str]:
+    """Return one line for each cold endpoint that got too many requests in a second.
+
+    Parameters
+    ----------
+    cold_starts_s : dict of str to list of float
+        Times at which a cold process of an endpoint started, by endpoint.
+    runs : dict of str to list of RecordedRun
+        Requests that each endpoint ran, by endpoint.
+    """
+    allowed_count = COLD_RATE_PER_S * COLD_OVERAGE + COLD_SLACK_COUNT
+    violations = []
+    for endpoint_id, starts_s in cold_starts_s.items():
+        for start_s in starts_s:
+            most, from_s = count_cold_load(start_s, runs[endpoint_id])
+            if most > allowed_count:
+                violations.append(
+                    f"cold {endpoint_id} got {most} requests in the second from "
+                    f"{from_s - start_s:.2f} s after its start, "
+                    f"{allowed_count:g} allowed"
+                )
+    return violations
+
+
+def count_cold_load(start_s: float, runs: list[RecordedRun]) -> tuple[int, float]:
+    """Return the most requests in one second after a cold start, and its beginning."""
+    arrivals_s = [
+        run.received_s for run in runs if start_s <= run.received_s < start_s + COLD_S
+    ]
+    return max(
+        ((sum(a <= b < a + 1.0 for b in arrivals_s), a) for a in arrivals_s),
+        default=(0, start_s),
+    )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -160,7 +160,7 @@
     scenario.endpoints.remove(endpoint)
     endpoint.proxy.close()
     await asyncio.sleep(scenario.random.uniform(0.2, 1.5))
-    scenario.store.remove("servers", endpoint.standin.endpoint_id)
+    scenario.store.remove("servers", endpoint.endpoint_id)
     await scenario.add_endpoint(
         endpoint.service, endpoint.domain, version=endpoint.version
     )
@@ -173,7 +173,7 @@
     await scenario.add_endpoint(
         endpoint.service, endpoint.domain, version=endpoint.version
     )
-    endpoint_id = endpoint.standin.endpoint_id
+    endpoint_id = endpoint.endpoint_id
     scenario.endpoints.remove(endpoint)
     entry = dict(scenario.store.get("servers", endpoint_id)["Spec"], State="draining")
     scenario.store.put("servers", endpoint_id, entry)
@@ -195,7 +195,7 @@
     limit_s = scenario.now_s() + EVACUATION_LIMIT_S
     windows = [
         NoTrafficWindow(
-            endpoint_id=endpoint.standin.endpoint_id,
+            endpoint_id=endpoint.endpoint_id,
             start_s=limit_s,
             reason="evacuated",
         )
--- a/soak/_fronts.py
+++ b/soak/_fronts.py
@@ -11,6 +11,7 @@
 from examples.local_deployment import reserve_port
 
 from sesameknot.transport.early_listeners import ADDRESSES_VARIABLE
+from soak._checks import COLD_OVERAGE, COLD_SLACK_COUNT
 from soak._proxy import Proxy
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -116,6 +117,8 @@
                 "BudgetSlack": 500,
                 "ExposeShare": 0.15,
                 "ExposeSlack": 30,
+                "ColdOverage": COLD_OVERAGE,
+                "ColdSlack": COLD_SLACK_COUNT,
             },
         }
 
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -6,6 +6,8 @@
 import struct
 from enum import StrEnum
 
+from examples.local_deployment import reserve_port
+
 CHUNK_BYTES = 64 * 1024
 # SO_LINGER with zero seconds makes close send a TCP reset.
 RESET_LINGER = struct.pack("ii", 1, 0)
@@ -40,6 +42,8 @@
         self._mode_changed = asyncio.Event()
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
+        # Connections of an earlier process at the target's end have a lower number.
+        self._process_number = 0
         self._server: asyncio.Server | None = None
 
     @property
@@ -55,18 +59,33 @@
 
     async def start(self) -> None:
         """Listen on an unused loopback port."""
+        # The reservation keeps the port while nothing listens on it.
+        self.address = f"127.0.0.1:{reserve_port()}"
+        await self.listen_again()
+
+    async def listen_again(self) -> None:
+        """Accept connections after :meth:`stop_listening`, on the same port."""
+        ip, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(
-            self._handle_connection, "127.0.0.1", 0
+            self._handle_connection, ip, int(port)
         )
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop_listening(self, *, silently: bool) -> None:
+        """End as a crashed process does: new connections are refused.
+
+        Open connections are reset. With ``silently``, as after a power loss, they
+        transport nothing any more, and what is sent on them after :meth:`listen_again`
+        is answered with a reset.
+        """
+        self._server.close()
+        self._process_number += 1
+        if not silently:
+            self.reset_all()
 
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-            writer.transport.abort()
+            _reset(writer)
 
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -84,7 +103,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(
-                    self._forward(reader, target_writer, ProxyMode.SILENT)
+                    self._forward(reader, target_writer, ProxyMode.SILENT, writer)
                 )
                 group.create_task(
                     self._forward(target_reader, writer, ProxyMode.SILENT_BACK)
@@ -102,19 +121,34 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         silencing_mode: ProxyMode,
+        client_writer: asyncio.StreamWriter | None = None,
     ) -> None:
+        process_number = self._process_number
         while data := await reader.read(CHUNK_BYTES):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             while self._mode in (ProxyMode.SILENT, silencing_mode):
                 await self._mode_changed.wait()
-            writer.write(data)
-            await writer.drain()
-        with contextlib.suppress(OSError):
-            writer.write_eof()
+            if process_number == self._process_number:
+                writer.write(data)
+                await writer.drain()
+            elif client_writer is not None and self._server.is_serving():
+                _reset(client_writer)
+                return
+        if process_number == self._process_number:
+            with contextlib.suppress(OSError):
+                writer.write_eof()
 
     def close(self) -> None:
         """Stop listening and reset every open connection."""
         if self._server is not None:
             self._server.close()
         self.reset_all()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a TCP reset."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+    writer.transport.abort()
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -5,7 +5,6 @@
 import random
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass
 from pathlib import Path
 
 from tornado.testing import bind_unused_port
@@ -13,18 +12,24 @@
 from sesameknot.platform.standin import FleetEndpoint, FleetStore, RecordedRun
 from soak._caller import CallerConnection
 from soak._checks import (
+    COLD_RATE_PER_S,
+    COLD_S,
     CONFIGURATION_LIMIT_S,
+    MODEL_SERVICE,
     SETTLE_TIME_S,
     NoTrafficWindow,
     SentRequest,
+    find_cold_floods,
     find_violations,
 )
+from soak._endpoint_restarts import restart_endpoints
+from soak._endpoints import ProxiedEndpoint
 from soak._faults import FAULTS
 from soak._fronts import FrontProcess
 from soak._odd_input import send_odd_input
-from soak._proxy import Proxy
 
 FRONT_COUNT = 3
+ENDPOINT_COUNT = 4
 CALLER_COUNT = 9
 EVENT_COUNT = 12
 MODELS = ("small", "large")
@@ -34,17 +39,9 @@
 RECOVERY_PAUSE_S = 0.05
 PATH_BY_KIND = {"stream": "/advice/x", "unsafe": "/booking/x", "safe": "/lookup/x"}
 EXTRA_PATH = "/extra/x"
-
-
-@dataclass(slots=True, kw_only=True)
-class ProxiedEndpoint:
-    """Stand-in of an endpoint, reached through a proxy."""
-
-    standin: FleetEndpoint
-    proxy: Proxy
-    service: str
-    domain: str
-    version: str
+# Tokens of the part that the prompts share. It makes one endpoint the best choice of
+# hosts in all failure domains, so that it gets more requests than a cold one may.
+SHARED_TOKEN_COUNT = 40_000
 
 
 class Scenario:
@@ -56,11 +53,16 @@
         Seed of faults and requests.
     directory : Path
         Directory for settings and logs.
+    front_count : int, default=FRONT_COUNT
+        Front processes.
     """
 
-    def __init__(self, random_state: int, directory: Path) -> None:
+    def __init__(
+        self, random_state: int, directory: Path, *, front_count: int = FRONT_COUNT
+    ) -> None:
         self.random = random.Random(random_state)
         self._seed = random_state
+        self._front_count = front_count
         self.store = FleetStore()
         self.endpoints: list[ProxiedEndpoint] = []
         self.fronts: list[FrontProcess] = []
@@ -71,8 +73,10 @@
         self._extra_route_changed_s = 0.0
         self._directory = directory
         self.runs: dict[str, list[RecordedRun]] = {}
+        self.cold_starts_s: dict[str, list[float]] = {}
         self._active_fault_counts: dict[str, int] = {}
         self._configuration_version = 0
+        self._shared_part_id = 0xA0000000
         self._endpoint_count = 0
         self._exit_stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -89,10 +93,10 @@
         """Start store, endpoints and fronts, and wait until every front is ready."""
         self.write_configuration(with_extra_route=False)
         store_address = self._listen(self.store.server())
-        for service, count in (("advisor", 4), ("dispatch", 4)):
-            for number in range(count):
+        for service in (MODEL_SERVICE, "dispatch"):
+            for number in range(ENDPOINT_COUNT):
                 await self.add_endpoint(service, "ab"[number % 2])
-        for number in range(FRONT_COUNT):
+        for number in range(self._front_count):
             front = FrontProcess(number, store_address, self._directory)
             self._exit_stack.push_async_callback(front.close)
             await front.start([])
@@ -124,35 +128,28 @@
     ) -> None:
         """Start an endpoint and register its proxy's address in the store."""
         self._endpoint_count += 1
+        runs_models = service == MODEL_SERVICE
         standin = FleetEndpoint(
             endpoint_id=f"e{self._endpoint_count}",
-            event_count=EVENT_COUNT if service == "advisor" else 0,
+            event_count=EVENT_COUNT if runs_models else 0,
             event_gap_s=0.02,
             delay_s=0.01,
-            models=MODELS if service == "advisor" else (),
+            models=MODELS if runs_models else (),
         )
-        self.runs[standin.endpoint_id] = standin.runs
-        proxy = Proxy(self._listen(standin.server()))
-        await proxy.start()
-        self._exit_stack.callback(proxy.close)
-        entry = {
-            "Service": service,
-            "Address": proxy.address,
-            "Zone": domain,
-            "Version": version,
-            "State": "ready",
-            "Slots": 16,
-        }
-        self.store.put("servers", standin.endpoint_id, entry)
-        self.endpoints.append(
-            ProxiedEndpoint(
-                standin=standin,
-                proxy=proxy,
-                service=service,
-                domain=domain,
-                version=version,
-            )
+        endpoint = ProxiedEndpoint(
+            standin=standin,
+            service=service,
+            domain=domain,
+            version=version,
+            cold_starts_s=[],
         )
+        self.runs[endpoint.endpoint_id] = standin.runs
+        self.cold_starts_s[endpoint.endpoint_id] = endpoint.cold_starts_s
+        # Endpoints that start before the fronts serve requests need not be spared.
+        await endpoint.start(cold=runs_models and bool(self.fronts))
+        self._exit_stack.push_async_callback(endpoint.close)
+        self.store.put("servers", endpoint.endpoint_id, endpoint.entry())
+        self.endpoints.append(endpoint)
 
     def write_configuration(self, *, with_extra_route: bool) -> None:
         """Write the next configuration, with or without the extra route."""
@@ -162,8 +159,9 @@
                 "stream",
                 "/advice/",
                 "streaming",
-                "advisor",
+                MODEL_SERVICE,
                 Resumable=True,
+                Sticky=True,
                 Sizes=list(MODELS),
             ),
             self._route("unsafe", "/booking/", "unsafe", "dispatch"),
@@ -171,7 +169,10 @@
         ]
         if with_extra_route:
             routes.append(self._route("extra", "/extra/", "safe", "dispatch"))
-        services = [{"Name": "advisor"}, {"Name": "dispatch"}]
+        services = [
+            {"Name": MODEL_SERVICE, "ColdS": COLD_S, "ColdPerS": COLD_RATE_PER_S},
+            {"Name": "dispatch"},
+        ]
         content = {
             "Version": self._configuration_version,
             "Routes": routes,
@@ -215,6 +216,14 @@
         ]
         return self.random.choice(replaceable or self.endpoints)
 
+    def change_shared_part(self) -> None:
+        """Give later prompts another shared part, which hosts place afresh.
+
+        With the same one, hosts would stay with the endpoint that they chose while the
+        former one was away.
+        """
+        self._shared_part_id += 1
+
     def seed_addresses(self) -> list[str]:
         """Return the peer addresses that a starting front contacts first."""
         return [front.peer_address for front in self.fronts]
@@ -245,11 +254,12 @@
     async def run(self, duration_s: float) -> None:
         """Inject faults under load for ``duration_s``, then check the recovery."""
         for number in range(CALLER_COUNT):
-            front = self.fronts[number % FRONT_COUNT]
-            self._spawn(
+            front = self.fronts[number % len(self.fronts)]
+            self.spawn(
                 self._send_requests(front, CallerConnection(front.caller_address))
             )
-        self._spawn(send_odd_input(self, self._seed))
+        self.spawn(send_odd_input(self, self._seed))
+        self.spawn(restart_endpoints(self, self._seed))
         faults = []
         end_s = self.now_s() + duration_s
         while self.now_s() < end_s:
@@ -257,6 +267,10 @@
             fault = FAULTS.get(self.random.choice(FAULTS.names()))
             faults.append(asyncio.create_task(fault(self)))
         await asyncio.gather(*faults)
+        await self.finish()
+
+    async def finish(self) -> None:
+        """Check the recovery, stop the callers and judge what was recorded."""
         await self._check_recovery()
         for task in self._tasks:
             task.cancel()
@@ -267,8 +281,10 @@
             self.no_traffic_windows,
             event_count=EVENT_COUNT,
         )
+        self.violations += find_cold_floods(self.cold_starts_s, self.runs)
 
-    def _spawn(self, coroutine) -> None:  # noqa: ANN001
+    def spawn(self, coroutine) -> None:  # noqa: ANN001
+        """Run a coroutine until the end of the scenario."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
 
@@ -301,9 +317,15 @@
             "X-Request-Id": request.request_id,
             "X-Deadline-Ms": str(REQUEST_TIMEOUT_MS),
         }
+        if kind == "stream":
+            shared_part = f"{self._shared_part_id:x}:{SHARED_TOKEN_COUNT}"
+            own_part = f"{len(self.sent_requests):x}:200"
+            headers["X-Prompt-Prefix"] = f"{shared_part},{own_part}"
         timeout_s = REQUEST_TIMEOUT_MS / 1000.0 + 1.0
+        # Requests that have the body in common count as one that crashes endpoints.
+        body = request.request_id.encode()
         request.answer = await connection.request(
-            "POST", path, headers, b"body", timeout_s
+            "POST", path, headers, body, timeout_s
         )
         request.done_s = self.now_s()
         request.undisturbed = undisturbed_before and self.is_undisturbed(front)
@@ -335,9 +357,7 @@
     async def _check_recovery(self) -> None:
         try:
             async with asyncio.timeout(RECOVERY_LIMIT_S):
-                for front in self.fronts:
-                    await self._wait_until_ready(front)
-                    await self._wait_until_serving(front)
+                await asyncio.gather(*map(self._wait_until_serving, self.fronts))
         except TimeoutError:
             self.report_violation(
                 f"a host does not serve {RECOVERY_LIMIT_S:g} s after the faults"
@@ -347,6 +367,7 @@
                 self.report_violation(f"{front.host_id} ended by itself")
 
     async def _wait_until_serving(self, front: FrontProcess) -> None:
+        await self._wait_until_ready(front)
         connection = CallerConnection(front.caller_address)
         consecutive_count = 0
         while consecutive_count < 5:
