--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+from collections.abc import Callable
 
 from sesameknot.clock import Clock
 from sesameknot.coordination.endpoint_permits import EndpointPermits
@@ -9,6 +10,7 @@
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.forwarding.attempt_runner import AttemptRunner
 from sesameknot.forwarding.crash_detector import CrashDetector
+from sesameknot.forwarding.endpoint_probes import EndpointProbes
 from sesameknot.forwarding.endpoint_selector import EndpointSelector
 from sesameknot.forwarding.ingress import Ingress
 from sesameknot.forwarding.notice_observer import NoticeObserver
@@ -75,6 +77,8 @@
         Whether this host reaches the endpoints of each service.
     pause_guard : PauseGuard
         Detects pauses of this process.
+    on_outage : callable
+        Called when this host found out that an endpoint is down.
     clock : Clock
         Source of monotonic time.
     stack : contextlib.AsyncExitStack
@@ -88,6 +92,7 @@
         "_crash_guard",
         "_host",
         "_metrics",
+        "_on_outage",
         "_part_guard",
         "_pause_guard",
         "_permits",
@@ -113,6 +118,7 @@
         slots: EndpointSlots,
         reachability: EndpointReachability,
         pause_guard: PauseGuard,
+        on_outage: Callable[[], None],
         clock: Clock,
         stack: contextlib.AsyncExitStack,
     ) -> None:
@@ -128,6 +134,7 @@
         self._slots = slots
         self._reachability = reachability
         self._pause_guard = pause_guard
+        self._on_outage = on_outage
         self._clock = clock
         self._stack = stack
 
@@ -135,9 +142,15 @@
         """Return the component that accepts callers' requests."""
         settings = self._settings
         prompt_cache = PromptCacheTracker(
-            clock=self._clock, cache_life_s=settings.placement.cache_life_s
+            clock=self._clock,
+            cache_life_s=settings.placement.cache_life_s,
+            incarnation_id=self._incarnation_id,
         )
         selector = self._build_selector(prompt_cache)
+        probes = EndpointProbes(
+            view=self._view, client=self._client, on_outage=self._on_outage
+        )
+        self._stack.callback(probes.close)
         runner = AttemptRunner(
             client=self._client,
             view=self._view,
@@ -152,6 +165,7 @@
             ),
             permits=self._permits,
             reachability=self._reachability,
+            probes=probes,
             slots=self._slots,
             notices=NoticeObserver(
                 view=self._view, permits=self._permits, clock=self._clock
@@ -164,8 +178,7 @@
         crash_detector = CrashDetector(
             crash_guard=self._crash_guard,
             part_guard=self._part_guard,
-            view=self._view,
-            client=self._client,
+            probes=probes,
             clock=self._clock,
         )
         self._stack.callback(crash_detector.close)
@@ -206,6 +219,10 @@
             clock=self._clock,
         )
 
+    def _incarnation_id(self, endpoint_id: str) -> str:
+        endpoint = self._view.endpoints.get(endpoint_id)
+        return endpoint.incarnation_id if endpoint is not None else endpoint_id
+
     def _build_selector(self, prompt_cache: PromptCacheTracker) -> EndpointSelector:
         placement = self._settings.placement
         costs = PlacementCosts(
