--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -78,7 +78,8 @@
         request.answer.status == 200 for request in scenario.sent_requests
     )
     print(
-        f"seed {seed}: {len(scenario.sent_requests)} requests, {served_count} served",
+        f"seed {seed}: {len(scenario.sent_requests)} requests, {served_count} served, "
+        f"{scenario.most_cold_load()} at most in a second at a cold endpoint",
         flush=True,
     )
 
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -19,6 +19,7 @@
     SETTLE_TIME_S,
     NoTrafficWindow,
     SentRequest,
+    count_cold_load,
     find_cold_floods,
     find_violations,
 )
@@ -283,6 +284,15 @@
         )
         self.violations += find_cold_floods(self.cold_starts_s, self.runs)
 
+    def most_cold_load(self) -> int:
+        """Return the most requests that a cold endpoint got within one second."""
+        loads = [
+            count_cold_load(start_s, self.runs[endpoint_id])[0]
+            for endpoint_id, starts_s in self.cold_starts_s.items()
+            for start_s in starts_s
+        ]
+        return max(loads, default=0)
+
     def spawn(self, coroutine) -> None:  # noqa: ANN001
         """Run a coroutine until the end of the scenario."""
         task = asyncio.create_task(coroutine)
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -46,3 +46,8 @@
     async def test_bad_version_of_one_route_and_good_version(self):
         """Guards against a bad version that is completed, or a good one that is not."""
         await self.run_seeds("2,5", "--rollouts")
+
+    @gen_test(timeout=110)
+    async def test_restarts_of_a_busy_endpoint_under_its_id(self):
+        """Guards against a flood by hosts that take a process for the previous one."""
+        await self.run_seeds("4,15", "--restarts", "--fronts=16")
