--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,9 @@
 _RESTARTS = flags.DEFINE_boolean(
     "restarts", False, "Restart endpoints under their ids before many fronts."
 )
+_ENDPOINT_RESTARTS = flags.DEFINE_boolean(
+    "endpoint_restarts", True, "Restart endpoints beside the default faults."
+)
 _FRONTS = flags.DEFINE_integer(
     "fronts", 0, "Front processes of --rollouts and --restarts; 0 for their default."
 )
@@ -60,6 +63,7 @@
 
 async def _run_seed(seed: int, directory: Path) -> list[str]:
     scenario = Scenario(seed, directory)
+    scenario.restarts_endpoints = _ENDPOINT_RESTARTS.value
     await _play(scenario, _DURATION_S.value)
     _print_counts(scenario, seed)
     return scenario.violations
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -71,6 +71,7 @@
         self.no_traffic_windows: list[NoTrafficWindow] = []
         self.violations: list[str] = []
         self.has_extra_route = False
+        self.restarts_endpoints = True
         self._extra_route_changed_s = 0.0
         self._directory = directory
         self.runs: dict[str, list[RecordedRun]] = {}
@@ -260,7 +261,8 @@
                 self._send_requests(front, CallerConnection(front.caller_address))
             )
         self.spawn(send_odd_input(self, self._seed))
-        self.spawn(restart_endpoints(self, self._seed))
+        if self.restarts_endpoints:
+            self.spawn(restart_endpoints(self, self._seed))
         faults = []
         end_s = self.now_s() + duration_s
         while self.now_s() < end_s:
