--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -148,7 +148,11 @@
         )
         selector = self._build_selector(prompt_cache)
         probes = EndpointProbes(
-            view=self._view, client=self._client, on_outage=self._on_outage
+            view=self._view,
+            client=self._client,
+            host_id=self._host.host_id,
+            on_outage=self._on_outage,
+            clock=self._clock,
         )
         self._stack.callback(probes.close)
         runner = AttemptRunner(
--- a/src/sesameknot/forwarding/endpoint_probes.py
+++ b/src/sesameknot/forwarding/endpoint_probes.py
@@ -1,12 +1,14 @@
 """Checks whether endpoints accept connections."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Sequence
 from enum import Enum, auto
 
 import structlog
 
+from sesameknot.clock import Clock
 from sesameknot.coordination._background import BackgroundTasks
 from sesameknot.errors import ConnectError, ConnectTimeoutError
 from sesameknot.state.fleet_view import FleetView
@@ -19,6 +21,11 @@
 SOUND_SILENCE_S = 1.5
 # Other endpoints that are asked for a connection before an endpoint counts as down.
 LINK_CHECK_COUNT = 4
+# Endpoints often go down together, and no host may need some of them until they are
+# back. After an outage, each endpoint of the service is checked by this many hosts.
+CHECKS_PER_ENDPOINT_COUNT = 2
+# Least time between two such checks of a service by one host.
+SERVICE_CHECK_INTERVAL_S = 0.5
 
 log = structlog.get_logger(__name__)
 
@@ -47,8 +54,12 @@
         Other endpoints, by which this host checks its own link; receives outages.
     client : EndpointClient
         Opens connections to endpoints.
+    host_id : str
+        Name of this host.
     on_outage : callable
         Called when other hosts need to know of an outage.
+    clock : Clock
+        Source of monotonic time.
     """
 
     def __init__(
@@ -56,14 +67,56 @@
         *,
         view: FleetView,
         client: EndpointClient,
+        host_id: str,
         on_outage: Callable[[], None],
+        clock: Clock,
     ) -> None:
         self._view = view
         self._client = client
+        self._host_id = host_id
         self._on_outage = on_outage
+        self._clock = clock
+        self._service_checked_s: dict[str, float] = {}
         self._probes: dict[str, asyncio.Future[ProbeResult]] = {}
         self._checked_ids: set[str] = set()
         self._checks = BackgroundTasks()
+        view.outages.subscribe(self._check_same_service)
+
+    def _check_same_service(self, incarnation_id: str) -> None:
+        """Check this host's part of the service's endpoints after an outage of one."""
+        service = next(
+            (
+                endpoint.entry.service
+                for endpoint in self._view.endpoints.values()
+                if endpoint.incarnation_id == incarnation_id
+            ),
+            None,
+        )
+        now_s = self._clock.monotonic_s()
+        last_s = self._service_checked_s.get(service or "", float("-inf"))
+        if service is None or now_s < last_s + SERVICE_CHECK_INTERVAL_S:
+            return
+        self._service_checked_s[service] = now_s
+        for endpoint in self._part_of(service):
+            self.check_later(endpoint)
+
+    def _part_of(self, service: str) -> list[KnownEndpoint]:
+        """Return the endpoints that this host checks; all hosts together check all."""
+        endpoints = sorted(
+            (
+                endpoint
+                for endpoint in self._view.endpoints.values()
+                if endpoint.entry.service == service and self._view.may_send(endpoint)
+            ),
+            key=lambda endpoint: endpoint.endpoint_id,
+        )
+        hosts = sorted({*self._view.hosts, self._host_id})
+        if not endpoints:
+            return []
+        count = math.ceil(CHECKS_PER_ENDPOINT_COUNT * len(endpoints) / len(hosts))
+        first = hosts.index(self._host_id) * len(endpoints) // len(hosts)
+        chosen = {(first + offset) % len(endpoints) for offset in range(count)}
+        return [endpoints[index] for index in sorted(chosen)]
 
     def check_later(self, endpoint: KnownEndpoint) -> None:
         """Check in the background an endpoint that accepted no connection."""
--- a/src/sesameknot/state/endpoint_outages.py
+++ b/src/sesameknot/state/endpoint_outages.py
@@ -1,5 +1,7 @@
 """When endpoints were last known to be down, observed by any host."""
 
+from collections.abc import Callable
+
 from sesameknot.clock import Clock
 
 # Observations of one outage that are closer than this are one observation.
@@ -28,14 +30,25 @@
         removed.
     """
 
-    __slots__ = ("_clock", "_down_s", "_longest_cold_s", "_restart_shown_s")
+    __slots__ = (
+        "_clock",
+        "_down_s",
+        "_longest_cold_s",
+        "_on_first_outage",
+        "_restart_shown_s",
+    )
 
     def __init__(self, clock: Clock, restart_shown_s: float) -> None:
         self._clock = clock
         self._restart_shown_s = restart_shown_s
         self._longest_cold_s = 0.0
+        self._on_first_outage: list[Callable[[str], None]] = []
         self._down_s: dict[str, float] = {}
 
+    def subscribe(self, on_first_outage: Callable[[str], None]) -> None:
+        """Call ``on_first_outage`` with an incarnation when its first outage is known."""
+        self._on_first_outage.append(on_first_outage)
+
     def cold_until_s(self, incarnation_id: str, cold_s: float) -> float:
         """Return until when an endpoint may be cold because of a restart.
 
@@ -70,7 +83,7 @@
         """Record that an endpoint is down now; return whether to report it."""
         if self.is_recent(incarnation_id):
             return False
-        self._down_s[incarnation_id] = self._clock.monotonic_s()
+        self._record(incarnation_id, self._clock.monotonic_s())
         return True
 
     def merge(self, incarnation_id: str, *, age_s: float) -> bool:
@@ -81,9 +94,16 @@
         known_s = self._down_s.get(incarnation_id, float("-inf"))
         if down_s <= known_s + REPORT_DELAY_LIMIT_S:
             return False
-        self._down_s[incarnation_id] = down_s
+        self._record(incarnation_id, down_s)
         return True
 
+    def _record(self, incarnation_id: str, down_s: float) -> None:
+        is_first = incarnation_id not in self._down_s
+        self._down_s[incarnation_id] = down_s
+        if is_first:
+            for on_first_outage in self._on_first_outage:
+                on_first_outage(incarnation_id)
+
     def ages_s(self) -> dict[str, float]:
         """Return the time since each outage that still matters."""
         now_s = self._clock.monotonic_s()
--- a/tests/coordination/test_shared_outages.py
+++ b/tests/coordination/test_shared_outages.py
@@ -3,7 +3,12 @@
 from testtools.matchers import Equals
 from tornado.testing import gen_test
 
-from tests.front_world import MODEL_SERVICE, FrontWorld, configuration
+from tests.front_world import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    FrontWorld,
+    configuration,
+)
 from tests.support import eventually
 from tests.virtual_time import VirtualTimeMixin
 
@@ -19,6 +24,7 @@
         self.store.put("config", "main", configuration())
         for number in range(3):
             self.add_endpoint(f"e{number}", MODEL_SERVICE)
+        self.add_endpoint("p0", PLAIN_SERVICE)
 
     async def start_hosts(self):
         """Start hosts of two failure domains that all know each other."""
@@ -49,6 +55,20 @@
             count = await self.count_knowing_hosts(fronts, finder, endpoint_id)
             self.assertThat(count, Equals(HOST_COUNT))
 
+    @gen_test(timeout=60)
+    async def test_endpoints_that_no_host_asks_are_checked_after_an_outage(self):
+        """Guards against a flood of an endpoint that went down beside another one."""
+        fronts = await self.start_hosts()
+        await self.endpoints["e1"].stop()
+        await self.endpoints["e2"].stop()
+        await self.count_knowing_hosts(fronts, fronts[0], "e0")
+        for endpoint_id in ("e1", "e2"):
+            cold_s = [
+                front.view.cold_left_s(front.view.endpoints[endpoint_id])
+                for front in fronts
+            ]
+            self.assertThat(min(cold_s) > 0.0, Equals(True), endpoint_id)
+
     @gen_test(timeout=60)
     async def test_hosts_do_not_go_on_telling_each_other_of_an_outage(self):
         """Guards against rounds that follow each other because of old news."""
