--- a/src/sesameknot/state/endpoint_outages.py
+++ b/src/sesameknot/state/endpoint_outages.py
@@ -46,7 +46,7 @@
         self._down_s: dict[str, float] = {}
 
     def subscribe(self, on_first_outage: Callable[[str], None]) -> None:
-        """Call ``on_first_outage`` with an incarnation when its first outage is known."""
+        """Call ``on_first_outage`` with each incarnation once its outage is known."""
         self._on_first_outage.append(on_first_outage)
 
     def cold_until_s(self, incarnation_id: str, cold_s: float) -> float:
