--- a/src/sesameknot/_front_exchange.py
+++ b/src/sesameknot/_front_exchange.py
@@ -4,6 +4,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination.domain_exchange import DomainExchange
+from sesameknot.coordination.outage_spread import OutageSpread
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_follower import StoreFollower
@@ -14,7 +15,7 @@
 from sesameknot.transport.peer_client import PeerClient
 
 
-def build_domain_exchange(
+def build_exchange(
     *,
     host: HostSettings,
     view: FleetView,
@@ -24,14 +25,23 @@
     snapshots: SnapshotExchange,
     peers: PeerClient,
     clock: Clock,
-) -> DomainExchange:
-    """Return the task that exchanges the store's changes and loads with other hosts."""
+) -> tuple[DomainExchange, OutageSpread]:
+    """Return the tasks that exchange with other hosts, and pass on outages at once."""
     by_kind = {follower.kind: follower for follower in followers}
-    return DomainExchange(
+    spread = OutageSpread(
+        view=view,
+        findings=findings,
+        peers=peers,
+        host_id=host.host_id,
+        domain=host.domain,
+        relays=lambda domain: exchange.relays(domain),
+    )
+    exchange = DomainExchange(
         view=view,
         followers=followers,
         link=link,
         findings=findings,
+        on_new_outage=spread.pass_on,
         snapshots=snapshots,
         peers=peers,
         host_id=host.host_id,
@@ -40,6 +50,7 @@
         probe=by_kind[CONFIGURATION_KIND],
         apply_limit_s=_change_limit_s(host.bounds),
     )
+    return exchange, spread
 
 
 def _change_limit_s(bounds: HostBounds) -> float:
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -9,7 +9,8 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+import random
+from collections.abc import Callable, Sequence
 
 import structlog
 
@@ -25,7 +26,6 @@
     load_columns,
     sum_loads,
 )
-from sesameknot.coordination._round_timer import RoundTimer
 from sesameknot.coordination._stored_records import stored_entry
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
@@ -43,8 +43,6 @@
 
 RELAY_COUNT = 2
 EXCHANGE_INTERVAL_S = 0.4
-# Least time between two rounds, also if there is news to share.
-MIN_INTERVAL_S = 0.05
 CALL_TIMEOUT_S = 0.3
 # Replies are read at most this long after the call, unless this process was paused.
 REPLY_AGE_LIMIT_S = 2.0 * CALL_TIMEOUT_S
@@ -75,6 +73,8 @@
         Receives whether the store's changes are relayed.
     findings : SharedFindings
         What hosts tell each other of crashes and outages of endpoints.
+    on_new_outage : callable
+        Called when this host, a relay, learned of an outage that others need.
     snapshots : SnapshotExchange
         Passes on kinds that are too large for a reply.
     peers : PeerClient
@@ -101,6 +101,7 @@
         followers: Sequence[StoreFollower],
         link: StoreLink,
         findings: SharedFindings,
+        on_new_outage: Callable[[], None],
         snapshots: SnapshotExchange,
         peers: PeerClient,
         host_id: str,
@@ -120,9 +121,7 @@
         self._fallback_timer: asyncio.TimerHandle | None = None
         self._link = link
         self._findings = findings
-        self._rounds = RoundTimer(
-            interval_s=EXCHANGE_INTERVAL_S, min_interval_s=MIN_INTERVAL_S
-        )
+        self._on_new_outage = on_new_outage
         self._peers = peers
         self._host_id = host_id
         self._domain = domain
@@ -141,28 +140,20 @@
         """Exchange with other hosts until cancelled."""
         round_count = 0
         while True:
-            has_news = await self._rounds.wait()
+            await asyncio.sleep(EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1))
             relays = self.relays(self._domain)
             if self._host_id in relays or not relays:
-                calls = [self._exchange_as_relay(relays)]
-                call_others = round_count % OTHER_DOMAINS_ROUND_COUNT == 0
-                if call_others or has_news or self._is_cut_off:
-                    calls.append(self._exchange_with_other_domains())
-                if has_news:
-                    calls.append(self._notify_hosts(relays))
-                await asyncio.gather(*calls)
+                await self._exchange_as_relay(relays)
+                if round_count % OTHER_DOMAINS_ROUND_COUNT == 0 or self._is_cut_off:
+                    await self._exchange_with_other_domains()
             else:
                 call_both = round_count % BOTH_RELAYS_ROUND_COUNT == 0
                 await self._exchange_with_relays(
-                    relays, call_both=call_both or has_news or not self._link.relayed
+                    relays, call_both=call_both or not self._link.relayed
                 )
             round_count += 1
             self._loads.apply()
 
-    def share_soon(self) -> None:
-        """Begin the next round early, because other hosts need news of an endpoint."""
-        self._rounds.begin_early()
-
     async def _exchange_as_relay(self, relays: list[str]) -> None:
         serves_hosts = self._loads.serves_hosts_besides(relays)
         wait_s = self._relay_wait_s if serves_hosts else self._default_wait_s
@@ -178,17 +169,6 @@
         for relay, reply in replies.items():
             self._take_changes(relay, reply)
 
-    async def _notify_hosts(self, relays: list[str]) -> None:
-        """Tell the hosts that this relay serves what it knows of endpoints."""
-        served_hosts = [
-            host.host_id
-            for host in self._view.hosts.values()
-            if host.domain == self._domain
-            and host.host_id not in relays
-            and rendezvous_order(host.host_id, relays)[0] == self._host_id
-        ]
-        await self._sync(served_hosts, loads={})
-
     @property
     def _is_cut_off(self) -> bool:
         """Whether the store does not answer this host.
@@ -318,10 +298,15 @@
             if reply is not None
         }
         for reply in replies.values():
-            if self._findings.merge(reply) and not self._link.relayed:
-                self.share_soon()
+            self._merge_findings(reply)
         return replies
 
+    def _merge_findings(self, message: DomainSync | DomainSyncReply) -> None:
+        has_new_outage = self._findings.merge(message)
+        if has_new_outage and self._host_id in self.relays(self._domain):
+            # Relays pass it on to the hosts that they serve and to other relays.
+            self._on_new_outage()
+
     async def _call(self, host_id: str, request: DomainSync) -> DomainSyncReply | None:
         host = self._view.hosts.get(host_id)
         if host is None:
@@ -358,13 +343,14 @@
 
     async def answer(self, request: DomainSync) -> DomainSyncReply:
         """Answer another host; hosts of other failure domains only exchange loads."""
+        if request.outages_only:
+            self._merge_findings(request)
+            return DomainSyncReply()
         sender = self._view.hosts.get(request.host_id)
         same_domain = sender is None or sender.domain == self._domain
         add_report = self._loads.add_host if same_domain else self._loads.add_relay
         add_report(request.host_id, request.loads)
-        if self._findings.merge(request) and not self._link.relayed:
-            # Relays pass it on to all hosts.
-            self.share_soon()
+        self._merge_findings(request)
         loads = self._loads.domain(without=request.host_id)
         if same_domain:
             loads = sum_loads([loads, self._loads.relayed()])
--- /dev/null
+++ b/src/sesameknot/coordination/outage_spread.py
@@ -0,0 +1,120 @@
+"""Pass reports of outages on to other hosts at once, beside the regular exchange.
+
+An endpoint that went down may be back in less time than the regular exchange takes to
+reach all hosts. A host that finds an outage reports it to the relays of its failure
+domain, and relays pass it on to all other relays and to the hosts that they serve.
+These messages carry nothing else, so that a crash of many endpoints costs the relays
+little.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from sesameknot.coordination.shared_findings import SharedFindings
+from sesameknot.errors import RouterError
+from sesameknot.policy.rendezvous import rendezvous_order
+from sesameknot.protocol.messages import DomainSync, DomainSyncReply
+from sesameknot.state.fleet_view import FleetView
+from sesameknot.transport.peer_client import PeerClient
+
+# Reports that come within this time are passed on together.
+GATHER_S = 0.05
+CALL_TIMEOUT_S = 0.3
+
+log = structlog.get_logger(__name__)
+
+
+class OutageSpread:
+    """Task that passes on reports of outages.
+
+    Parameters
+    ----------
+    view : FleetView
+        Hosts.
+    findings : SharedFindings
+        Outages that this host knows of.
+    peers : PeerClient
+        Client of the peer protocol.
+    host_id, domain : str
+        Name of this host and its failure domain.
+    relays : callable
+        Returns the relays of a failure domain.
+    """
+
+    __slots__ = (
+        "_domain",
+        "_findings",
+        "_host_id",
+        "_new_report",
+        "_peers",
+        "_relays",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        findings: SharedFindings,
+        peers: PeerClient,
+        host_id: str,
+        domain: str,
+        relays: Callable[[str], list[str]],
+    ) -> None:
+        self._view = view
+        self._findings = findings
+        self._peers = peers
+        self._host_id = host_id
+        self._domain = domain
+        self._relays = relays
+        self._new_report = asyncio.Event()
+
+    def pass_on(self) -> None:
+        """Pass on what this host knows soon, because there is a new report."""
+        self._new_report.set()
+
+    async def run(self) -> None:
+        """Pass on reports until cancelled."""
+        while True:
+            await self._new_report.wait()
+            await asyncio.sleep(GATHER_S)
+            self._new_report.clear()
+            message = DomainSync(host_id=self._host_id, outages_only=True)
+            message.outages = self._findings.outage_ages()
+            await asyncio.gather(
+                *(self._send(host_id, message) for host_id in self._targets())
+            )
+
+    def _targets(self) -> list[str]:
+        """Return the hosts that this one passes reports on to."""
+        relays = self._relays(self._domain)
+        if self._host_id not in relays:
+            return relays
+        hosts = self._view.hosts.values()
+        domains = {host.domain for host in hosts}
+        all_relays = [relay for domain in domains for relay in self._relays(domain)]
+        served_hosts = [
+            host.host_id
+            for host in hosts
+            if host.domain == self._domain
+            and host.host_id not in relays
+            and rendezvous_order(host.host_id, relays)[0] == self._host_id
+        ]
+        return [h for h in (*all_relays, *served_hosts) if h != self._host_id]
+
+    async def _send(self, host_id: str, message: DomainSync) -> None:
+        host = self._view.hosts.get(host_id)
+        if host is None:
+            return
+        try:
+            await self._peers.call(
+                host.peer_address,
+                message,
+                expect=DomainSyncReply,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except RouterError as error:
+            # The regular exchange carries the report as well.
+            log.info("peer_silent", peer=host_id, step=error.step, reason=error.message)
--- a/src/sesameknot/coordination/shared_findings.py
+++ b/src/sesameknot/coordination/shared_findings.py
@@ -41,7 +41,7 @@
         """Add what this host knows to a message."""
         message.crashes = self._crashes.counts()
         message.part_crashes = self._part_crashes.counts()
-        message.outages = self._outage_ages()
+        message.outages = self.outage_ages()
 
     def merge(self, message: DomainSync | DomainSyncReply) -> bool:
         """Merge what another host knows; return whether it tells of a new outage."""
@@ -49,7 +49,7 @@
         self._part_crashes.merge(message.part_crashes)
         return self._merge_outages(message.outages)
 
-    def _outage_ages(self) -> EndpointOutageAges:
+    def outage_ages(self) -> EndpointOutageAges:
         """Return the outages that other hosts may need.
 
         Those of processes that a later entry has replaced are needed by hosts that do
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -10,7 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
 
-from sesameknot._front_exchange import build_domain_exchange
+from sesameknot._front_exchange import build_exchange
 from sesameknot._front_followers import build_followers
 from sesameknot._front_listeners import FrontListeners
 from sesameknot._front_memory import build_body_admission
@@ -195,7 +195,7 @@
             store_answers=self._store_answers,
             clock=self.clock,
         )
-        self.domain_exchange = build_domain_exchange(
+        self.domain_exchange, self.outage_spread = build_exchange(
             host=self.host,
             view=self.view,
             followers=self.followers,
@@ -268,7 +268,7 @@
             slots=self.endpoint_slots,
             reachability=self.reachability,
             pause_guard=self.pause_guard,
-            on_outage=self.domain_exchange.share_soon,
+            on_outage=self.outage_spread.pass_on,
             clock=self.clock,
             stack=self._stack,
         ).build(self.drain)
@@ -280,6 +280,7 @@
             self._spawn(f"follow {follower.kind}", follower.run())
         self._spawn("snapshot", self.peer_snapshot.run())
         self._spawn("exchange", self.domain_exchange.run())
+        self._spawn("outages", self.outage_spread.run())
         self._spawn("hosts", self.directory.run())
         self._spawn("crash reports", self.crash_archive.run())
         self._spawn("rollouts", self.rollout_coordinator.run())
--- a/src/sesameknot/protocol/_domain.py
+++ b/src/sesameknot/protocol/_domain.py
@@ -34,6 +34,8 @@
         from hosts that do not fetch deferred kinds.
     outages : EndpointOutageAges
         Endpoints that were down lately.
+    outages_only : bool
+        Whether the message and its reply carry nothing else.
     """
 
     host_id: str = ""
@@ -43,6 +45,7 @@
     part_crashes: list[CrashCount] = field(default_factory=list)
     object_limit_bytes: int = 0
     outages: EndpointOutageAges = field(default_factory=EndpointOutageAges)
+    outages_only: bool = False
 
 
 @message("domainSyncReply")
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -309,6 +309,7 @@
   partCrashes @4 :List(CrashCount);
   objectLimitBytes @5 :UInt64;
   outages @6 :EndpointOutageAges;
+  outagesOnly @7 :Bool;
 }
 
 struct DomainSyncReply {
--- a/tests/coordination/test_shared_outages.py
+++ b/tests/coordination/test_shared_outages.py
@@ -77,11 +77,11 @@
         # The second check of the host that found out.
         await self.pause(2.0)
         ages_s = [front.view.outages.ages_s() for front in fronts]
-        early_rounds = []
+        reports = []
         for front in fronts:
-            front.domain_exchange.share_soon = lambda: early_rounds.append(1)
+            front.domain_exchange._on_new_outage = lambda: reports.append(1)
         await self.pause(2.0)
-        self.assertThat(early_rounds, Equals([]))
+        self.assertThat(reports, Equals([]))
         for front, before_s in zip(fronts, ages_s, strict=True):
             (later_s,) = front.view.outages.ages_s().values()
             (earlier_s,) = before_s.values()
