--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -193,8 +193,8 @@
         if restarted and not in_first_list:
             cold_s = max(cold_s, self._cold_s(entry.service))
         if endpoint is not None and restarted:
-            # Attempts that still run hold the earlier record. They were mostly sent to
-            # the new process, whose answers are slow while it is cold.
+            # Running attempts keep the earlier record. Most of them reached the new
+            # process, whose slow answers while cold must not count against its version.
             endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
         if endpoint is None or restarted:
             endpoint = KnownEndpoint(entry, EndpointHealth(self.clock))
