--- a/tests/system/test_mixed_builds.py
+++ b/tests/system/test_mixed_builds.py
@@ -215,3 +215,8 @@
     async def test_hosts_of_build_2638ec3_run_beside_this_build(self):
         """Guards against requests that are cut or run twice during an upgrade."""
         await self.play("2638ec3")
+
+    @gen_test(timeout=110)
+    async def test_hosts_of_build_cf1c83e_run_beside_this_build(self):
+        """Guards against requests that are cut or run twice during an upgrade."""
+        await self.play("cf1c83e")
