--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -239,11 +239,24 @@
             or now_s - self.store_restored_s < RECENT_OUTAGE_S
         )
         if endpoint.entry.state is EndpointState.READY and may_be_lost:
-            endpoint.gone_at_s = now_s + LAPSE_GRACE_S
-            return True
+            endpoint.gone_at_s = self._lapse_end_s(now_s)
+            return endpoint.gone_at_s > now_s
         endpoint.gone_at_s = now_s
         return False
 
+    def _lapse_end_s(self, now_s: float) -> float:
+        """Return until when an endpoint is usable whose entry may have lapsed.
+
+        The outage may have been one of this host's connection only, and the endpoint
+        has left. It was removed after the store's return, so the time within which an
+        endpoint that leaves must get no more requests counts from there.
+        """
+        end_s = now_s + LAPSE_GRACE_S
+        if self.store.unavailable_since_s is not None or self.restored_recently:
+            return end_s
+        limit_s = max(RECENT_OUTAGE_S, self.endpoint_leave_s)
+        return min(end_s, max(now_s, self.store.returned_s + limit_s))
+
     def note_leaving(self, endpoint: KnownEndpoint) -> bool:
         """Record that an endpoint's answer says that it leaves.
 
--- a/src/sesameknot/state/store_availability.py
+++ b/src/sesameknot/state/store_availability.py
@@ -33,6 +33,8 @@
         Monotonic time since which the store does not answer; None if it does.
     expired_until_s : float
         Monotonic time until which a removed entry may have expired in the last outage.
+    returned_s : float
+        Monotonic time at which the last outage ended that was long enough for that.
     """
 
     clock: Clock
@@ -40,6 +42,7 @@
     answered_s: float = float("-inf")
     unavailable_since_s: float | None = None
     expired_until_s: float = float("-inf")
+    returned_s: float = float("-inf")
 
     def note_failure(self, *, timed_out: bool) -> None:
         """Record a failed call of this host.
@@ -64,6 +67,7 @@
                 return
             if self._may_expire_entries(answered_s):
                 self.expired_until_s = answered_s + RECENT_OUTAGE_S
+                self.returned_s = answered_s
             self.unavailable_since_s = None
         self.answered_s = max(self.answered_s, answered_s)
 
--- a/tests/state/test_fleet_view.py
+++ b/tests/state/test_fleet_view.py
@@ -17,6 +17,7 @@
 from sesameknot.state.endpoint_limits import NamedLimit
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
+from sesameknot.state.store_availability import RECENT_OUTAGE_S
 
 
 def endpoint(endpoint_id="e1", **fields):
@@ -73,6 +74,18 @@
         self.assertThat(self.usable(), Equals(["e1"]))
         self.assertFalse(self.cold("e1"))
 
+    def test_entry_removed_late_after_an_outage_is_gone_in_time(self):
+        """Guards against requests to an endpoint that left, after an outage (DRAIN).
+
+        Only the host was cut off, so that the entry did not expire.
+        """
+        self.fail_for(6.0)
+        self.clock.advance(2.5)
+        self.view.remove_endpoint("e1")
+        self.assertThat(self.usable(), Equals(["e1", "e2"]))
+        self.clock.advance(max(RECENT_OUTAGE_S, self.view.endpoint_leave_s) - 2.5)
+        self.assertThat(self.usable(), Equals(["e2"]))
+
     def test_entry_removed_in_calm_times_is_gone_at_once(self):
         """Guards against requests to endpoints that were removed without notice."""
         self.clock.advance(10.0)
