Choose models by learnt times and a quality target

Cause: an answer of the small model is kept whenever less time is left than the route's latency target. On a route whose target equals its timeout that is always so; no answer is ever replaced, although the large model's first event comes within a fraction of the target.

Change: routes whose target is at least half of their timeout use times that are learnt from streams of all routes (0.9 quantile by service, model and prompt size, decaying within 60 s; the rest of an answer by route and model), and a confidence threshold that reaches cascade.quality_target (0.9) with the fewest replacements. Without observations the latency target is the time, as before. If two models in turn do not fit, the largest is asked first for the share of requests that the target lacks. There, an attempt also gets the whole time left if another endpoint could not answer after it: two attempts of half of the time each would both be given up. Other routes keep their rule. The cascade moves from stream.py to model_cascade.py.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -13,6 +13,7 @@
 from sesameknot.forwarding.endpoint_probes import EndpointProbes
 from sesameknot.forwarding.endpoint_selector import EndpointSelector
 from sesameknot.forwarding.ingress import Ingress
+from sesameknot.forwarding.model_cascade import ModelCascade
 from sesameknot.forwarding.notice_observer import NoticeObserver
 from sesameknot.forwarding.peer_handover import PeerHandover
 from sesameknot.forwarding.per_service import PerService
@@ -20,6 +21,7 @@
 from sesameknot.forwarding.retry_policy import RetryPolicy
 from sesameknot.forwarding.stream import StreamForwarder
 from sesameknot.policy.answer_buffer import AnswerBuffer
+from sesameknot.policy.answer_times import AnswerTimes
 from sesameknot.policy.cold_start_limiter import ColdStartLimiter
 from sesameknot.policy.confidence_cascade import CASCADE_STRATEGIES
 from sesameknot.policy.crash_guard import CrashGuard
@@ -194,10 +196,21 @@
             settings=settings.attempts,
             clock=self._clock,
         )
+        answer_times = AnswerTimes(
+            clock=self._clock,
+            quantile=settings.cascade.time_quantile,
+            decay_s=settings.cascade.time_decay_s,
+        )
         stream_forwarder = StreamForwarder(
             retry_policy,
-            cascade=CASCADE_STRATEGIES.get(settings.cascade.strategy),
-            cascade_settings=settings.cascade,
+            cascade=ModelCascade(
+                retry_policy,
+                strategy=CASCADE_STRATEGIES.get(settings.cascade.strategy),
+                settings=settings.cascade,
+                answer_times=answer_times,
+                metrics=self._metrics,
+            ),
+            answer_times=answer_times,
             patience_factor=settings.pressure.patience_factor,
             metrics=self._metrics,
         )
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -1,10 +1,11 @@
-"""Forwarding of streamed requests: model cascade, event relay and resumption."""
+"""Forwarding of streamed requests: attempts, event relay and resumption."""
 
 from functools import partial
 
 import structlog
 
 from sesameknot.errors import TransportError
+from sesameknot.forwarding.answer_timer import AnswerTimer
 from sesameknot.forwarding.attempt import (
     SERVER_ERROR_STATUS,
     SUCCESS_STATUS_LIMIT,
@@ -12,22 +13,20 @@
     NotSentError,
 )
 from sesameknot.forwarding.caller import CallerConnection
-from sesameknot.forwarding.error_answer import RequestEndedError
 from sesameknot.forwarding.events import (
     EVENT_LIMIT_BYTES,
-    EventSplitter,
     EventTooLargeError,
 )
+from sesameknot.forwarding.model_cascade import ModelCascade
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.forwarding.retry_policy import RetryPolicy
 from sesameknot.forwarding.sound_answer import SoundAnswerWatch
 from sesameknot.forwarding.stream_pace import StreamPace
+from sesameknot.forwarding.stream_state import StreamState
 from sesameknot.platform import headers_for_caller
 from sesameknot.policy.answer_buffer import AnswerReservation
-from sesameknot.policy.confidence_cascade import CascadeStrategy
-from sesameknot.policy.pressure import PressureGauge
+from sesameknot.policy.answer_times import AnswerTimes
 from sesameknot.router.metrics import RouterMetrics
-from sesameknot.settings.front import CascadeStrategySettings
 from sesameknot.state.known_endpoint import KnownEndpoint
 
 # Largest share of the time left that one attempt may wait, so that a retry still has
@@ -37,26 +36,6 @@
 log = structlog.get_logger(__name__)
 
 
-class _StreamState:
-    """Progress of one streamed request.
-
-    Parameters
-    ----------
-    request : ForwardedRequest
-        The request.
-    """
-
-    __slots__ = ("asked_models", "model", "next_endpoint", "request", "splitter")
-
-    def __init__(self, request: ForwardedRequest) -> None:
-        self.request = request
-        self.splitter = EventSplitter(request.metadata.resume_after_event_id)
-        self.model = request.metadata.model
-        self.asked_models: list[str] = []
-        # Endpoint that was found for a larger model before an answer was dropped.
-        self.next_endpoint: KnownEndpoint | None = None
-
-
 class StreamForwarder:
     """Forwards requests whose answer is a stream of events.
 
@@ -64,10 +43,10 @@
     ----------
     retry_policy : RetryPolicy
         Picks endpoints and limits retries.
-    cascade : callable
-        Chooses the next model to ask.
-    cascade_settings : CascadeStrategySettings
-        Confidence thresholds of the cascade, by priority.
+    cascade : ModelCascade
+        Chooses the models to ask.
+    answer_times : AnswerTimes
+        Receives the times that models need for their answers.
     patience_factor : float
         Multiple of the current mean time to the first event after which an attempt is
         retried at another endpoint.
@@ -79,14 +58,14 @@
         self,
         retry_policy: RetryPolicy,
         *,
-        cascade: CascadeStrategy,
-        cascade_settings: CascadeStrategySettings,
+        cascade: ModelCascade,
+        answer_times: AnswerTimes,
         patience_factor: float,
         metrics: RouterMetrics,
     ) -> None:
         self._retry_policy = retry_policy
         self._cascade = cascade
-        self._thresholds = cascade_settings.confidence_thresholds
+        self._answer_times = answer_times
         self._patience_factor = patience_factor
         self._metrics = metrics
 
@@ -103,13 +82,12 @@
             If the caller closed the connection.
         """
         self._retry_policy.retry_budgets.get(request.service).record_request()
-        state = _StreamState(request)
-        if request.route.models and not state.model:
-            state.model = self._next_model(state, confidence=None) or ""
+        state = StreamState(request)
+        state.model = self._cascade.first_model(state)
         while not await self._attempt(state, caller):
             pass
 
-    async def _attempt(self, state: _StreamState, caller: CallerConnection) -> bool:
+    async def _attempt(self, state: StreamState, caller: CallerConnection) -> bool:
         """Run one attempt; return whether the request is answered."""
         request = state.request
         endpoint, state.next_endpoint = state.next_endpoint, None
@@ -117,25 +95,32 @@
             endpoint = await self._retry_policy.next_endpoint(
                 request, model=state.model
             )
+        timer = AnswerTimer(
+            self._answer_times, request, state.model, clock=self._retry_policy.clock
+        )
         try:
             with self._retry_policy.runner.open(
                 request,
                 endpoint,
                 model=state.model if request.route.models else "",
                 resume_after_event_id=state.splitter.last_event_id,
-                first_byte_timeout_s=self._first_event_timeout_s(request, endpoint),
+                first_byte_timeout_s=self._first_event_timeout_s(state, endpoint),
                 progress_timeout_s=self._event_gap_timeout_s(request, endpoint),
                 claim_retry=partial(self._retry_policy.claim_retry, request, endpoint),
             ) as attempt:
                 await attempt.read_head()
                 if attempt.status >= SUCCESS_STATUS_LIMIT:
                     return await self._handle_error_status(state, attempt, caller)
-                if await self._try_larger_model(state, attempt, caller):
+                head_s = self._retry_policy.clock.monotonic_s()
+                if await self._cascade.replaces(state, attempt, caller):
+                    timer.first_event(head_s)
                     return False
                 pace = StreamPace(attempt)
                 try:
                     with self._retry_policy.runner.answer_buffer.reservation() as held:
-                        await self._relay_events(state, attempt, caller, pace, held)
+                        await self._relay_events(
+                            state, attempt, caller, pace, held, timer
+                        )
                 finally:
                     pace.ended(self._retry_policy.clock.monotonic_s())
                 return True
@@ -152,9 +137,11 @@
                 head_sent=caller.head_sent,
             )
             return False
+        finally:
+            timer.attempt_ended()
 
     async def _handle_error_status(
-        self, state: _StreamState, attempt: Attempt, caller: CallerConnection
+        self, state: StreamState, attempt: Attempt, caller: CallerConnection
     ) -> bool:
         request = state.request
         body = await attempt.read_all()
@@ -179,83 +166,14 @@
         await caller.send_counted(answers, attempt.status, headers, body)
         return True
 
-    async def _try_larger_model(
-        self, state: _StreamState, attempt: Attempt, caller: CallerConnection
-    ) -> bool:
-        """Return whether this answer is dropped and a larger model asked instead."""
-        request = state.request
-        if caller.head_sent or not state.asked_models or not request.has_attempts_left:
-            return False
-        model = self._next_model(state, confidence=attempt.metadata.confidence)
-        if model is None:
-            return False
-        # The larger model must have time for its first event.
-        time_left_s = request.time_left_s(self._retry_policy.clock.monotonic_s())
-        if time_left_s < request.route.latency_target_ms / 1000.0:
-            return False
-        if not await self._find_next_endpoint(state, model):
-            return False
-        log.info(
-            "answer_dropped_for_larger_model",
-            request_id=request.request_id,
-            endpoint=attempt.endpoint.endpoint_id,
-            confidence=attempt.metadata.confidence,
-            threshold=round(self._confidence_threshold(request), 1),
-            pressure=round(self._pressure_gauge(request).level, 3),
-            model=state.model,
-            next_model=model,
-        )
-        attempt.record_answer("dropped")
-        state.model = model
-        return True
-
-    async def _find_next_endpoint(self, state: _StreamState, model: str) -> bool:
-        """Find an endpoint that runs ``model`` now; return False if there is none."""
-        request = state.request
-        if not self._retry_policy.retry_available(request):
-            # A permit would be lost if the budget turned out to be spent afterwards.
-            return self._retry_policy.spend_retry(request)
-        try:
-            endpoint = await self._retry_policy.next_endpoint(request, model=model)
-        except RequestEndedError as error:
-            log.info(
-                "answer_kept",
-                request_id=request.request_id,
-                next_model=model,
-                reason=error.error_answer.reason,
-            )
-            return False
-        state.next_endpoint = endpoint
-        return self._retry_policy.spend_retry(request)
-
-    def _next_model(
-        self, state: _StreamState, *, confidence: float | None
-    ) -> str | None:
-        models = state.request.route.models
-        if not models or state.request.metadata.model:
-            return None
-        threshold = self._confidence_threshold(state.request)
-        model = self._cascade(models, state.asked_models, confidence, threshold)
-        if model is not None:
-            state.asked_models.append(model)
-        return model
-
-    def _confidence_threshold(self, request: ForwardedRequest) -> float:
-        index = min(max(0, request.route.priority), len(self._thresholds) - 1)
-        # Under load, a lower threshold avoids runs of large models, which would delay
-        # other requests.
-        return self._thresholds[index] * self._pressure_gauge(request).headroom
-
-    def _pressure_gauge(self, request: ForwardedRequest) -> PressureGauge:
-        return self._retry_policy.runner.pressure_gauges.get(request.service)
-
     async def _relay_events(
         self,
-        state: _StreamState,
+        state: StreamState,
         attempt: Attempt,
         caller: CallerConnection,
         pace: StreamPace,
         held: AnswerReservation,
+        timer: AnswerTimer,
     ) -> None:
         request = state.request
         clock = self._retry_policy.clock
@@ -284,6 +202,7 @@
                 await caller.send(block)
             else:
                 self._metrics.first_token_s.observe({}, now_s - request.arrived_s)
+                timer.first_event(now_s)
                 headers = headers_for_caller(attempt.headers)
                 await caller.send_head(attempt.status, headers, data=comments + block)
             request.last_event_id = state.splitter.last_event_id
@@ -297,13 +216,14 @@
         if not caller.head_sent:
             await caller.send_head(attempt.status, headers_for_caller(attempt.headers))
         attempt.record_answer()
+        timer.answer_ended()
         answer_watch.answer_ended()
         if attempt.ends_with_connection:
             crash_detector = self._retry_policy.crash_detector
             crash_detector.check_answer(request, attempt.endpoint)
         caller.finish()
 
-    def _split(self, state: _StreamState, attempt: Attempt, data: bytes) -> bytes:
+    def _split(self, state: StreamState, attempt: Attempt, data: bytes) -> bytes:
         try:
             return state.splitter.feed(data)
         except EventTooLargeError as error:
@@ -320,14 +240,17 @@
             raise attempt.invalid_answer_error(held.reason, step="event")
 
     def _first_event_timeout_s(
-        self, request: ForwardedRequest, endpoint: KnownEndpoint
+        self, state: StreamState, endpoint: KnownEndpoint
     ) -> float:
+        request = state.request
+        gauge = self._retry_policy.runner.pressure_gauges.get(request.service)
         # When all endpoints are busy, a retry would only restart the wait.
-        typical_factor = self._patience_factor * self._pressure_gauge(request).level
+        typical_factor = self._patience_factor * gauge.level
         factor = max(self._retry_policy.settings.first_event_factor, typical_factor)
-        return self._timeout_s(
+        timeout_s = self._timeout_s(
             request, endpoint, factor * request.route.latency_target_ms
         )
+        return self._cascade.first_event_timeout_s(state, timeout_s)
 
     def _event_gap_timeout_s(
         self, request: ForwardedRequest, endpoint: KnownEndpoint
--- a/src/sesameknot/router/metrics.py
+++ b/src/sesameknot/router/metrics.py
@@ -29,6 +29,11 @@
             "Requests offered to other hosts.",
             registry=registry,
         )
+        self.model_choices = Counter(
+            "sesameknot_model_choices_total",
+            "Answers replaced by a larger model's or kept, by reason.",
+            registry=registry,
+        )
         self.request_duration_s = Histogram(
             "sesameknot_request_seconds",
             "Time to the whole answer",
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -37,6 +37,15 @@
     confidence_thresholds: Annotated[list[Confidence], Meta(min_length=1)] = field(
         default_factory=lambda: [65.0, 45.0]
     )
+    # Wanted share of good answers on routes whose latency target is at least half of
+    # their timeout; 0 applies the thresholds there too.
+    quality_target: Share = 0.9
+    # Recent confidences of such a route that its threshold follows from.
+    confidence_window_count: PositiveCount = 200
+    # A model's answer is taken to need the time that this share of its recent answers
+    # did not exceed; their weight falls to a third after ``time_decay_s``.
+    time_quantile: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.9
+    time_decay_s: DurationS = 60.0
 
 
 class PressureSettings(SettingsStruct):
