Leave the last retries to failed attempts

Cause: replacements on routes with learnt times take retries from the budget of the service until it is spent. Then a failed attempt has none, and its request is lost.

Change: over the last fifth of the budget, the quality target falls to what the small model reaches alone, so the remaining replacements go to the answers with the lowest confidence. SlidingRetryBudget.used_share is new.

Not measured under load.

--- a/src/sesameknot/forwarding/model_cascade.py
+++ b/src/sesameknot/forwarding/model_cascade.py
@@ -17,6 +17,7 @@
     judge_answer,
     largest_must_be_first,
     learns_times,
+    replacement_headroom,
 )
 from sesameknot.policy.pressure import PressureGauge
 from sesameknot.policy.quality_target import QualityTarget
@@ -243,7 +244,8 @@
         headroom = self._pressure_gauge(request).headroom
         target = self._target(request.route)
         if target is not None:
-            return target.threshold(headroom)
+            budget = self._retry_policy.retry_budgets.get(request.service)
+            return target.threshold(replacement_headroom(headroom, budget.used_share))
         thresholds = self._settings.confidence_thresholds
         index = min(max(0, request.route.priority), len(thresholds) - 1)
         return thresholds[index] * headroom
--- a/src/sesameknot/policy/model_choice.py
+++ b/src/sesameknot/policy/model_choice.py
@@ -6,6 +6,9 @@
 # From this share of the route's timeout on, a latency target says nothing about the
 # time that a model needs to its first event.
 UNINFORMATIVE_TARGET_SHARE = 0.5
+# Up to this share of the retry budget, it does not hold replacements back. The rest is
+# mostly left to failed attempts, whose requests would be lost without a retry.
+FREE_BUDGET_SHARE = 0.8
 
 
 class ModelChoiceReason(Enum):
@@ -46,6 +49,21 @@
     return target_ms >= UNINFORMATIVE_TARGET_SHARE * timeout_ms
 
 
+def replacement_headroom(pressure_headroom: float, used_budget_share: float) -> float:
+    """Return the share of optional replacements that load and retry budget allow.
+
+    Parameters
+    ----------
+    pressure_headroom : float
+        Share of optional work that the load of the endpoints allows.
+    used_budget_share : float
+        Share of the retry budget that is used. Close to its end, a lower threshold
+        keeps the remaining retries for the answers with the lowest confidence.
+    """
+    budget_headroom = (1.0 - used_budget_share) / (1.0 - FREE_BUDGET_SHARE)
+    return min(pressure_headroom, max(0.0, budget_headroom))
+
+
 def judge_answer(
     *,
     confidence: float | None,
--- a/src/sesameknot/policy/sliding_retry_budget.py
+++ b/src/sesameknot/policy/sliding_retry_budget.py
@@ -43,10 +43,14 @@
     @property
     def available(self) -> bool:
         """Whether the budget has a retry left."""
-        self._current_bucket()
-        request_count = sum(entry[1] for entry in self._buckets)
-        retry_count = sum(entry[2] for entry in self._buckets)
-        return retry_count + 1.0 <= self.ratio * request_count + self.slack_count
+        retry_count, limit_count = self._counts()
+        return retry_count + 1.0 <= limit_count
+
+    @property
+    def used_share(self) -> float:
+        """Share of the window's retries that are used; 1 if there are none."""
+        retry_count, limit_count = self._counts()
+        return min(1.0, retry_count / limit_count) if limit_count else 1.0
 
     def try_spend(self) -> bool:
         """Take one retry from the budget; return False if the budget is exhausted."""
@@ -55,6 +59,13 @@
         self._current_bucket()[2] += 1.0
         return True
 
+    def _counts(self) -> tuple[float, float]:
+        """Return the retries of the window and their limit."""
+        self._current_bucket()
+        request_count = sum(entry[1] for entry in self._buckets)
+        retry_count = sum(entry[2] for entry in self._buckets)
+        return retry_count, self.ratio * request_count + self.slack_count
+
     def _current_bucket(self) -> list[float]:
         now_s = self.clock.monotonic_s()
         while self._buckets and now_s - self._buckets[0][0] >= self.window_s:
--- a/tests/policy/test_model_choice.py
+++ b/tests/policy/test_model_choice.py
@@ -13,8 +13,10 @@
     judge_answer,
     largest_must_be_first,
     learns_times,
+    replacement_headroom,
 )
 from sesameknot.policy.quality_target import QualityTarget
+from sesameknot.policy.sliding_retry_budget import SlidingRetryBudget
 
 
 def between(low, high):
@@ -178,3 +180,20 @@
         """Guards against a new rule on routes whose target is one."""
         found = [learns_times(target, 4000) for target in (400, 1999, 2000, 4000)]
         self.assertThat(found, Equals([False, False, True, True]))
+
+    def test_last_retries_are_left_to_failed_attempts(self):
+        """Guards against requests lost as replacements spent the retry budget."""
+        budget = SlidingRetryBudget(
+            clock=ManualClock(), ratio=0.5, window_s=10.0, slack_count=0.0
+        )
+        self.assertThat(replacement_headroom(1.0, budget.used_share), Equals(0.0))
+        for _ in range(20):
+            budget.record_request()
+        target = QualityTarget(target_share=0.9, window_count=200)
+        thresholds = []
+        while budget.try_spend():
+            headroom = replacement_headroom(1.0, budget.used_share)
+            thresholds.append(target.threshold(headroom))
+        self.assertThat(thresholds[:8], Equals([target.threshold(1.0)] * 8))
+        self.assertThat(thresholds[8], between(20.0, 40.0))
+        self.assertThat(thresholds[9], Equals(0.0))
