Measure answers that break off, and no continued streams

Cause: two faults of the learnt times. A continued stream, whose caller has its first events, counted its whole length as a wait for the first event. And an answer that the deadline cuts off never counted, so a route whose larger model takes too long would have lost each replaced answer.

Change: continued streams are not measured; an answer that breaks off counts with its length so far if that exceeds the estimate. The rest of answers decays ten times more slowly than first events.

--- a/src/sesameknot/forwarding/answer_timer.py
+++ b/src/sesameknot/forwarding/answer_timer.py
@@ -22,6 +22,7 @@
 
     __slots__ = (
         "_clock",
+        "_complete",
         "_first_event_s",
         "_model",
         "_request",
@@ -30,7 +31,7 @@
     )
 
     def __init__(
-        self, times: AnswerTimes, request: ForwardedRequest, model: str, *, clock: Clock
+        self, times: AnswerTimes, request: ForwardedRequest, *, model: str, clock: Clock
     ) -> None:
         self._times = times
         self._request = request
@@ -38,24 +39,38 @@
         self._clock = clock
         self._started_s = clock.monotonic_s()
         self._first_event_s: float | None = None
+        self._complete = False
 
     def first_event(self, now_s: float) -> None:
-        """Record the first event, or the head of an answer that is dropped at it."""
+        """Record the first event; later ones do nothing."""
         if self._first_event_s is None and self._model:
             self._first_event_s = now_s
             self._times.observe_first_event(*self._key, now_s - self._started_s)
 
+    def answer_dropped(self, head_s: float) -> None:
+        """Record an answer that is dropped at its head, which counts as an event."""
+        self.first_event(head_s)
+        self._model = ""
+
     def answer_ended(self) -> None:
         """Record the end of a complete answer."""
-        if self._first_event_s is not None:
-            rest_s = self._clock.monotonic_s() - self._first_event_s
-            self._times.observe_rest(self._request.route.name, self._model, rest_s)
+        self._complete = True
 
     def attempt_ended(self) -> None:
-        """Record the end of the attempt, which may have no event."""
-        if self._first_event_s is None and self._model:
-            waited_s = self._clock.monotonic_s() - self._started_s
-            self._times.observe_wait_without_event(*self._key, waited_s)
+        """Record the times of the attempt, whether its answer is complete or not."""
+        if not self._model:
+            return
+        now_s = self._clock.monotonic_s()
+        if self._first_event_s is None:
+            self._times.observe_wait_without_event(*self._key, now_s - self._started_s)
+            return
+        observe_rest = (
+            self._times.observe_rest
+            if self._complete
+            else self._times.observe_unfinished_rest
+        )
+        rest_s = now_s - self._first_event_s
+        observe_rest(self._request.route.name, self._model, rest_s)
 
     @property
     def _key(self) -> tuple[str, str, int]:
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -96,7 +96,11 @@
                 request, model=state.model
             )
         timer = AnswerTimer(
-            self._answer_times, request, state.model, clock=self._retry_policy.clock
+            self._answer_times,
+            request,
+            # The times of a continued stream are not those of an answer.
+            model="" if state.splitter.last_event_id else state.model,
+            clock=self._retry_policy.clock,
         )
         try:
             with self._retry_policy.runner.open(
@@ -113,7 +117,7 @@
                     return await self._handle_error_status(state, attempt, caller)
                 head_s = self._retry_policy.clock.monotonic_s()
                 if await self._cascade.replaces(state, attempt, caller):
-                    timer.first_event(head_s)
+                    timer.answer_dropped(head_s)
                     return False
                 pace = StreamPace(attempt)
                 try:
@@ -196,13 +200,13 @@
             attempt.report_progress()
             attempt.mark_prompt_processed()
             answer_watch.event_received(now_s)
+            timer.first_event(now_s)
             pace.events_received(state.splitter.event_count - event_count, now_s)
             if caller.head_sent:
                 self._metrics.token_gap_s.observe({}, now_s - last_event_s)
                 await caller.send(block)
             else:
                 self._metrics.first_token_s.observe({}, now_s - request.arrived_s)
-                timer.first_event(now_s)
                 headers = headers_for_caller(attempt.headers)
                 await caller.send_head(attempt.status, headers, data=comments + block)
             request.last_event_id = state.splitter.last_event_id
--- a/src/sesameknot/policy/answer_times.py
+++ b/src/sesameknot/policy/answer_times.py
@@ -12,6 +12,10 @@
 # Total weight of observations from which on there is an estimate: three of them, which
 # may be somewhat older than now. The estimate from so few is their longest duration.
 OBSERVATION_MIN_WEIGHT = 2.5
+# The length of a route's answers and the pace of a model change more slowly than the
+# wait for the first event. A short memory would let a few more answers be cut off at
+# their deadline each time that it fades.
+REST_DECAY_FACTOR = 10.0
 # Prompt sizes of one class differ by less than this factor.
 SIZE_CLASS_RATIO = 4.0
 SIZE_CLASS_COUNT = 12
@@ -79,7 +83,8 @@
     quantile : float
         Share of the answers that take at most the estimated time.
     decay_s : float
-        Time constant after which an observation has lost two thirds of its weight.
+        Time after which a first event has lost two thirds of its weight; the rest of an
+        answer keeps its weight ``REST_DECAY_FACTOR`` times as long.
     """
 
     __slots__ = ("_estimates", "clock", "decay_s", "quantile")
@@ -115,6 +120,17 @@
         """Record the time from the first event of an answer to its end."""
         self._observe(("rest", route, model, 0), duration_s)
 
+    def observe_unfinished_rest(
+        self, route: str, model: str, duration_s: float
+    ) -> None:
+        """Record an answer that ended early, ``duration_s`` after its first event.
+
+        It counts if it took longer than the estimate. Otherwise, answers that are cut
+        off at the deadline would never show that there is too little time for them.
+        """
+        if duration_s > (self._estimate_s(("rest", route, model, 0)) or 0.0):
+            self.observe_rest(route, model, duration_s)
+
     def first_event_s(
         self, service: str, model: str, prompt_token_count: int
     ) -> float | None:
@@ -146,8 +162,9 @@
     def _observe(self, key: tuple[str, str, str, int], duration_s: float) -> None:
         estimate = self._estimates.get(key)
         if estimate is None:
+            decay_s = self.decay_s * (REST_DECAY_FACTOR if key[0] == "rest" else 1.0)
             estimate = self._estimates[key] = DecayingQuantile(
-                quantile=self.quantile, decay_s=self.decay_s
+                quantile=self.quantile, decay_s=decay_s
             )
             if len(self._estimates) > ESTIMATE_LIMIT_COUNT:
                 self._estimates.popitem(last=False)
--- a/tests/forwarding/test_model_cascade.py
+++ b/tests/forwarding/test_model_cascade.py
@@ -1,7 +1,10 @@
 """Replacement of answers on a route whose latency target equals its timeout."""
 
+import contextlib
+
 import structlog
 from testtools.matchers import Contains, Equals, Not
+from tornado.simple_httpclient import HTTPStreamClosedError
 from tornado.testing import gen_test
 
 from tests.front_world import (
@@ -55,7 +58,9 @@
         """Return the models that one request is sent to."""
         for endpoint in self.endpoints.values():
             endpoint.runs.clear()
-        self.response = await self.ask(front, path, headers=PROMPT, **options)
+        # The deadline breaks off an answer whose events come too late.
+        with contextlib.suppress(HTTPStreamClosedError):
+            self.response = await self.ask(front, path, headers=PROMPT, **options)
         runs = [run for e in self.endpoints.values() for run in e.runs]
         runs.sort(key=lambda run: run.headers["X-Model"], reverse=True)
         return [run.headers["X-Model"] for run in runs]
@@ -84,6 +89,8 @@
         self.assertThat(models, Equals(["small", "large"]))
         events = [line["event"] for line in lines]
         self.assertThat(events, Contains("answer_dropped_for_larger_model"))
+        labels = {"choice": "replaced", "reason": "below_threshold"}
+        self.assertThat(front.metrics.model_choices.get(labels), Equals(5))
 
     @gen_test(timeout=60)
     async def test_target_is_the_estimate_after_a_restart(self):
@@ -146,6 +153,31 @@
         self.assertThat(models, Equals(["small", "large", "large"]))
         self.assertThat(self.response.body.count(b"piece"), Equals(3))
 
+    @gen_test(timeout=60)
+    async def test_continued_streams_do_not_raise_the_estimate(self):
+        """Guards against whole streams that are taken for waits for a first event."""
+        front = await self.start_front()
+        await self.learn(front)
+        self.set_endpoints(event_count=6, cut_after_count=2, event_gap_s=0.3)
+        for _ in range(2):
+            models = await self.models(front, STREAM_PATH)
+            self.assertThat(models, Equals(["small", "large", "large"]))
+        self.set_endpoints(cut_after_count=None, event_count=1)
+        models = await self.models(front, QUICK_PATH, deadline_ms=800)
+        self.assertThat(models, Equals(["small", "large"]))
+
+    @gen_test(timeout=60)
+    async def test_answer_is_kept_if_the_larger_model_would_be_cut_off(self):
+        """Guards against answers that begin in time and break off at the deadline."""
+        front = await self.start_front()
+        await self.learn(front)
+        self.set_endpoints(event_count=9, event_gap_s=0.5)
+        asked = [
+            await self.models(front, QUICK_PATH, deadline_ms=2000) for _ in range(4)
+        ]
+        self.assertThat(asked[0], Equals(["small", "large"]))
+        self.assertThat(asked[3], Not(Contains("large")))
+
     @gen_test(timeout=60)
     async def test_other_routes_keep_their_rule(self):
         """Guards against changes where the latency target is a guide.
