--- a/src/sesameknot/policy/answer_times.py
+++ b/src/sesameknot/policy/answer_times.py
@@ -19,8 +19,8 @@
 # Prompt sizes of one class differ by less than this factor.
 SIZE_CLASS_RATIO = 4.0
 SIZE_CLASS_COUNT = 12
-# Limit on the separate estimates; the least recently used ones are evicted. A service
-# with three models and prompts of all sizes needs 36.
+# Limit on the separate estimates; the least recently updated ones are evicted. A
+# service with three models and prompts of all sizes needs 36.
 ESTIMATE_LIMIT_COUNT = 512
 
 
