--- a/src/sesameknot/apps/ctl.py
+++ b/src/sesameknot/apps/ctl.py
@@ -49,6 +49,10 @@
 )
 _CUSTOMER = flags.DEFINE_string("customer", "", "Customer whose bills are shown.")
 
+_SUMMARY = flags.DEFINE_boolean(
+    "summary", False, "Let explain summarise all requests in the log files."
+)
+
 
 def _read_token(path: str) -> str:
     if not path:
@@ -77,6 +81,7 @@
         wait_s=_WAIT.value,
         base_versions=parse_base(_BASE.value),
         customer=_CUSTOMER.value,
+        summary=_SUMMARY.value,
     )
     try:
         return await run_command(context, arguments)
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -144,6 +144,7 @@
         arrived_s = self._clock.monotonic_s()
         metadata = parse_request_metadata(http_request.headers)
         outcome, reason = "answered", ""
+        request: ForwardedRequest | None = None
         with self._drain.track_request():
             try:
                 await self._wait_until_informed(metadata)
@@ -179,6 +180,7 @@
             status=caller.status,
             reason=reason,
             duration_ms=round(duration_s * 1000),
+            first_event_ms=request.first_event_ms if request is not None else None,
         )
 
     async def _send_error(
@@ -205,6 +207,9 @@
             customer=request.customer.name if request.customer else "",
             configuration=self._configuration(metadata).version,
             time_left_ms=round((request.deadline_s - request.arrived_s) * 1000),
+            target_ms=request.route.latency_target_ms,
+            priority=request.priority,
+            prompt_tokens=metadata.prompt_token_count,
             resume_after=metadata.resume_after_event_id,
             handed_over=request.handed_over,
         )
--- a/src/sesameknot/forwarding/peer_handover.py
+++ b/src/sesameknot/forwarding/peer_handover.py
@@ -343,6 +343,7 @@
             if caller.head_sent:
                 await caller.send(block)
             else:
+                request.first_event_s = self._clock.monotonic_s()
                 headers = headers_for_caller(exchange.headers)
                 await caller.send_head(exchange.status, headers, data=block)
             request.last_event_id = splitter.last_event_id
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -81,6 +81,9 @@
         endpoints; None if it has not.
     sent_s : dict of str to float
         Monotonic time at which the request was last sent to each endpoint.
+    first_event_s : float or None
+        Monotonic time at which the first event for the caller arrived; None before it
+        and for answers that are no streams.
     """
 
     metadata: RequestMetadata
@@ -108,6 +111,7 @@
     abandoned_runs: list[AbandonedRun] = field(default_factory=list)
     doubted_run_count: int | None = None
     sent_s: dict[str, float] = field(default_factory=dict)
+    first_event_s: float | None = None
     _fingerprint: int | None = None
 
     @property
@@ -143,6 +147,13 @@
         run_count = self.prior_run_count + self.run_count
         return run_count < self.route.attempt_limit_count
 
+    @property
+    def first_event_ms(self) -> int | None:
+        """Time from the arrival to the first event for the caller, if there was one."""
+        if self.first_event_s is None:
+            return None
+        return round((self.first_event_s - self.arrived_s) * 1000)
+
     def count_run(self) -> None:
         """Count a run before the request is sent, as its answer may be lost."""
         self.run_count += 1
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -284,6 +284,7 @@
                 await caller.send(block)
             else:
                 self._metrics.first_token_s.observe({}, now_s - request.arrived_s)
+                request.first_event_s = now_s
                 headers = headers_for_caller(attempt.headers)
                 await caller.send_head(attempt.status, headers, data=comments + block)
             request.last_event_id = state.splitter.last_event_id
--- a/src/sesameknot/operator/_explain_command.py
+++ b/src/sesameknot/operator/_explain_command.py
@@ -1,45 +1,19 @@
 """Command that explains from collected logs why a request ended as it did."""
 
-import json
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
-from pathlib import Path
-from typing import Any
+from collections.abc import Iterable
 
 from sesameknot.operator._registry import command
+from sesameknot.operator._summary_text import summary_lines, summary_value
 from sesameknot.operator.context import OperatorContext
 from sesameknot.operator.errors import UsageError
+from sesameknot.operator.log_lines import LogLine, parse_line, read_texts, source_of
+from sesameknot.operator.log_summarizer import LogSummarizer
 from sesameknot.operator.results import ExitCode, Report
 
 FILE_LIMIT_COUNT = 500
-# Fields that stand in front or need no repetition.
-HIDDEN_FIELDS = frozenset({"event", "level", "timestamp", "request_id"})
 NOT_RUN_STATUS = 503
 
 
-@dataclass(slots=True, frozen=True)
-class LogLine:
-    """One log line; ``source`` names the host or file it comes from."""
-
-    source: str
-    fields: dict[str, Any]
-
-    @property
-    def event(self) -> str:
-        """Name of the event."""
-        return str(self.fields.get("event", ""))
-
-    def text(self) -> str:
-        """Return the line for an engineer."""
-        parts = [
-            f"{name}={value}"
-            for name, value in self.fields.items()
-            if name not in HIDDEN_FIELDS and value not in ("", None)
-        ]
-        when = self.fields.get("timestamp", "")
-        return f"{when} {self.source} {self.event} {' '.join(parts)}"
-
-
 def lines_of(request_id: str, texts: Iterable[tuple[str, str]]) -> list[LogLine]:
     """Return the lines of a request in order of time.
 
@@ -52,16 +26,11 @@
     """
     found = []
     for source, text in texts:
-        start = text.find("{")
-        if start < 0 or request_id not in text:
+        if request_id not in text:
             continue
-        try:
-            fields = json.loads(text[start:])
-        except ValueError:
-            continue
-        if isinstance(fields, dict) and fields.get("request_id") == request_id:
-            prefix = text[:start].split()
-            found.append(LogLine(prefix[-1] if prefix else source, fields))
+        line = parse_line(source, text)
+        if line is not None and line.fields.get("request_id") == request_id:
+            found.append(line)
     return sorted(found, key=lambda line: str(line.fields.get("timestamp", "")))
 
 
@@ -96,13 +65,17 @@
 
 @command(
     "explain",
-    "REQUEST_ID LOG_FILE...",
-    argument_counts=tuple(range(2, FILE_LIMIT_COUNT + 2)),
+    "REQUEST_ID LOG_FILE... | --summary LOG_FILE...",
+    argument_counts=tuple(range(1, FILE_LIMIT_COUNT + 2)),
 )
 async def explain(context: OperatorContext, arguments: list[str]) -> Report:
-    """Show the log lines of a request and what they say of its end."""
+    """Show the log lines of a request and what they say of its end, or a summary."""
+    if context.summary:
+        return _summary_report(arguments)
     request_id, *paths = arguments
-    found = lines_of(request_id, _read(paths))
+    if not paths:
+        raise UsageError("got no log file, expected one or more", step="explain")
+    found = lines_of(request_id, read_texts(paths))
     if not found:
         return Report(
             lines=[f"error: no line of request {request_id} in {len(paths)} files"],
@@ -115,11 +88,19 @@
     )
 
 
-def _read(paths: list[str]) -> Iterator[tuple[str, str]]:
-    for path in paths:
-        try:
-            with Path(path).open(encoding="utf-8", errors="replace") as file:
-                for text in file:
-                    yield path, text
-        except OSError as error:
-            raise UsageError(str(error), step=path) from error
+def _summary_report(paths: list[str]) -> Report:
+    """Return the summary of all requests in the files."""
+    summarizer = LogSummarizer()
+    for path, text in read_texts(paths):
+        summarizer.add(parse_line(source_of(path), text))
+    summary = summarizer.finish()
+    if not summary.total.ended_count:
+        return Report(
+            lines=[
+                f"error: no line of a request in {len(paths)} files; "
+                f"{summary.unreadable_count} of {summary.line_count} lines unreadable"
+            ],
+            value=summary_value(summary),
+            exit_code=ExitCode.FAILED,
+        )
+    return Report(lines=summary_lines(summary), value=summary_value(summary))
--- a/src/sesameknot/operator/context.py
+++ b/src/sesameknot/operator/context.py
@@ -28,6 +28,8 @@
         Versions, by team, on which the operator's files are based.
     customer : str, default=""
         Customer whose bills are shown; empty for all.
+    summary : bool, default=False
+        Whether ``explain`` summarises the logs instead of showing one request.
     nonce : str
         Makes the write identifiers of this command unique.
     """
@@ -39,6 +41,7 @@
     wait_s: float = 10.0
     base_versions: dict[str, int] = field(default_factory=dict)
     customer: str = ""
+    summary: bool = False
     nonce: str = field(default_factory=lambda: uuid4().hex)
 
     @property
