Check a front configuration before it is sent: check FILE.json

Cause: a front process rejects a configuration at its first fault, passes over misspelt fields, and takes routes, keys and limits that contradict each other without a word. Exit codes: 3 errors, 9 warnings only, 0 clean.

--- a/src/sesameknot/apps/ctl.py
+++ b/src/sesameknot/apps/ctl.py
@@ -3,7 +3,7 @@
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 invalid settings, 4 conflict with
 another writer, 5 platform unavailable and nothing written, 6 accepted but not in
 force on all hosts in time, 7 refused by the present state, 8 outcome of a write
-unknown.
+unknown, 9 valid with warnings.
 """
 
 import asyncio
@@ -53,6 +53,10 @@
     "summary", False, "Let explain summarise all requests in the log files."
 )
 
+_AGAINST = flags.DEFINE_string(
+    "against", "", "Store ip:port or file that check compares a configuration with."
+)
+
 
 def _read_token(path: str) -> str:
     if not path:
@@ -82,6 +86,7 @@
         base_versions=parse_base(_BASE.value),
         customer=_CUSTOMER.value,
         summary=_SUMMARY.value,
+        against=_AGAINST.value,
     )
     try:
         return await run_command(context, arguments)
--- a/src/sesameknot/operator/_settings_commands.py
+++ b/src/sesameknot/operator/_settings_commands.py
@@ -8,6 +8,10 @@
 
 from sesameknot.errors import ConflictError, PlatformError
 from sesameknot.operator._changes import finish, write
+from sesameknot.operator._configuration_command import (
+    FILE_SUFFIX,
+    check_front_configuration,
+)
 from sesameknot.operator._diff import differences
 from sesameknot.operator._registry import command
 from sesameknot.operator.context import OperatorContext
@@ -53,10 +57,15 @@
         return differences(old, self.value)
 
 
-@command("check", "DIR|FILE", argument_counts=(1,))
+@command("check", "DIR|FILE [--against=IP:PORT|FILE]", argument_counts=(1,))
 async def check(context: OperatorContext, arguments: list[str]) -> Report:
-    """Check settings files without using the platform."""
-    teams = _load(Path(arguments[0]))
+    """Check settings files, or a front configuration in a JSON file."""
+    path = Path(arguments[0])
+    if path.suffix == FILE_SUFFIX:
+        return await check_front_configuration(path, against=context.against)
+    if context.against:
+        raise UsageError(f"got {path}, expected a {FILE_SUFFIX} file", step="--against")
+    teams = _load(path)
     names = [settings.team for settings in teams]
     return Report(lines=[f"{name}: valid" for name in names], value={"valid": names})
 
--- a/src/sesameknot/operator/context.py
+++ b/src/sesameknot/operator/context.py
@@ -30,6 +30,8 @@
         Customer whose bills are shown; empty for all.
     summary : bool, default=False
         Whether ``explain`` summarises the logs instead of showing one request.
+    against : str, default=""
+        Store address or file with the configuration that ``check`` compares with.
     nonce : str
         Makes the write identifiers of this command unique.
     """
@@ -42,6 +44,7 @@
     base_versions: dict[str, int] = field(default_factory=dict)
     customer: str = ""
     summary: bool = False
+    against: str = ""
     nonce: str = field(default_factory=lambda: uuid4().hex)
 
     @property
--- a/src/sesameknot/operator/results.py
+++ b/src/sesameknot/operator/results.py
@@ -18,6 +18,7 @@
     NOT_IN_FORCE = 6
     REFUSED = 7
     OUTCOME_UNKNOWN = 8
+    WARNINGS = 9
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/src/sesameknot/platform/__init__.py
+++ b/src/sesameknot/platform/__init__.py
@@ -4,6 +4,10 @@
 no other package uses them.
 """
 
+from sesameknot.platform._configuration_reader import (
+    ReadConfiguration,
+    read_configuration,
+)
 from sesameknot.platform._endpoint_notices import EndpointNotices
 from sesameknot.platform._handover_headers import (
     UNREACHABLE_HEADER,
@@ -45,6 +49,7 @@
     StoreClient,
     StoredEntry,
 )
+from sesameknot.platform._struct_faults import ValueFault
 
 READY_PATH = "/sesameknot/readyz"
 
@@ -65,9 +70,11 @@
     "EntryConflictError",
     "EntryError",
     "PromptPart",
+    "ReadConfiguration",
     "RequestMetadata",
     "StoreClient",
     "StoredEntry",
+    "ValueFault",
     "decode_configuration",
     "decode_crash_report",
     "decode_endpoint",
@@ -84,4 +91,5 @@
     "parse_answer_metadata",
     "parse_request_metadata",
     "parse_run_count",
+    "read_configuration",
 ]
--- a/src/sesameknot/platform/_objects.py
+++ b/src/sesameknot/platform/_objects.py
@@ -182,22 +182,26 @@
             step="decode",
             peer=entry.key,
         ) from error
-    limits = spec.limits
     return Configuration(
         version=spec.version,
         routes=routes,
         services=[_decode_service(service) for service in spec.services],
-        customers=[
-            Customer(
-                name=tenant.name, keys=tuple(tenant.api_keys), priority=tenant.priority
-            )
-            for tenant in spec.tenants
-        ],
-        limits=CallerLimits(
-            header_bytes=limits.max_header_bytes,
-            body_bytes=limits.max_body_bytes,
-            idle_timeout_s=limits.idle_timeout_ms / 1000.0,
-        ),
+        customers=[_decode_customer(tenant) for tenant in spec.tenants],
+        limits=_decode_limits(spec.limits),
+    )
+
+
+def _decode_customer(tenant: _Tenant) -> Customer:
+    return Customer(
+        name=tenant.name, keys=tuple(tenant.api_keys), priority=tenant.priority
+    )
+
+
+def _decode_limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        idle_timeout_s=limits.idle_timeout_ms / 1000.0,
     )
 
 
