Bound the size classes of a summary apart from its other groups

Cause: several model routes have more than 1,000 size classes, so that later ones shared one group. Change: own limit of 10,000; requests are counted without a record of their own.

--- a/src/sesameknot/operator/log_summarizer.py
+++ b/src/sesameknot/operator/log_summarizer.py
@@ -31,6 +31,8 @@
 SOURCE_LIMIT_COUNT = 10_000
 # Value of a group whose field is missing.
 MISSING = "(none)"
+# Size classes of all routes; a route with prompts of 100 to 50,000 tokens has 314.
+SIZE_LIMIT_COUNT = 10_000
 # Sizes within this ratio are counted together.
 SIZE_STEP_RATIO = 1.02
 # Statuses of our own answers that say that the request has not run.
@@ -276,35 +278,38 @@
         if request.handed_over:
             self.summary.handed_over_count += 1
             return
-        ended = Tally(
-            accepted_count=int(request.accepted), retry_count=request.retry_count
-        )
-        ended.result_counts[result] = 1
         summary = self.summary
-        for groups, name in (
-            (summary.by_route, request.route),
-            (summary.by_customer, request.customer),
-            (summary.by_domain, request.domain),
-            (summary.by_priority, request.priority),
-        ):
-            _group(groups, name, Tally, other=OTHER_GROUP).add(ended)
+        tallies = [
+            _group(groups, name, Tally, other=OTHER_GROUP)
+            for groups, name in (
+                (summary.by_route, request.route),
+                (summary.by_customer, request.customer),
+                (summary.by_domain, request.domain),
+                (summary.by_priority, request.priority),
+            )
+        ]
         # Plain requests have no prompt.
         if request.prompt_tokens:
-            self._record_size(request.route, request.prompt_tokens, ended)
+            tallies.append(self._size_tally(request.route, request.prompt_tokens))
+        for tally in tallies:
+            tally.record(
+                result, accepted=request.accepted, retry_count=request.retry_count
+            )
         if result is not Result.IN_TIME and result is not Result.UNTIMED:
             self._record_steps(request, result, now_s)
 
-    def _record_size(self, route: str, tokens: int, ended: Tally) -> None:
+    def _size_tally(self, route: str, tokens: int) -> Tally:
         index = int(math.log(max(1, tokens)) / math.log(SIZE_STEP_RATIO))
         size_class = _group(
             self.summary.sizes,
             (route, index),
             lambda: SizeClass(tokens, tokens),
             other=(OTHER_GROUP, 0),
+            limit_count=SIZE_LIMIT_COUNT,
         )
         size_class.min_tokens = min(size_class.min_tokens, tokens)
         size_class.max_tokens = max(size_class.max_tokens, tokens)
-        size_class.tally.add(ended)
+        return size_class.tally
 
     def _record_steps(
         self, request: _OpenRequest, result: Result, now_s: float | None
@@ -336,11 +341,12 @@
     new: Callable[[], GroupT],
     *,
     other: KeyT,
+    limit_count: int = GROUP_LIMIT_COUNT,
 ) -> GroupT:
     """Return the group with ``key``, or the shared one if there are too many."""
     found = groups.get(key)
     if found is None:
-        if len(groups) >= GROUP_LIMIT_COUNT:
+        if len(groups) >= limit_count:
             key = other
         found = groups.setdefault(key, new())
     return found
--- a/src/sesameknot/operator/log_summary.py
+++ b/src/sesameknot/operator/log_summary.py
@@ -40,6 +40,12 @@
         count = sum(self.result_counts[result] for result in results)
         return count / max(1, self.ended_count)
 
+    def record(self, result: Result, *, accepted: bool, retry_count: int) -> None:
+        """Count one request."""
+        self.accepted_count += accepted
+        self.retry_count += retry_count
+        self.result_counts[result] += 1
+
     def add(self, other: "Tally") -> None:
         """Add the counters of another group."""
         self.accepted_count += other.accepted_count
