--- a/src/sesameknot/operator/_configuration_command.py
+++ b/src/sesameknot/operator/_configuration_command.py
@@ -7,7 +7,10 @@
 import msgspec
 
 from sesameknot.errors import PlatformError, RouterError, SettingsError
-from sesameknot.operator.configuration_changes import configuration_changes
+from sesameknot.operator.configuration_changes import (
+    configuration_changes,
+    unread_sections,
+)
 from sesameknot.operator.configuration_check import (
     Finding,
     Severity,
@@ -52,9 +55,7 @@
             changes = configuration_changes(in_force, read)
             value["changes"] = changes
             value["version_in_force"] = in_force.version
-            if read.faults:
-                lines.append("records that cannot be read are left out of differences")
-            lines += _change_lines(in_force, changes)
+            lines += _change_lines(in_force, read, changes)
             finding = _version_finding(in_force, read, changes)
             if finding is not None:
                 findings.append(finding)
@@ -112,11 +113,13 @@
     return max(valid, key=lambda read: read.version or 0)
 
 
-def _change_lines(in_force: ReadConfiguration, changes: list[str]) -> list[str]:
-    lines = [
-        f"error: {fault.path} of the version in force cannot be read"
-        for fault in in_force.faults
-    ]
+def _change_lines(
+    in_force: ReadConfiguration, read: ReadConfiguration, changes: list[str]
+) -> list[str]:
+    unread = unread_sections(in_force, read)
+    lines = []
+    if unread:
+        lines.append(f"not compared, as not all can be read: {', '.join(unread)}")
     if not changes:
         return [*lines, f"no difference from version {in_force.version} in force"]
     return [
--- a/src/sesameknot/operator/_summary_text.py
+++ b/src/sesameknot/operator/_summary_text.py
@@ -11,7 +11,7 @@
 from sesameknot.operator.results import table
 
 REASON_LIMIT_COUNT = 30
-STEP_LIMIT_COUNT = 60
+STEP_LIMIT_COUNT = 200
 
 _COUNT_HEADER = [
     "accepted",
@@ -130,20 +130,17 @@
     for (route, result, _), time in summary.steps.items():
         lost = lost_counts.get((route, result), 0)
         lost_counts[route, result] = lost + time.last_count
-    found = sorted(
+    rows = []
+    for key, time in sorted(
         summary.steps.items(),
         key=lambda item: (*item[0][:2], -item[1].total_s, item[0]),
-    )
-    rows = [
-        [
-            *key,
-            time.last_count,
-            round(1000.0 * time.last_s / max(1, time.last_count)),
-            round(1000.0 * time.last_max_s),
-            round(1000.0 * time.total_s / max(1, lost_counts[key[:2]])),
-        ]
-        for key, time in found[:STEP_LIMIT_COUNT]
-    ]
+    ):
+        share_ms = round(1000.0 * time.total_s / max(1, lost_counts[key[:2]]))
+        if not time.last_count and not share_ms:
+            continue
+        mean_ms = round(1000.0 * time.last_s / max(1, time.last_count))
+        max_ms = round(1000.0 * time.last_max_s)
+        rows.append([*key, time.last_count, mean_ms, max_ms, share_ms])
     if not rows:
         return ["No request was late or lost.", ""]
     header = [
@@ -155,8 +152,9 @@
         "max ms",
         "ms/lost request",
     ]
-    lines = ["Where late and lost requests spent their time:", *table(header, rows)]
-    return [*lines, *_more(len(found), STEP_LIMIT_COUNT), ""]
+    title = "Where late and lost requests spent their time:"
+    shown = table(header, rows[:STEP_LIMIT_COUNT])
+    return [title, *shown, *_more(len(rows), STEP_LIMIT_COUNT), ""]
 
 
 def _reason_lines(summary: LogSummary) -> list[str]:
--- a/src/sesameknot/operator/configuration_changes.py
+++ b/src/sesameknot/operator/configuration_changes.py
@@ -6,10 +6,17 @@
 from sesameknot.operator._diff import differences
 from sesameknot.platform import ReadConfiguration
 
+SECTIONS = ("Routes", "Services", "Tenants")
+
 
 def configuration_changes(old: ReadConfiguration, new: ReadConfiguration) -> list[str]:
-    """Return one line for each difference; defaults count as if they were written."""
+    """Return one line for each difference; defaults count as if they were written.
+
+    Sections that cannot be read whole are left out.
+    """
     old_value, new_value = _comparable(old), _comparable(new)
+    for section in unread_sections(old, new):
+        old_value[section] = new_value[section] = {}
     lines = []
     for name in sorted(old_value["Tenants"].keys() & new_value["Tenants"].keys()):
         old_keys = old_value["Tenants"][name].pop("ApiKeys")
@@ -27,10 +34,19 @@
     return [*differences(old_value, new_value), *lines]
 
 
+def unread_sections(*configurations: ReadConfiguration) -> list[str]:
+    """Return the sections that cannot be read whole in one of the configurations."""
+    return [
+        section
+        for section in SECTIONS
+        if not all(read.complete(section) for read in configurations)
+    ]
+
+
 def _comparable(read: ReadConfiguration) -> dict[str, Any]:
     """Return the effective values with records by name and keys as sets."""
     value = copy.deepcopy(read.effective)
-    for section in ("Routes", "Services", "Tenants"):
+    for section in SECTIONS:
         value[section] = _by_name(list(value[section].values()), "Name")
     for route in value["Routes"].values():
         route["TrafficSplit"] = _by_name(route["TrafficSplit"], "Service")
--- a/src/sesameknot/operator/log_summarizer.py
+++ b/src/sesameknot/operator/log_summarizer.py
@@ -111,12 +111,16 @@
             self.step_since_s = now_s
         return time_s
 
-    def divide_last_step(self, first_event_s: float) -> None:
-        """Count the time since the first event, if it fell into this step, apart."""
-        if self.accepted_s is None or self.step_since_s is None:
-            return
-        first_event_at_s = self.accepted_s + first_event_s
-        if first_event_at_s >= self.step_since_s:
+    def note_arrival(self, arrived_s: float) -> None:
+        """Count the time between arrival and acceptance."""
+        if self.accepted_s is None:
+            self.step_since_s = arrived_s
+        else:
+            self.step_times_s[ENTRY_STEP] = max(0.0, self.accepted_s - arrived_s)
+
+    def note_first_event(self, first_event_at_s: float) -> None:
+        """Count the time since the first event apart, if it came in this step."""
+        if self.step_since_s is not None and first_event_at_s >= self.step_since_s:
             self.enter(STREAMING_STEP, first_event_at_s)
 
 
@@ -225,12 +229,13 @@
         if request is None:
             self.summary.orphan_count += 1
             request = _OpenRequest(key[0], domain=self._domains.get(key[0], MISSING))
-            if now_s is not None:
-                request.step_since_s = now_s - duration_s
         result = self._result(request, fields)
         first_event_ms = _number(fields.get("first_event_ms"))
-        if first_event_ms is not None:
-            request.divide_last_step(first_event_ms / 1000.0)
+        if now_s is not None:
+            arrived_s = now_s - duration_s
+            request.note_arrival(arrived_s)
+            if first_event_ms is not None:
+                request.note_first_event(arrived_s + first_event_ms / 1000.0)
         self._record(request, result, now_s)
         if result not in ANSWERED_RESULTS and not request.handed_over:
             status = int(_number(fields.get("status")) or 0)
