--- a/src/sesameknot/operator/_configuration_command.py
+++ b/src/sesameknot/operator/_configuration_command.py
@@ -16,11 +16,13 @@
     Severity,
     check_configuration,
 )
+from sesameknot.operator.errors import UsageError
 from sesameknot.operator.results import ExitCode, Report
 from sesameknot.platform import (
     CONFIGURATION_KIND,
     ReadConfiguration,
     StoreClient,
+    is_address,
     read_configuration,
 )
 
@@ -94,6 +96,10 @@
 async def _in_force(against: str) -> ReadConfiguration:
     if _is_file(against):
         return _read_file(Path(against))
+    if not is_address(against):
+        raise UsageError(
+            f"got {against!r}, expected a file or ip:port", step="--against"
+        )
     store = StoreClient(against)
     try:
         batch = await store.list(CONFIGURATION_KIND)
--- a/src/sesameknot/operator/configuration_changes.py
+++ b/src/sesameknot/operator/configuration_changes.py
@@ -47,7 +47,7 @@
     """Return the effective values with records by name and keys as sets."""
     value = copy.deepcopy(read.effective)
     for section in SECTIONS:
-        value[section] = _by_name(list(value[section].values()), "Name")
+        value[section] = _by_name(list(value.get(section, {}).values()), "Name")
     for route in value["Routes"].values():
         route["TrafficSplit"] = _by_name(route["TrafficSplit"], "Service")
     for service in value["Services"].values():
--- a/src/sesameknot/operator/log_summarizer.py
+++ b/src/sesameknot/operator/log_summarizer.py
@@ -29,6 +29,8 @@
 OTHER_GROUP = "(other)"
 # Sources whose last line is remembered; prefixes that name no host would be many.
 SOURCE_LIMIT_COUNT = 10_000
+# Longer names and reasons are cut.
+NAME_LIMIT_CHARS = 200
 # Value of a group whose field is missing.
 MISSING = "(none)"
 # Size classes of all routes; a route with prompts of 100 to 50,000 tokens has 314.
@@ -146,7 +148,8 @@
         if line.source in self._last_s or len(self._last_s) < SOURCE_LIMIT_COUNT:
             self._last_s[line.source] = now_s or self._last_s.get(line.source, 0.0)
         if line.event == "front_started":
-            self._domains[line.source] = str(fields.get("domain") or MISSING)
+            if line.source in self._last_s:
+                self._domains[line.source] = _name(fields.get("domain"))
         elif line.event == "log_lines_dropped":
             self.summary.dropped_line_count += int(_number(fields.get("count")) or 0)
         if "request_id" not in fields:
@@ -190,10 +193,10 @@
             self._note_missing(name, value)
         self._open[key] = _OpenRequest(
             source,
-            route=str(fields.get("route") or MISSING),
-            customer=str(fields.get("customer") or MISSING),
-            domain=str(domain or MISSING),
-            priority=MISSING if priority is None else str(priority),
+            route=_name(fields.get("route")),
+            customer=_name(fields.get("customer")),
+            domain=_name(domain),
+            priority=MISSING if priority is None else _name(str(priority)),
             target_ms=target_ms,
             prompt_tokens=None if prompt_tokens is None else int(prompt_tokens),
             accepted=True,
@@ -239,7 +242,8 @@
         self._record(request, result, now_s)
         if result not in ANSWERED_RESULTS and not request.handed_over:
             status = int(_number(fields.get("status")) or 0)
-            reason = re.sub(r"\d+", "N", str(fields.get("reason") or MISSING))
+            # Numbers and hosts' names with numbers would make each reason its own.
+            reason = re.sub(r"\d+", "N", _name(fields.get("reason")))
             reason_key = (request.route, result, status, reason)
             other = (OTHER_GROUP, result, 0, OTHER_GROUP)
             ends = _group(self.summary.reasons, reason_key, EndReason, other=other)
@@ -357,6 +361,10 @@
     return found
 
 
+def _name(value: object) -> str:
+    return str(value)[:NAME_LIMIT_CHARS] if value else MISSING
+
+
 def _number(value: object) -> float | None:
     if isinstance(value, bool) or not isinstance(value, int | float):
         return None
@@ -366,5 +374,5 @@
 def _time_s(timestamp: object) -> float | None:
     try:
         return datetime.fromisoformat(str(timestamp)).timestamp()
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
--- a/src/sesameknot/platform/__init__.py
+++ b/src/sesameknot/platform/__init__.py
@@ -4,6 +4,7 @@
 no other package uses them.
 """
 
+from sesameknot.platform._addresses import is_address
 from sesameknot.platform._configuration_reader import (
     ReadConfiguration,
     read_configuration,
@@ -87,6 +88,7 @@
     "headers_for_caller",
     "headers_for_endpoint",
     "headers_for_host",
+    "is_address",
     "load_host_settings",
     "parse_answer_metadata",
     "parse_request_metadata",
--- a/src/sesameknot/platform/_configuration_reader.py
+++ b/src/sesameknot/platform/_configuration_reader.py
@@ -48,11 +48,13 @@
     "slot_count": "Engine.Slots",
     "timeout_ms": "TimeoutMs",
 }
+SECTIONS = ("Routes", "Services", "Tenants")
 # Below this similarity, a field that is not read is no misspelt one.
 _SIMILARITY = 0.85
 # Values below it may be API keys, which must not be shown.
 _SECRET_PATH = "$.Tenants"
 _SHOWN_IN_SECRET = re.compile(r"\.Priority$")
+_PATH_SEPARATOR = re.compile(r"[.\[]")
 HIDDEN_TEXT = "(not shown)"
 
 
@@ -75,7 +77,8 @@
     unread_fields : list of str
         Other fields that front processes do not read.
     effective : dict
-        The readable records as JSON values, with all defaults.
+        The readable records by section and index as JSON values, with all defaults;
+        empty if the value is no object.
     """
 
     version: int | None = None
@@ -87,12 +90,22 @@
     passed_over: list[ValueFault] = field(default_factory=list)
     unread_fields: list[str] = field(default_factory=list)
     effective: dict[str, Any] = field(default_factory=dict)
+    _faulty_paths: set[str] = field(default_factory=set)
+
+    def add_fault(self, fault: ValueFault) -> None:
+        """Add a fault, because of which the records around the value are left out."""
+        self.faults.append(fault)
+        self._faulty_paths.add(fault.path)
+        for match in _PATH_SEPARATOR.finditer(fault.path):
+            self._faulty_paths.add(fault.path[: match.start()])
+
+    def readable(self, path: str) -> bool:
+        """Return whether there is no fault at or below ``path``."""
+        return path not in self._faulty_paths
 
     def complete(self, section: str) -> bool:
         """Return whether all records of a section, such as ``Routes``, can be read."""
-        return not (
-            _has_fault(self, f"$.{section}") or _has_fault(self, "$", deep=False)
-        )
+        return bool(self.effective) and self.readable(f"$.{section}")
 
     def route_path(self, index: int, field_name: str = "") -> str:
         """Return the path of a route or of one of its fields."""
@@ -126,29 +139,40 @@
 
     It has no faults exactly if front processes decode the object.
     """
-    read = ReadConfiguration(effective={"Routes": {}, "Services": {}, "Tenants": {}})
-    read.faults = [
-        _without_secret(fault)
-        for fault in struct_faults(spec, _objects._Configuration, "$")
-    ]
+    read = ReadConfiguration()
+    for fault in struct_faults(spec, _objects._Configuration, "$"):
+        read.add_fault(_without_secret(fault))
     if not isinstance(spec, dict):
         return read
-    if "Version" in spec and not _has_fault(read, "$.Version"):
+    read.effective = {section: {} for section in SECTIONS}
+    if "Version" in spec and read.readable("$.Version"):
         read.version = read.effective["Version"] = int(spec["Version"])
+    _read_routes(read, spec)
+    _read_services(read, spec)
+    for index, tenant in _records(read, spec, "Tenants", _objects._Tenant):
+        read.customers[index] = _objects._decode_customer(tenant)
+    if read.readable("$.Limits"):
+        limits = msgspec.convert(spec.get("Limits", {}), _objects._Limits)
+        read.limits = _objects._decode_limits(limits)
+        read.effective["Limits"] = msgspec.to_builtins(limits)
+    _note_unknown_fields(read, spec)
+    return read
+
+
+def _read_routes(read: ReadConfiguration, spec: dict[str, Any]) -> None:
+    kinds = sorted(_objects.REQUEST_KINDS)
     for index, route in _records(read, spec, "Routes", _objects._Route):
-        if route.kind not in _objects.REQUEST_KINDS:
-            read.faults.append(
-                ValueFault(
-                    f"$.Routes[{index}].Kind",
-                    given_text(route.kind),
-                    "one of " + ", ".join(sorted(_objects.REQUEST_KINDS)),
-                )
-            )
+        if route.kind not in kinds:
+            path, given = f"$.Routes[{index}].Kind", given_text(route.kind)
+            read.add_fault(ValueFault(path, given, "one of " + ", ".join(kinds)))
             continue
         read.routes[index] = _objects._decode_route(route)
         if route.service and route.traffic_split:
             path, given = f"$.Routes[{index}].Service", given_text(route.service)
             read.passed_over.append(ValueFault(path, given, "none beside TrafficSplit"))
+
+
+def _read_services(read: ReadConfiguration, spec: dict[str, Any]) -> None:
     for index, service in _records(read, spec, "Services", _objects._Service):
         read.services[index] = _objects._decode_service(service)
         models = service.engine.models if service.engine else []
@@ -157,23 +181,18 @@
                 path = f"$.Services[{index}].Engine.Models"
                 given = f"{count} with Name {given_text(name)}"
                 read.passed_over.append(ValueFault(path, given, "unique names"))
-    for index, tenant in _records(read, spec, "Tenants", _objects._Tenant):
-        read.customers[index] = _objects._decode_customer(tenant)
-    limits = spec.get("Limits", {})
-    if not _has_fault(read, "$.Limits"):
-        converted = msgspec.convert(limits, _objects._Limits)
-        read.limits = _objects._decode_limits(converted)
-        read.effective["Limits"] = msgspec.to_builtins(converted)
+
+
+def _note_unknown_fields(read: ReadConfiguration, spec: dict[str, Any]) -> None:
     unread: set[str] = set()
-    for path, name, known in _unknown_fields(spec, _objects._Configuration, "$"):
-        similar = difflib.get_close_matches(name, known, n=1, cutoff=_SIMILARITY)
+    for path, name, absent in _unknown_fields(spec, _objects._Configuration, "$"):
+        similar = difflib.get_close_matches(name, absent, n=1, cutoff=_SIMILARITY)
         if similar:
             fault = ValueFault(f"{path}.{name}", given_text(name), similar[0])
             read.passed_over.append(fault)
         elif not path.startswith(_SECRET_PATH):
             unread.add(re.sub(r"\[\d+\]", "", f"{path}.{name}"))
     read.unread_fields = sorted(unread)
-    return read
 
 
 def _records(
@@ -185,19 +204,12 @@
     """Yield the records of a section that can be read, with their index."""
     items = spec.get(section)
     for index, item in enumerate(items if isinstance(items, list) else []):
-        if not _has_fault(read, f"$.{section}[{index}]"):
+        if read.readable(f"$.{section}[{index}]"):
             record = msgspec.convert(item, struct_type)
             read.effective[section][index] = msgspec.to_builtins(record)
             yield index, record
 
 
-def _has_fault(read: ReadConfiguration, path: str, *, deep: bool = True) -> bool:
-    return any(
-        fault.path == path or (deep and fault.path.startswith((f"{path}.", f"{path}[")))
-        for fault in read.faults
-    )
-
-
 def _without_secret(fault: ValueFault) -> ValueFault:
     hidden = fault.path.startswith(_SECRET_PATH)
     if not hidden or fault.given == "nothing" or _SHOWN_IN_SECRET.search(fault.path):
--- a/tests/operator/test_configuration_check.py
+++ b/tests/operator/test_configuration_check.py
@@ -231,3 +231,6 @@
         text, exit_code = await self.check(configuration(), against="127.0.0.1:1")
         self.assertThat(text, Contains("1 keys: valid"))
         self.assertThat(exit_code, Equals(ExitCode.PLATFORM_UNAVAILABLE))
+        path = self.directory / "front.json"
+        report = await self.run_ctl(f"check {path}", self.context(against="in-froce"))
+        self.assertThat(report.exit_code, Equals(ExitCode.USAGE))
