--- a/src/sesameknot/platform/__init__.py
+++ b/src/sesameknot/platform/__init__.py
@@ -4,6 +4,11 @@
 no other package uses them.
 """
 
+from sesameknot.platform._addresses import is_address
+from sesameknot.platform._configuration_reader import (
+    ReadConfiguration,
+    read_configuration,
+)
 from sesameknot.platform._endpoint_notices import EndpointNotices
 from sesameknot.platform._handover_headers import (
     UNREACHABLE_HEADER,
@@ -45,6 +50,7 @@
     StoreClient,
     StoredEntry,
 )
+from sesameknot.platform._struct_faults import ValueFault
 
 READY_PATH = "/sesameknot/readyz"
 
@@ -65,9 +71,11 @@
     "EntryConflictError",
     "EntryError",
     "PromptPart",
+    "ReadConfiguration",
     "RequestMetadata",
     "StoreClient",
     "StoredEntry",
+    "ValueFault",
     "decode_configuration",
     "decode_crash_report",
     "decode_endpoint",
@@ -80,8 +88,10 @@
     "headers_for_caller",
     "headers_for_endpoint",
     "headers_for_host",
+    "is_address",
     "load_host_settings",
     "parse_answer_metadata",
     "parse_request_metadata",
     "parse_run_count",
+    "read_configuration",
 ]
