--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -277,6 +277,10 @@
         self.record_failure(error)
         return error
 
+    def waited_s(self) -> float:
+        """Return the time since the start of the attempt."""
+        return self._runner.clock.monotonic_s() - self._started_s
+
     def broken_stream_error(self, reason: str) -> TransportError:
         """Return the error of a stream that its endpoint broke off."""
         return TransportError(reason, step="body", peer=self.endpoint.endpoint_id)
--- a/src/sesameknot/forwarding/model_cascade.py
+++ b/src/sesameknot/forwarding/model_cascade.py
@@ -18,6 +18,7 @@
     largest_must_be_first,
     learns_times,
     replacement_headroom,
+    scaled_time_s,
 )
 from sesameknot.policy.pressure import PressureGauge
 from sesameknot.policy.quality_target import QualityTarget
@@ -115,7 +116,7 @@
         choice = judge_answer(
             confidence=confidence,
             threshold=threshold,
-            needed_s=self._needed_s(request, model),
+            needed_s=self._needed_s(request, model, attempt),
             time_left_s=self._time_left_s(request),
             retry_left=retry_left,
         )
@@ -250,14 +251,27 @@
         index = min(max(0, request.route.priority), len(thresholds) - 1)
         return thresholds[index] * headroom
 
-    def _needed_s(self, request: ForwardedRequest, model: str) -> float:
-        """Return the time that ``model`` must have; the latency target if unknown."""
-        learnt_s = None
-        if self._target(request.route) is not None:
-            learnt_s = self._answer_s(request, model)
+    def _needed_s(
+        self, request: ForwardedRequest, model: str, attempt: Attempt
+    ) -> float:
+        """Return the time that ``model`` must have after an attempt's answer began."""
+        target_s = request.route.latency_target_ms / 1000.0
+        if self._target(request.route) is None:
+            return target_s
+        learnt_s = self._answer_s(request, model)
         if learnt_s is not None:
             return learnt_s
-        return request.route.latency_target_ms / 1000.0
+        costs = self._model_costs(request.service)
+        return scaled_time_s(
+            attempt.waited_s(),
+            observed_cost=costs.get(attempt.model),
+            cost=costs.get(model),
+            limit_s=target_s,
+        )
+
+    def _model_costs(self, service: str) -> dict[str, float]:
+        configuration = self._retry_policy.runner.view.configuration
+        return configuration.service(service).model_costs if configuration else {}
 
     def _answer_s(self, request: ForwardedRequest, model: str) -> float | None:
         return self._answer_times.answer_s(
--- a/src/sesameknot/policy/model_choice.py
+++ b/src/sesameknot/policy/model_choice.py
@@ -64,6 +64,32 @@
     return min(pressure_headroom, max(0.0, budget_headroom))
 
 
+def scaled_time_s(
+    observed_s: float,
+    *,
+    observed_cost: float | None,
+    cost: float | None,
+    limit_s: float,
+) -> float:
+    """Return the time that a model may need which has not been observed yet.
+
+    Its cost per token over that of an observed model bounds the ratio of their times:
+    both models wait for a slot and read the same prompt.
+
+    Parameters
+    ----------
+    observed_s : float
+        Time to the first event of the same request by the observed model.
+    observed_cost, cost : float or None
+        Costs per token of the observed model and of the other one; None if not stated.
+    limit_s : float
+        Upper limit, and the result if a cost is not stated.
+    """
+    if not observed_cost or not cost:
+        return limit_s
+    return min(limit_s, observed_s * max(1.0, cost / observed_cost))
+
+
 def judge_answer(
     *,
     confidence: float | None,
--- a/tests/forwarding/test_model_cascade.py
+++ b/tests/forwarding/test_model_cascade.py
@@ -46,6 +46,7 @@
             Sizes=["small", "large"],
         )
         self.store.put("config", "main", configuration(routes=[quick]))
+        self.quick_route = quick
         for number in range(3):
             self.add_endpoint(f"e{number}", MODEL_SERVICE, confidences=dict(UNSURE))
 
@@ -98,6 +99,23 @@
         front = await self.start_front()
         self.assertThat(await self.models(front, QUICK_PATH), Equals(["small"]))
 
+    @gen_test(timeout=60)
+    async def test_unsure_answer_is_replaced_after_a_restart_if_costs_are_known(self):
+        """Guards against bad answers for seconds after each start of a host.
+
+        A host of a large fleet sees the larger model's first events seldom.
+        """
+        models = [{"Name": "small", "Cost": 0.02}, {"Name": "large", "Cost": 0.2}]
+        services = [{"Name": MODEL_SERVICE, "Engine": {"Models": models}}]
+        self.store.put(
+            "config",
+            "main",
+            configuration(version=2, routes=[self.quick_route], Services=services),
+        )
+        front = await self.start_front()
+        models = await self.models(front, QUICK_PATH)
+        self.assertThat(models, Equals(["small", "large"]))
+
     @gen_test(timeout=60)
     async def test_answer_is_kept_if_too_little_time_is_left(self):
         """Guards against a good answer that comes after the deadline."""
--- a/tests/policy/test_model_choice.py
+++ b/tests/policy/test_model_choice.py
@@ -14,6 +14,7 @@
     largest_must_be_first,
     learns_times,
     replacement_headroom,
+    scaled_time_s,
 )
 from sesameknot.policy.quality_target import QualityTarget
 from sesameknot.policy.sliding_retry_budget import SlidingRetryBudget
@@ -197,3 +198,21 @@
         self.assertThat(thresholds[:8], Equals([target.threshold(1.0)] * 8))
         self.assertThat(thresholds[8], between(20.0, 40.0))
         self.assertThat(thresholds[9], Equals(0.0))
+
+
+class ScaledTimeTest(TestCase):
+    def scaled_s(self, observed_s, **costs):
+        return scaled_time_s(observed_s, limit_s=4.0, **costs)
+
+    def test_unobserved_model_is_estimated_by_its_cost(self):
+        """Guards against hosts that keep bad answers for seconds after each start."""
+        self.assertThat(self.scaled_s(0.1, observed_cost=0.02, cost=0.2), Equals(1.0))
+
+    def test_slow_answers_of_a_loaded_endpoint_raise_the_estimate(self):
+        """Guards against replacements that come after the deadline under load."""
+        self.assertThat(self.scaled_s(0.5, observed_cost=0.02, cost=0.2), Equals(4.0))
+
+    def test_estimate_is_the_limit_without_costs(self):
+        """Guards against guesses where the configuration states no costs."""
+        self.assertThat(self.scaled_s(0.1, observed_cost=None, cost=0.2), Equals(4.0))
+        self.assertThat(self.scaled_s(0.1, observed_cost=0.02, cost=None), Equals(4.0))
