Pass on no answer whose status is not within 200 to 599

Cause: Tornado accepts any three digits as a status, and Exchange took all from 200 on as final and all below as informational. A caller got 600 to 999 as the endpoint sent them, and the answer that followed a 101. 000 and 099 reached no caller, only because the second parse of the head failed, with a traceback in the log. Change: Exchange ends such an attempt at once as a transport error, so a request that may run once only is answered with 502 and not repeated.

--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
-from tornado.httputil import HTTPHeaders, parse_response_start_line
+from tornado.httputil import HTTPHeaders
 
 from sesameknot.clock import Clock
 from sesameknot.errors import (
@@ -26,8 +26,11 @@
 BUFFER_LIMIT_BYTES = 64 * 1024
 # Time after which an attempt that may not be given up is checked again.
 RECHECK_S = 0.25
-# Informational responses have lower status codes and precede the answer.
-FINAL_STATUS = 200
+# Statuses of answers. Informational responses have lower ones and precede the answer.
+FINAL_STATUSES = range(200, 600)
+INFORMATIONAL_STATUSES = range(100, 200)
+# No request asks for another protocol, so no HTTP answer follows this response.
+SWITCHING_PROTOCOLS_STATUS = 101
 
 
 class Exchange:
@@ -115,11 +118,13 @@
 
     def _on_header_line(self, line: str) -> None:
         if line == "\r\n":
-            start = parse_response_start_line(self._header_lines[0])
-            if start.code < FINAL_STATUS:
+            # Tornado accepts any three digits, and passes them on as a number.
+            status = int(self._header_lines[0].split(" ", 2)[1])
+            if status not in FINAL_STATUSES:
                 self._header_lines.clear()
+                self._check_informational(status)
                 return
-            self.status = start.code
+            self.status = status
             self.headers = HTTPHeaders()
             for header in self._header_lines[1:]:
                 self.headers.parse_line(header)
@@ -129,7 +134,18 @@
             return
         self._header_lines.append(line.rstrip("\r\n"))
 
+    def _check_informational(self, status: int) -> None:
+        """End the attempt if a status is not that of an informational response."""
+        if status in INFORMATIONAL_STATUSES and status != SWITCHING_PROTOCOLS_STATUS:
+            return
+        reason = f"answered status {status:03d}"
+        self._set_error(TransportError(reason, step="status", peer=self.call.url))
+        self.connection.abandon()
+        self._wake_reader()
+
     async def _on_body_chunk(self, data: bytes) -> None:
+        if self.connection.abandoned:
+            return
         self._unreported_bytes += len(data)
         if self._unreported_bytes >= self._limits.progress_bytes:
             self.report_progress()
@@ -251,7 +267,8 @@
         ConnectError
             If no byte was sent.
         TransportError
-            If the connection was lost, or a deadline passed after it was open.
+            If the connection was lost, the status is that of no HTTP answer, or a
+            deadline passed after the connection was open.
         """
         while not self.status:
             if self._error is not None:
--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -17,12 +17,18 @@
     ----------
     runner : ScriptRunner
         Counts bytes.
+    reader : asyncio.StreamReader
+        What follows the head of the request.
     writer : asyncio.StreamWriter
         Connection to the host.
+    head : bytes
+        Head of the request.
     """
 
-    def __init__(self, runner, writer):
+    def __init__(self, runner, reader, writer, head):
+        self.head = head
         self._runner = runner
+        self._reader = reader
         self._writer = writer
 
     async def __call__(self, data):
@@ -31,6 +37,15 @@
         self._writer.write(data)
         await self._writer.drain()
 
+    async def read_body(self, size_bytes):
+        """Read a part of the request's body."""
+        await self._reader.readexactly(size_bytes)
+
+    async def until_closed(self):
+        """Read until the host closes the connection."""
+        while await self._reader.read(65536):
+            pass
+
     def reset(self):
         """Reset the connection."""
         sock = self._writer.get_extra_info("socket")
@@ -67,9 +82,9 @@
         async def serve(reader, writer):
             self._tasks.add(asyncio.current_task())
             try:
-                await reader.readuntil(b"\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
                 self.request_count += 1
-                await script(Script(self, writer))
+                await script(Script(self, reader, writer, head))
             except asyncio.IncompleteReadError:
                 # A check whether the endpoint still accepts connections.
                 pass
