Take an answer without length as whole only after the request arrived

Cause: an end of the connection was the end of a body without length and chunks. A reset was checked by two of four users of Exchange, so plain answers of other hosts and all of the product's own router were cut. An orderly end was trusted while the request was still being written. Change: Exchange.read checks both itself: no reset, and the peer's kernel has acknowledged the whole request (SIOCOUTQ at close). Whole answers with a length or in chunks are passed on although a reset follows.

--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -25,7 +25,6 @@
 MIN_TIME_LEFT_MS = 1
 SUCCESS_STATUS_LIMIT = 300
 SERVER_ERROR_STATUS = 500
-CHUNKS_HEADER = "Transfer-Encoding"
 # Results of attempts that end while the endpoint may still be running the request.
 ABANDONED_RESULTS = frozenset({"abandoned", "dropped"})
 
@@ -125,7 +124,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of its connection shows the end of the answer."""
-        return not ("Content-Length" in self.headers or CHUNKS_HEADER in self.headers)
+        return self._exchange.ends_with_connection
 
     @property
     def limits(self) -> CallLimits:
@@ -287,19 +286,15 @@
         Raises
         ------
         TransportError
-            If the connection fails before the end of the body.
+            If the connection fails before the end of the body, or the body may be
+            incomplete.
         """
         try:
-            data = await self._exchange.read()
-            if not data and self._exchange.ended_by_reset:
-                raise InvalidAnswerError(
-                    "connection was reset", step="body", peer=self.endpoint.endpoint_id
-                )
+            return await self._exchange.read()
         except TransportError as error:
             self.endpoint.health.failed()
             self.record_failure(error)
             raise
-        return data
 
     async def read_all(self) -> bytes:
         """Return the whole body.
--- a/src/sesameknot/forwarding/peer_handover.py
+++ b/src/sesameknot/forwarding/peer_handover.py
@@ -346,7 +346,7 @@
                 headers = headers_for_caller(exchange.headers)
                 await caller.send_head(exchange.status, headers, data=block)
             request.last_event_id = splitter.last_event_id
-        if splitter.incomplete or exchange.ended_by_reset:
+        if splitter.incomplete:
             raise TransportError(
                 "stream ended inside an event", step="body", peer=host.host_id
             )
--- a/src/sesameknot/transport/_attempt_connection.py
+++ b/src/sesameknot/transport/_attempt_connection.py
@@ -1,6 +1,11 @@
 """TCP connection of each HTTP attempt, with a check before the request is sent."""
 
+import fcntl
+import socket
+import struct
 import sys
+import termios
+from asyncio import Future
 from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -13,6 +18,34 @@
 from sesameknot.errors import ConnectError
 
 
+class AttemptStream(IOStream):
+    """Stream that knows at its end whether the peer received all that was sent.
+
+    Attributes
+    ----------
+    unacknowledged_bytes : int
+        Sent bytes that the peer's kernel had not received when the stream was closed.
+    """
+
+    unacknowledged_bytes = 0
+
+    def close_fd(self) -> None:
+        """Close the socket and keep what its send queue tells."""
+        if self.socket is not None:
+            self.unacknowledged_bytes = _send_queue_bytes(self.socket)
+        super().close_fd()
+
+
+def _send_queue_bytes(sock: socket.socket) -> int:
+    """Return the unacknowledged bytes of a socket; 0 if the system does not tell."""
+    try:
+        # For sockets, Linux calls this request SIOCOUTQ.
+        answer = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError:
+        return 0
+    return int(struct.unpack("i", answer)[0])
+
+
 @dataclass(slots=True)
 class AttemptConnection:
     """TCP connection of one attempt; this object exists before it is opened.
@@ -22,7 +55,7 @@
     before_send : callable or None, default=None
         Called when the connection is open and no byte is written yet; an error
         that it raises ends the attempt without sending.
-    stream : IOStream or None, default=None
+    stream : AttemptStream or None, default=None
         Stream of the open connection.
     may_have_sent : bool, default=False
         Whether bytes of the request may have been written.
@@ -31,7 +64,7 @@
     """
 
     before_send: Callable[[], None] | None = None
-    stream: IOStream | None = None
+    stream: AttemptStream | None = None
     may_have_sent: bool = False
     abandoned: bool = False
 
@@ -55,10 +88,23 @@
     ``AttemptConnection`` is passed in a context variable.
     """
 
+    def _create_stream(
+        self,
+        max_buffer_size: int | None,
+        af: socket.AddressFamily,
+        addr: tuple[Any, ...],
+        source_ip: str | None = None,
+        source_port: int | None = None,
+    ) -> "tuple[IOStream, Future[IOStream]]":
+        # There is no public hook for the class of the stream. The source is not chosen.
+        stream = AttemptStream(socket.socket(af), max_buffer_size=max_buffer_size)
+        return stream, stream.connect(addr)
+
     async def connect(self, *args: Any, **kwargs: Any) -> IOStream:
         """Open a connection and call the attempt's ``before_send``."""
         attempt = CURRENT_ATTEMPT.get()
         stream = await super().connect(*args, **kwargs)
+        assert isinstance(stream, AttemptStream)
         attempt.stream = stream
         try:
             if attempt.abandoned:
--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
+from functools import partial
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
@@ -17,6 +19,7 @@
     CURRENT_ATTEMPT,
     AttemptConnection,
     AttemptHTTPClient,
+    AttemptStream,
 )
 from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
 from sesameknot.transport.request_body import RequestBody
@@ -31,6 +34,9 @@
 INFORMATIONAL_STATUSES = range(100, 200)
 # No request asks for another protocol, so no HTTP answer follows this response.
 SWITCHING_PROTOCOLS_STATUS = 101
+# Statuses of answers that end with their head.
+BODILESS_STATUSES = frozenset({204, 304})
+CHUNKS_HEADER = "Transfer-Encoding"
 
 
 class Exchange:
@@ -61,6 +67,8 @@
         self._progress_seen = False
         self._unreported_bytes = 0
         self._fetch_done = False
+        # Done when the operating system has taken the whole body; None without a body.
+        self._body_sent: asyncio.Future[None] | None = None
         self._error: RouterError | None = None
         self._read_waiter: asyncio.Future[None] | None = None
         self._buffer_drained: asyncio.Future[None] | None = None
@@ -79,26 +87,53 @@
         return self._buffered_bytes
 
     @property
-    def ended_by_reset(self) -> bool:
-        """Whether the connection ended with an error instead of an orderly close.
-
-        Tornado treats a reset as the end of a body without ``Content-Length``.
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection shows the end of the answer."""
+        if self.status in BODILESS_STATUSES or self.call.method == "HEAD":
+            return False
+        return not ("Content-Length" in self.headers or CHUNKS_HEADER in self.headers)
+
+    def _check_end(self) -> None:
+        """Check that an answer which ended with its connection is complete.
+
+        Tornado treats a reset like an orderly close. An endpoint that closes the
+        connection before it has received the request resets it a moment later, when
+        more of the request arrives, so the orderly close shows nothing either.
         """
         stream = self.connection.stream
-        return stream is not None and isinstance(stream.error, OSError)
+        if stream is None or not self.ends_with_connection:
+            return
+        reason = ""
+        if isinstance(stream.error, OSError):
+            reason = "connection was reset"
+        elif not self._request_received(stream):
+            reason = "answer ended before the request was received"
+        if reason:
+            raise TransportError(reason, step="body", peer=self.call.url)
+
+    def _request_received(self, stream: AttemptStream) -> bool:
+        """Return whether the peer's kernel has received the whole request."""
+        body_sent = self._body_sent
+        if body_sent is not None and (
+            not body_sent.done() or body_sent.exception() is not None
+        ):
+            return False
+        return not stream.unacknowledged_bytes
 
     def _start(self, http: AttemptHTTPClient) -> None:
         limits = self._limits
         headers = HTTPHeaders(self.call.headers)
-        body, send_body = self.call.body, None
-        if isinstance(body, RequestBody):
+        body = self.call.body
+        if isinstance(body, bytes):
+            body = RequestBody(body)
+        send_body = None
+        if body is not None:
             headers["Content-Length"] = str(body.size_bytes)
-            body, send_body = None, body.send
+            send_body = partial(self._send_body, body)
         request = HTTPRequest(
             self.call.url + self.call.path,
             method=self.call.method,
             headers=headers,
-            body=body,
             body_producer=send_body,
             connect_timeout=min(limits.connect_timeout_s, limits.deadline_s),
             # The deadline timer ends the attempt earlier; this limit is a backstop.
@@ -116,6 +151,15 @@
             CURRENT_ATTEMPT.reset(token)
         fetch.add_done_callback(self._on_fetch_done)
 
+    def _send_body(
+        self, body: RequestBody, write: Callable[[bytes | memoryview], object]
+    ) -> None:
+        body.send(write)
+        stream = self.connection.stream
+        if stream is not None and not stream.closed():
+            # This write ends when all earlier ones have.
+            self._body_sent = stream.write(b"")
+
     def _on_header_line(self, line: str) -> None:
         if line == "\r\n":
             # Tornado accepts any three digits, and passes them on as a number.
@@ -285,12 +329,13 @@
         Raises
         ------
         TransportError
-            If the connection was lost or a deadline passed.
+            If the connection was lost, the answer is incomplete or a deadline passed.
         """
         while not self._body_chunks:
             if self._error is not None:
                 raise self._error
             if self._fetch_done:
+                self._check_end()
                 return b""
             await self._wait_for_event()
         data = b"".join(self._body_chunks)
--- a/tests/forwarding/test_invalid_answers.py
+++ b/tests/forwarding/test_invalid_answers.py
@@ -1,8 +1,11 @@
 """Answers that are not valid HTTP, or not complete, from endpoints on raw sockets."""
 
+import asyncio
+
 from testtools.matchers import Equals, LessThan
 from tornado.testing import gen_test
 
+from sesameknot.protocol.fleet_records import HostEntry
 from tests.front_world import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -22,8 +25,8 @@
     *(b"000", b"099", b"101", b"600", b"777", b"999"),
     *(b"1000", b"20", b"abc", b"2x0", b"-20", b"+200", b""),
 )
-# Far more than the kernel buffers of both sides of a connection.
-UPLOAD = bytes(12_000_000)
+# The kernel takes the first from the host at once, and has no room for the second.
+UPLOADS = (bytes(1_000_000), bytes(12_000_000))
 BODY = b"answer"
 
 
@@ -142,3 +145,149 @@
                 result = (response.code, response.body)
                 self.assertThat(result, Equals((int(status), body)))
                 await self.leave(front, 1)
+
+
+async def no_end(connection):
+    """Keep the connection open without reading."""
+    await asyncio.sleep(0.3)
+
+
+async def reset(connection):
+    """Reset the connection."""
+    await asyncio.sleep(0.01)
+    connection.reset()
+
+
+async def close(connection):
+    """Close the connection while unread parts of the request have arrived."""
+
+
+async def half_close(connection):
+    """Close the direction to the host and read nothing more."""
+    connection.half_close()
+    await asyncio.sleep(0.3)
+
+
+async def half_close_then_reset(connection):
+    """Close the direction to the host, and reset the connection right after."""
+    connection.half_close()
+    connection.reset()
+
+
+class EarlyAnswerTest(InvalidAnswerWorld):
+    """Answers that begin while the request's body is still being sent."""
+
+    ENDS = (reset, close, half_close, half_close_then_reset)
+
+    def script(self, data, end):
+        async def early(connection):
+            await connection(data)
+            await end(connection)
+
+        return early
+
+    def partial_answers(self, body):
+        """Return beginnings of answers without length, with one, and in chunks."""
+        part = body[: len(body) // 2]
+        lines = (b"", b"Content-Length: %d\r\n" % len(body))
+        heads = [b"HTTP/1.1 200 OK\r\n" + STAMP + line + b"\r\n" for line in lines]
+        chunked = heads[0][:-2] + b"Transfer-Encoding: chunked\r\n\r\n"
+        chunk = b"%x\r\n%s\r\n" % (len(part), part)
+        return heads[0] + part, heads[1] + part, chunked + chunk, heads[0]
+
+    async def check(self, path, service, body):
+        for end in self.ENDS:
+            for data in self.partial_answers(body):
+                for upload in UPLOADS:
+                    front = await self.start_scripts(
+                        *(self.script(data, end), self.sound(body)), service=service
+                    )
+                    response = await self.ask(front, path, body=upload)
+                    result = (response.code, response.body)
+                    message = f"{end.__name__} {len(upload)} {data}"
+                    if path == UNSAFE_PATH:
+                        self.assertThat(response.code, Equals(502), message)
+                        self.assertThat(self.runner.request_count, Equals(1), message)
+                    else:
+                        self.assertThat(result, Equals((200, body)), message)
+                    await self.leave(front, 2)
+
+    def sound(self, body):
+        """Return a script that reads the whole request and then answers.
+
+        A stream is continued after the last event that the caller received.
+        """
+
+        async def script(connection):
+            await connection.read_body()
+            resumed = b"Last-Event-Id: 1" in connection.head
+            await connection(answer(b"200", SECOND_EVENT if resumed else body))
+
+        return script
+
+    @gen_test(timeout=120)
+    async def test_part_of_a_plain_answer_is_no_answer(self):
+        """Guards against a part that reaches the caller as the whole answer."""
+        await self.check(SAFE_PATH, PLAIN_SERVICE, BODY)
+
+    @gen_test(timeout=120)
+    async def test_part_of_a_stream_is_no_answer(self):
+        """Guards against the same for a stream that is cut between two events."""
+        await self.check(STREAM_PATH, MODEL_SERVICE, EVENTS)
+
+    @gen_test(timeout=120)
+    async def test_part_of_an_answer_to_a_request_that_runs_once(self):
+        """Guards against a second run, or 'not run', after such a part."""
+        await self.check(UNSAFE_PATH, PLAIN_SERVICE, BODY)
+
+    @gen_test(timeout=60)
+    async def test_whole_early_answer_is_passed_on(self):
+        """Guards against a whole answer that is lost with the check of its end."""
+        for end in (no_end, reset, close, half_close):
+            for status in (b"200", b"413"):
+                front = await self.start_scripts(self.script(answer(status), end))
+                response = await self.ask(front, UNSAFE_PATH, body=UPLOADS[1])
+                result = (response.code, response.body)
+                message = f"{end.__name__} {status}"
+                self.assertThat(result, Equals((int(status), BODY)), message)
+                await self.leave(front, 1)
+
+
+class HandoverTest(InvalidAnswerWorld):
+    """Answers of another host, which takes requests of a host without endpoints."""
+
+    async def check(self, data, end, body=b"question"):
+        async def script(connection):
+            await connection(data)
+            await end(connection)
+
+        await self.runner.add_endpoint(self, "peer", "none", script)
+        address = self.store.get("servers", "peer")["Spec"]["Address"]
+        front = await self.start_front()
+        front.ingress._handover._others = lambda: [
+            HostEntry(
+                host_id="h2", peer_address="", domain="a", handover_address=address
+            )
+        ]
+        front.reachability.record_failure(
+            PLAIN_SERVICE, endpoint_id="e", usable_count=1
+        )
+        response = await self.ask(front, UNSAFE_PATH, body=body)
+        self.assertThat(response.code, Equals(502), f"{end.__name__} {data}")
+        self.assertThat(self.runner.request_count, Equals(1))
+        self.runner.request_count = 0
+        await front.close()
+
+    @gen_test(timeout=60)
+    async def test_part_of_an_answer_of_another_host_is_no_answer(self):
+        """Guards against a part from a host that is killed while it answers."""
+        head = b"HTTP/1.1 200 OK\r\n" + STAMP + b"\r\n"
+        await self.check(head + BODY[:3], reset)
+        for end in (reset, close, half_close):
+            await self.check(head + BODY[:3], end, body=UPLOADS[0])
+
+    @gen_test(timeout=60)
+    async def test_invalid_status_of_another_host_is_no_answer(self):
+        """Guards against the same for a status that is not valid."""
+        for status in (b"000", b"101", b"600"):
+            await self.check(answer(status), reset)
--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -37,9 +37,10 @@
         self._writer.write(data)
         await self._writer.drain()
 
-    async def read_body(self, size_bytes):
-        """Read a part of the request's body."""
-        await self._reader.readexactly(size_bytes)
+    async def read_body(self):
+        """Read the request's body, which has a length."""
+        _, _, rest = self.head.lower().partition(b"content-length: ")
+        await self._reader.readexactly(int(rest.partition(b"\r\n")[0]))
 
     async def until_closed(self):
         """Read until the host closes the connection."""
