Believe nothing in an answer of the store with an invalid status

Cause: the era header was read from any answer, before its status. Change: JsonHttpClient raises PlatformError for a status outside 200 to 599.

--- a/src/sesameknot/transport/json_http.py
+++ b/src/sesameknot/transport/json_http.py
@@ -8,6 +8,7 @@
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
 
 from sesameknot.errors import PlatformError, PlatformTimeoutError
+from sesameknot.transport._exchange import FINAL_STATUSES
 from sesameknot.transport._keepalive import KeepaliveTCPClient
 
 # Each long-polling watch holds a connection, in addition to the calls of other tasks.
@@ -63,7 +64,7 @@
         headers: dict[str, str] | None = None,
         timeout_s: float | None = None,
     ) -> HTTPResponse:
-        """Return the response of one call, whatever its status.
+        """Return the response of one call, whatever its status from 200 to 599.
 
         A body that keeps arriving is read to its end, within ``TRANSFER_LIMIT_S``: on a
         slow link, a large one takes longer than a call should wait for an answer.
@@ -104,6 +105,10 @@
         finally:
             # The rest of the answer to a cancelled call may still arrive.
             body_reader.time_limit = None
+        if response.code not in FINAL_STATUSES:
+            # Nothing in such an answer can be trusted, nor its headers.
+            reason = f"answered status {response.code:03d}"
+            raise PlatformError(reason, step=step, peer=self.url)
         return body_reader.complete(response)
 
     def close(self) -> None:
