Play invalid and cut answers in the stand-in endpoint and the soak

The stand-in answers with any status (odd_status), and answers uploads early without length, sends a part and resets (cut_uploads_from_bytes). The soak lets endpoints do both beside the faults, with uploads of 100 kB and 3 MB, and checks that no answer with another status or a part reaches a caller.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -22,6 +22,7 @@
 COLD_SLACK_COUNT = 5
 # Callers, endpoints and hosts read the clock at different moments of a request.
 CLOCK_TOLERANCE_S = 0.3
+VALID_STATUSES = range(200, 600)
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -111,6 +112,8 @@
         violations.append(f"{request.request_id} ran {run_count} times")
     if at_most_once and answer.status in NOT_RUN_STATUSES and run_count:
         violations.append(f"{request.request_id} was refused as not run, and ran")
+    if answer.complete and answer.status not in VALID_STATUSES:
+        violations.append(f"{request.request_id} got status {answer.status}")
     if answer.complete and answer.status == 200:
         headers = answer.headers or {}
         if headers.get("x-request-id") != request.request_id:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -100,6 +100,7 @@
             writer.transport.abort()
             return
         self._writers |= {writer, target_writer}
+        was_reset = False
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(
@@ -108,12 +109,17 @@
                 group.create_task(
                     self._forward(target_reader, writer, ProxyMode.SILENT_BACK)
                 )
+        except* ConnectionResetError:
+            was_reset = True
         except* (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             # One side closed the connection, or the scenario ends.
             pass
         finally:
             for side_writer in (writer, target_writer):
                 self._writers.discard(side_writer)
+                if was_reset:
+                    # An orderly close would end an answer without length.
+                    _reset(side_writer)
                 side_writer.transport.abort()
 
     async def _forward(
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -27,6 +27,7 @@
 from soak._endpoints import ProxiedEndpoint
 from soak._faults import FAULTS
 from soak._fronts import FrontProcess
+from soak._invalid_answers import send_invalid_answers
 from soak._odd_input import send_odd_input
 
 FRONT_COUNT = 3
@@ -261,6 +262,7 @@
                 self._send_requests(front, CallerConnection(front.caller_address))
             )
         self.spawn(send_odd_input(self, self._seed))
+        self.spawn(send_invalid_answers(self, self._seed))
         if self.restarts_endpoints:
             self.spawn(restart_endpoints(self, self._seed))
         faults = []
@@ -312,9 +314,17 @@
             await self.send_request(front, connection, kind)
 
     async def send_request(
-        self, front: FrontProcess, connection: CallerConnection, kind: str
+        self,
+        front: FrontProcess,
+        connection: CallerConnection,
+        kind: str,
+        *,
+        size_bytes: int = 0,
     ) -> SentRequest:
-        """Send one request of ``kind`` and record it with its answer."""
+        """Send one request of ``kind`` and record it with its answer.
+
+        Its body has at least ``size_bytes``.
+        """
         request = SentRequest(
             request_id=f"q{len(self.sent_requests)}",
             kind=kind,
@@ -335,7 +345,7 @@
             headers["X-Prompt-Prefix"] = f"{shared_part},{own_part}"
         timeout_s = REQUEST_TIMEOUT_MS / 1000.0 + 1.0
         # Requests that have the body in common count as one that crashes endpoints.
-        body = request.request_id.encode()
+        body = request.request_id.encode().ljust(size_bytes, b".")
         request.answer = await connection.request(
             "POST", path, headers, body, timeout_s
         )
--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -2,20 +2,28 @@
 
 import asyncio
 import random
+import socket
+import struct
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from sesameknot.platform import _endpoint_notices as endpoint_notices
 from sesameknot.platform import _headers as platform_headers
+from sesameknot.platform.standin._early_answer import EarlyAnswerServer
 
 OK_STATUS = 200
 MISDIRECTED_STATUS = 421
 ERROR_STATUS = 500
 # Time for which a fallen endpoint closes all connections.
 FALL_DURATION_S = 3.0
+# Time in which what was sent arrives before the connection is reset.
+DELIVERY_TIME_S = 0.05
+# SO_LINGER with zero seconds makes close send a TCP reset.
+RESET_LINGER = struct.pack("ii", 1, 0)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -68,6 +76,11 @@
         leaves; None for a crash before the head.
     cut_body : bool, default=False
         Whether the connection is closed in the middle of a plain answer.
+    cut_uploads_from_bytes : int or None, default=None
+        Size from which requests are answered with 200, no length and a part of the body
+        as soon as their head has arrived; the connection is then reset. None for never.
+    odd_status : str, default=""
+        Status that its answers have instead of a valid one; empty for a valid one.
     rate_limit : str, default=""
         Request rate that its answers name; empty for none.
     leaving : str, default=""
@@ -109,6 +122,8 @@
     crash_part: str = ""
     crash_after_head_s: float | None = None
     cut_body: bool = False
+    cut_uploads_from_bytes: int | None = None
+    odd_status: str = ""
     rate_limit: str = ""
     leaving: str = ""
     retry_after: str = ""
@@ -136,23 +151,52 @@
 
     def server(self) -> HTTPServer:
         """Return an HTTP server that serves this endpoint."""
-        self._server = HTTPServer(self._accept_request)
+        self._server = EarlyAnswerServer(
+            self._accept_request, choose_early_answer=self._choose_early_answer
+        )
         return self._server
 
     def _accept_request(self, request: HTTPServerRequest) -> None:
-        task = asyncio.create_task(self._serve_request(request))
+        self._spawn(self._serve_request(request))
+
+    def _spawn(self, coroutine: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _choose_early_answer(
+        self, request: HTTPServerRequest
+    ) -> Callable[[IOStream], None] | None:
+        """Return what answers a request whose body has not arrived; None for later."""
+        limit_bytes = self.cut_uploads_from_bytes
+        if limit_bytes is None or not self._is_expected_by(request) or self._is_down:
+            return None
+        if int(request.headers.get("Content-Length", "0")) < limit_bytes:
+            return None
+        return lambda stream: self._spawn(self._cut_upload(request, stream))
+
+    async def _cut_upload(self, request: HTTPServerRequest, stream: IOStream) -> None:
+        run = self._record_run(request)
+        part = self.body[: len(self.body) // 2]
+        if self.event_count:
+            part = _event(1)
+        head = _head(str(OK_STATUS), self._answer_headers(request, run))
+        try:
+            await stream.write(head + part)
+            await asyncio.sleep(DELIVERY_TIME_S)
+            sock = stream.socket
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+        except StreamClosedError:
+            run.caller_left = True
+        finally:
+            stream.close()
+
     async def _serve_request(self, request: HTTPServerRequest) -> None:
         if self._is_down:
             request.connection.close()
             return
-        expected = request.headers.get(
-            platform_headers.EXPECTED_ENDPOINT_HEADER, self.endpoint_id
-        )
         try:
-            if expected != self.endpoint_id or not self._runs_model_of(request):
+            if not self._is_expected_by(request) or not self._runs_model_of(request):
                 identity = {platform_headers.ANSWERED_BY_HEADER: self.endpoint_id}
                 self._refuse_request(
                     request, MISDIRECTED_STATUS, identity if self.identified else None
@@ -171,6 +215,10 @@
         except StreamClosedError:
             pass
 
+    def _is_expected_by(self, request: HTTPServerRequest) -> bool:
+        header = platform_headers.EXPECTED_ENDPOINT_HEADER
+        return request.headers.get(header, self.endpoint_id) == self.endpoint_id
+
     def _runs_model_of(self, request: HTTPServerRequest) -> bool:
         model = request.headers.get(platform_headers.MODEL_HEADER, "")
         return not self.models or model in self.models
@@ -209,7 +257,7 @@
         )
         request.connection.finish()
 
-    async def _run_request(self, request: HTTPServerRequest) -> None:
+    def _record_run(self, request: HTTPServerRequest) -> RecordedRun:
         run = RecordedRun(
             request_id=request.headers.get(platform_headers.REQUEST_ID_HEADER, ""),
             method=request.method,
@@ -219,6 +267,10 @@
             received_s=asyncio.get_running_loop().time(),
         )
         self.runs.append(run)
+        return run
+
+    async def _run_request(self, request: HTTPServerRequest) -> None:
+        run = self._record_run(request)
         request.connection.set_close_callback(lambda: setattr(run, "caller_left", True))
         if self._crashes_on(request):
             await self._crash(request, run)
@@ -230,6 +282,12 @@
         if request.uri.startswith(self.error_path or "/"):
             run.failed = self._random.random() < self.error_share
         headers = self._answer_headers(request, run)
+        if self.odd_status:
+            headers["Content-Length"] = str(len(self.body))
+            head = _head(self.odd_status, headers)
+            await request.connection.stream.write(head + self.body)
+            request.connection.close()
+            return
         if not self.event_count or self.status != OK_STATUS or run.failed:
             headers["Content-Length"] = str(len(self.body))
             if self.cut_body:
@@ -325,7 +383,7 @@
             int(request.headers.get(platform_headers.LAST_EVENT_ID_HEADER, "0")) + 1
         )
         for number in range(first_number, self.event_count + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = _event(number)
             cut_after_count = self.cut_after_count
             if (
                 cut_after_count is not None
@@ -338,3 +396,13 @@
             await request.connection.write(event)
             await asyncio.sleep(self.event_gap_s)
         request.connection.finish()
+
+
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def _head(status: str, headers: HTTPHeaders) -> bytes:
+    """Return the head of an answer with any status."""
+    lines = [f"{name}: {value}\r\n" for name, value in headers.get_all()]
+    return f"HTTP/1.1 {status} Status\r\n{''.join(lines)}\r\n".encode()
