Count an endpoint as busy only until it has answered

Cause: the plain forwarder sent the answer within the attempt, so a caller that read slowly held the endpoint's place and slot, and the memory of the request's body. Change: the answer is sent after the attempt, and the body released before.

--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -58,20 +58,18 @@
                     if self._is_final(request, attempt):
                         attempt.record_answer()
                         self._note_sound(request, attempt)
-                        headers = headers_for_caller(attempt.headers)
-                        answers = self._retry_policy.runner.answer_buffer
-                        await caller.send_counted(
-                            answers, attempt.status, headers, body
-                        )
-                        return
+                        break
                     attempt.record_answer("repeated")
             except (TransportError, NotSentError) as error:
-                if caller.head_sent:
-                    raise
                 if not await self._retry_policy.may_retry(request, endpoint, error):
                     raise self._retry_policy.ended_error(
                         request, error.message
                     ) from error
+        # However slowly the caller reads, the endpoint and the body's memory are free.
+        request.release_body()
+        answers = self._retry_policy.runner.answer_buffer
+        headers = headers_for_caller(attempt.headers)
+        await caller.send_counted(answers, attempt.status, headers, body)
 
     def _note_sound(self, request: ForwardedRequest, attempt: Attempt) -> None:
         """Tell the crash detector of an answer that its endpoint completed.
--- a/tests/forwarding/test_slow_readers.py
+++ b/tests/forwarding/test_slow_readers.py
@@ -75,3 +75,13 @@
         with contextlib.closing(slow):
             await eventually(lambda: front.drain.in_flight_count == 0, limit_s=3.0)
             self.assertThat(self.answer_buffer(front).used_bytes, Equals(0))
+
+    @gen_test
+    async def test_endpoint_is_free_while_its_caller_reads(self):
+        """Guards against endpoints that look busy while callers read their answers."""
+        front = await self.start_front()
+        with contextlib.closing(await self.ask_without_reading(front)):
+            await asyncio.sleep(0.1)
+            self.assertThat(front.drain.in_flight_count, Equals(1))
+            endpoint = front.view.endpoints["e1"]
+            self.assertThat(endpoint.in_flight_count, Equals(0))
