Count what streams hold for callers that read slowly

Cause: only incomplete events counted against the limit of all answers, and each stage of a stream kept 64 to 128 KiB while its caller read nothing. Change: endpoints are read 16 KiB at a time and no further beyond 32 KiB that wait. Events that a connection does not take count until it does; without room the stream is broken off, at no cost to its endpoint's health. An endpoint that does not read its request did no harm before: the body is held once, within the budget, and small requests are answered meanwhile.

--- a/src/sesameknot/forwarding/caller.py
+++ b/src/sesameknot/forwarding/caller.py
@@ -8,7 +8,7 @@
 from sesameknot.errors import TransportError
 from sesameknot.forwarding.error_answer import ErrorAnswer
 from sesameknot.platform import UNREACHABLE_HEADER
-from sesameknot.policy.answer_buffer import AnswerBuffer
+from sesameknot.policy.answer_buffer import AnswerBuffer, AnswerReservation
 
 # A body up to this size is sent together with the head, which copies it; a larger one
 # would be held twice until the caller has read it.
@@ -66,8 +66,52 @@
         TransportError
             If the caller closed the connection.
         """
+        await self._wait_until(self._connection.write(data))
+
+    async def begin_held(
+        self,
+        status: int,
+        headers: HTTPHeaders,
+        data: bytes,
+        held: AnswerReservation,
+        *,
+        other_bytes: int,
+    ) -> None:
+        """Send the head and then ``data``, as :meth:`send_held` does."""
+        await self.send_head(status, headers, data=data[:JOINED_BYTES])
+        await self.send_held(data[JOINED_BYTES:], held, other_bytes=other_bytes)
+
+    async def send_held(
+        self, data: bytes, held: AnswerReservation, *, other_bytes: int = 0
+    ) -> None:
+        """Send a part of the body that counts against a limit until it is sent.
+
+        Nothing counts while the caller reads as fast as data arrives.
+
+        Parameters
+        ----------
+        data : bytes
+            The part.
+        held : AnswerReservation
+            Reservation of the answer.
+        other_bytes : int, default=0
+            Bytes of the answer that are held beside the part.
+
+        Raises
+        ------
+        TransportError
+            If the caller closed the connection, or reads too slowly for the limit.
+        """
+        for start in range(0, len(data), JOINED_BYTES):
+            # A write copies its data.
+            written = self._connection.write(data[start : start + JOINED_BYTES])
+            if not written.done() and not held.hold(len(data) + other_bytes):
+                raise TransportError(f"caller is slow, {held.reason}", step="answer")
+            await self._wait_until(written)
+
+    async def _wait_until(self, written: "asyncio.Future[None]") -> None:
         try:
-            await self._connection.write(data)
+            await written
         except StreamClosedError as error:
             raise TransportError(
                 "caller closed the connection", step="answer"
--- a/src/sesameknot/forwarding/peer_handover.py
+++ b/src/sesameknot/forwarding/peer_handover.py
@@ -336,16 +336,25 @@
         exchange: Exchange,
     ) -> None:
         splitter = EventSplitter(request.last_event_id)
-        while data := await exchange.read():
-            block = splitter.feed(data)
-            if not block:
-                continue
-            if caller.head_sent:
-                await caller.send(block)
-            else:
-                headers = headers_for_caller(exchange.headers)
-                await caller.send_head(exchange.status, headers, data=block)
-            request.last_event_id = splitter.last_event_id
+        with self._answer_buffer.reservation() as held:
+            while data := await exchange.read():
+                block = splitter.feed(data)
+                if not held.hold(splitter.incomplete_bytes):
+                    raise TransportError(held.reason, step="body", peer=host.host_id)
+                if not block:
+                    continue
+                other_bytes = splitter.incomplete_bytes
+                if caller.head_sent:
+                    await caller.send_held(block, held, other_bytes=other_bytes)
+                else:
+                    await caller.begin_held(
+                        exchange.status,
+                        headers_for_caller(exchange.headers),
+                        block,
+                        held,
+                        other_bytes=other_bytes,
+                    )
+                request.last_event_id = splitter.last_event_id
         if splitter.incomplete:
             raise TransportError(
                 "stream ended inside an event", step="body", peer=host.host_id
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -268,7 +268,7 @@
             block = self._split(state, attempt, data)
             if state.splitter.event_count == event_count:
                 if caller.head_sent and block:
-                    await caller.send(block)
+                    await caller.send_held(block, held)
                 else:
                     comments += block
                 held_bytes = len(comments) + state.splitter.incomplete_bytes
@@ -279,13 +279,19 @@
             attempt.mark_prompt_processed()
             answer_watch.event_received(now_s)
             pace.events_received(state.splitter.event_count - event_count, now_s)
+            other_bytes = state.splitter.incomplete_bytes
             if caller.head_sent:
                 self._metrics.token_gap_s.observe({}, now_s - last_event_s)
-                await caller.send(block)
+                await caller.send_held(block, held, other_bytes=other_bytes)
             else:
                 self._metrics.first_token_s.observe({}, now_s - request.arrived_s)
-                headers = headers_for_caller(attempt.headers)
-                await caller.send_head(attempt.status, headers, data=comments + block)
+                await caller.begin_held(
+                    attempt.status,
+                    headers_for_caller(attempt.headers),
+                    comments + block,
+                    held,
+                    other_bytes=other_bytes,
+                )
             request.last_event_id = state.splitter.last_event_id
             last_event_s = now_s
             comments = b""
--- a/src/sesameknot/transport/_attempt_connection.py
+++ b/src/sesameknot/transport/_attempt_connection.py
@@ -11,12 +11,16 @@
 from dataclasses import dataclass
 from typing import Any
 
+from tornado.http1connection import HTTP1Connection
 from tornado.iostream import IOStream
 from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
 from tornado.tcpclient import TCPClient
 
 from sesameknot.errors import ConnectError
 
+# Most bytes that are read from an endpoint at once, and kept until they are passed on.
+READ_CHUNK_BYTES = 16 * 1024
+
 
 class AttemptStream(IOStream):
     """Stream that knows at its end whether the peer received all that was sent.
@@ -97,7 +101,11 @@
         source_port: int | None = None,
     ) -> "tuple[IOStream, Future[IOStream]]":
         # There is no public hook for the class of the stream. The source is not chosen.
-        stream = AttemptStream(socket.socket(af), max_buffer_size=max_buffer_size)
+        stream = AttemptStream(
+            socket.socket(af),
+            max_buffer_size=max_buffer_size,
+            read_chunk_size=READ_CHUNK_BYTES,
+        )
         return stream, stream.connect(addr)
 
     async def connect(self, *args: Any, **kwargs: Any) -> IOStream:
@@ -119,7 +127,7 @@
 
 
 class _AttemptHTTPConnection(_HTTPConnection):
-    """HTTP connection whose fetch also fails when the peer resets it.
+    """HTTP connection that reads small chunks, and fails when the peer resets it.
 
     Notes
     -----
@@ -128,6 +136,11 @@
     hook.
     """
 
+    def _create_connection(self, stream: IOStream) -> HTTP1Connection:
+        connection = super()._create_connection(stream)
+        connection.params.chunk_size = READ_CHUNK_BYTES
+        return connection
+
     def on_connection_close(self) -> None:
         """Fail the fetch with the error of the stream."""
         try:
--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -17,6 +17,7 @@
 )
 from sesameknot.transport._attempt_connection import (
     CURRENT_ATTEMPT,
+    READ_CHUNK_BYTES,
     AttemptConnection,
     AttemptHTTPClient,
     AttemptStream,
@@ -24,9 +25,9 @@
 from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
 from sesameknot.transport.request_body import RequestBody
 
-# Above this, reading from the endpoint pauses until the buffered body has been read. A
-# host runs hundreds of attempts at a time.
-BUFFER_LIMIT_BYTES = 64 * 1024
+# From this on, reading from the endpoint pauses until the buffered body has been read.
+# A host runs hundreds of attempts at a time, whose callers may all read slowly.
+BUFFER_LIMIT_BYTES = 2 * READ_CHUNK_BYTES
 # Time after which an attempt that may not be given up is checked again.
 RECHECK_S = 0.25
 # Statuses of answers. Informational responses have lower ones and precede the answer.
@@ -196,7 +197,7 @@
         self._body_chunks.append(data)
         self._buffered_bytes += len(data)
         self._wake_reader()
-        if self._buffered_bytes > BUFFER_LIMIT_BYTES:
+        if self._buffered_bytes >= BUFFER_LIMIT_BYTES:
             self._buffer_drained = self._loop.create_future()
             await self._buffer_drained
             self._buffer_drained = None
