--- a/src/sesameknot/transport/_exchange.py
+++ b/src/sesameknot/transport/_exchange.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
+from functools import partial
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
-from tornado.httputil import HTTPHeaders, parse_response_start_line
+from tornado.httputil import HTTPHeaders
 
 from sesameknot.clock import Clock
 from sesameknot.errors import (
@@ -15,19 +17,27 @@
 )
 from sesameknot.transport._attempt_connection import (
     CURRENT_ATTEMPT,
+    READ_CHUNK_BYTES,
     AttemptConnection,
     AttemptHTTPClient,
+    AttemptStream,
 )
 from sesameknot.transport._endpoint_call import CallLimits, EndpointCall
 from sesameknot.transport.request_body import RequestBody
 
-# Above this, reading from the endpoint pauses until the buffered body has been read. A
-# host runs hundreds of attempts at a time.
-BUFFER_LIMIT_BYTES = 64 * 1024
+# From this on, reading from the endpoint pauses until the buffered body has been read.
+# A host runs hundreds of attempts at a time, whose callers may all read slowly.
+BUFFER_LIMIT_BYTES = 2 * READ_CHUNK_BYTES
 # Time after which an attempt that may not be given up is checked again.
 RECHECK_S = 0.25
-# Informational responses have lower status codes and precede the answer.
-FINAL_STATUS = 200
+# Statuses of answers. Informational responses have lower ones and precede the answer.
+FINAL_STATUSES = range(200, 600)
+INFORMATIONAL_STATUSES = range(100, 200)
+# No request asks for another protocol, so no HTTP answer follows this response.
+SWITCHING_PROTOCOLS_STATUS = 101
+# Statuses of answers that end with their head.
+BODILESS_STATUSES = frozenset({204, 304})
+CHUNKS_HEADER = "Transfer-Encoding"
 
 
 class Exchange:
@@ -58,6 +68,8 @@
         self._progress_seen = False
         self._unreported_bytes = 0
         self._fetch_done = False
+        # Done when the operating system has taken the whole body; None without a body.
+        self._body_sent: asyncio.Future[None] | None = None
         self._error: RouterError | None = None
         self._read_waiter: asyncio.Future[None] | None = None
         self._buffer_drained: asyncio.Future[None] | None = None
@@ -76,26 +88,53 @@
         return self._buffered_bytes
 
     @property
-    def ended_by_reset(self) -> bool:
-        """Whether the connection ended with an error instead of an orderly close.
-
-        Tornado treats a reset as the end of a body without ``Content-Length``.
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection shows the end of the answer."""
+        if self.status in BODILESS_STATUSES or self.call.method == "HEAD":
+            return False
+        return not ("Content-Length" in self.headers or CHUNKS_HEADER in self.headers)
+
+    def _check_end(self) -> None:
+        """Check that an answer which ended with its connection is complete.
+
+        Tornado treats a reset like an orderly close. An endpoint that closes the
+        connection before it has received the request resets it a moment later, when
+        more of the request arrives, so the orderly close shows nothing either.
         """
         stream = self.connection.stream
-        return stream is not None and isinstance(stream.error, OSError)
+        if stream is None or not self.ends_with_connection:
+            return
+        reason = ""
+        if isinstance(stream.error, OSError):
+            reason = "connection was reset"
+        elif not self._request_received(stream):
+            reason = "answer ended before the request was received"
+        if reason:
+            raise TransportError(reason, step="body", peer=self.call.url)
+
+    def _request_received(self, stream: AttemptStream) -> bool:
+        """Return whether the peer's kernel has received the whole request."""
+        body_sent = self._body_sent
+        if body_sent is not None and (
+            not body_sent.done() or body_sent.exception() is not None
+        ):
+            return False
+        return not stream.unacknowledged_bytes
 
     def _start(self, http: AttemptHTTPClient) -> None:
         limits = self._limits
         headers = HTTPHeaders(self.call.headers)
-        body, send_body = self.call.body, None
-        if isinstance(body, RequestBody):
+        body = self.call.body
+        if isinstance(body, bytes):
+            body = RequestBody(body)
+        send_body = None
+        if body is not None:
             headers["Content-Length"] = str(body.size_bytes)
-            body, send_body = None, body.send
+            send_body = partial(self._send_body, body)
         request = HTTPRequest(
             self.call.url + self.call.path,
             method=self.call.method,
             headers=headers,
-            body=body,
             body_producer=send_body,
             connect_timeout=min(limits.connect_timeout_s, limits.deadline_s),
             # The deadline timer ends the attempt earlier; this limit is a backstop.
@@ -113,13 +152,24 @@
             CURRENT_ATTEMPT.reset(token)
         fetch.add_done_callback(self._on_fetch_done)
 
+    def _send_body(
+        self, body: RequestBody, write: Callable[[bytes | memoryview], object]
+    ) -> None:
+        body.send(write)
+        stream = self.connection.stream
+        if stream is not None and not stream.closed():
+            # This write ends when all earlier ones have.
+            self._body_sent = stream.write(b"")
+
     def _on_header_line(self, line: str) -> None:
         if line == "\r\n":
-            start = parse_response_start_line(self._header_lines[0])
-            if start.code < FINAL_STATUS:
+            # Tornado accepts any three digits, and passes them on as a number.
+            status = int(self._header_lines[0].split(" ", 2)[1])
+            if status not in FINAL_STATUSES:
                 self._header_lines.clear()
+                self._check_informational(status)
                 return
-            self.status = start.code
+            self.status = status
             self.headers = HTTPHeaders()
             for header in self._header_lines[1:]:
                 self.headers.parse_line(header)
@@ -129,14 +179,25 @@
             return
         self._header_lines.append(line.rstrip("\r\n"))
 
+    def _check_informational(self, status: int) -> None:
+        """End the attempt if a status is not that of an informational response."""
+        if status in INFORMATIONAL_STATUSES and status != SWITCHING_PROTOCOLS_STATUS:
+            return
+        reason = f"answered status {status:03d}"
+        self._set_error(TransportError(reason, step="status", peer=self.call.url))
+        self.connection.abandon()
+        self._wake_reader()
+
     async def _on_body_chunk(self, data: bytes) -> None:
+        if self.connection.abandoned:
+            return
         self._unreported_bytes += len(data)
         if self._unreported_bytes >= self._limits.progress_bytes:
             self.report_progress()
         self._body_chunks.append(data)
         self._buffered_bytes += len(data)
         self._wake_reader()
-        if self._buffered_bytes > BUFFER_LIMIT_BYTES:
+        if self._buffered_bytes >= BUFFER_LIMIT_BYTES:
             self._buffer_drained = self._loop.create_future()
             await self._buffer_drained
             self._buffer_drained = None
@@ -251,7 +312,8 @@
         ConnectError
             If no byte was sent.
         TransportError
-            If the connection was lost, or a deadline passed after it was open.
+            If the connection was lost, the status is that of no HTTP answer, or a
+            deadline passed after the connection was open.
         """
         while not self.status:
             if self._error is not None:
@@ -268,12 +330,13 @@
         Raises
         ------
         TransportError
-            If the connection was lost or a deadline passed.
+            If the connection was lost, the answer is incomplete or a deadline passed.
         """
         while not self._body_chunks:
             if self._error is not None:
                 raise self._error
             if self._fetch_done:
+                self._check_end()
                 return b""
             await self._wait_for_event()
         data = b"".join(self._body_chunks)
