Learn the relative time per event of endpoints and place by it

Cause: with endpoints at 0.6, 1.0 and 1.6 of the mean time per event, placement by load alone sends the slow ones as much as the fast ones, and hosts that read the same load report all pick the same idle endpoint.

--- a/src/sesameknot/_front_exchange.py
+++ b/src/sesameknot/_front_exchange.py
@@ -10,6 +10,7 @@
 from sesameknot.coordination.store_follower import StoreFollower
 from sesameknot.coordination.store_link import StoreLink
 from sesameknot.platform import CONFIGURATION_KIND
+from sesameknot.policy.endpoint_pace import EndpointPace
 from sesameknot.settings.host import HostBounds, HostSettings
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.transport.peer_client import PeerClient
@@ -24,6 +25,7 @@
     findings: SharedFindings,
     snapshots: SnapshotExchange,
     peers: PeerClient,
+    endpoint_pace: EndpointPace | None,
     clock: Clock,
 ) -> tuple[DomainExchange, OutageSpread]:
     """Return the tasks that exchange with other hosts, and pass on outages at once."""
@@ -49,6 +51,7 @@
         clock=clock,
         probe=by_kind[CONFIGURATION_KIND],
         apply_limit_s=_change_limit_s(host.bounds),
+        endpoint_pace=endpoint_pace,
     )
     return exchange, spread
 
--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -23,6 +23,7 @@
 from sesameknot.policy.cold_start_limiter import ColdStartLimiter
 from sesameknot.policy.confidence_cascade import CASCADE_STRATEGIES
 from sesameknot.policy.crash_guard import CrashGuard
+from sesameknot.policy.endpoint_pace import EndpointPace
 from sesameknot.policy.model_partition import ModelPartition
 from sesameknot.policy.pressure import PressureGauge
 from sesameknot.policy.prompt_part_guard import PromptPartGuard
@@ -63,6 +64,8 @@
         Connections to endpoints.
     attempt_counts : AttemptCounts
         Outcomes by version.
+    endpoint_pace : EndpointPace or None
+        Time per event by endpoint; None if it is not learnt.
     crash_guard : CrashGuard
         Detects requests that crash endpoints.
     part_guard : PromptPartGuard
@@ -90,6 +93,7 @@
         "_client",
         "_clock",
         "_crash_guard",
+        "_endpoint_pace",
         "_host",
         "_metrics",
         "_on_outage",
@@ -111,6 +115,7 @@
         view: FleetView,
         client: EndpointClient,
         attempt_counts: AttemptCounts,
+        endpoint_pace: EndpointPace | None,
         crash_guard: CrashGuard,
         part_guard: PromptPartGuard,
         metrics: RouterMetrics,
@@ -127,6 +132,7 @@
         self._view = view
         self._client = client
         self._attempt_counts = attempt_counts
+        self._endpoint_pace = endpoint_pace
         self._crash_guard = crash_guard
         self._part_guard = part_guard
         self._metrics = metrics
@@ -161,6 +167,7 @@
             selector=selector,
             prompt_cache=prompt_cache,
             attempt_counts=self._attempt_counts,
+            endpoint_pace=self._endpoint_pace,
             pressure_gauges=PerService(self._build_pressure_gauge),
             answer_buffer=AnswerBuffer(
                 answer_limit_bytes=settings.attempts.answer_limit_bytes,
--- a/src/sesameknot/coordination/_load_reports.py
+++ b/src/sesameknot/coordination/_load_reports.py
@@ -1,9 +1,10 @@
 """Loads on endpoints, as hosts report them to each other."""
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
 
 from sesameknot.clock import Clock
+from sesameknot.coordination._pace_reports import PaceReports
+from sesameknot.coordination._report_table import ReportTable
 from sesameknot.protocol.messages import EndpointLoads
 from sesameknot.state.fleet_view import FleetView
 
@@ -14,14 +15,6 @@
 Loads = dict[str, tuple[int, int]]
 
 
-@dataclass(slots=True)
-class LoadReport:
-    """Loads that another host reported, and the monotonic time of the report."""
-
-    loads: Loads
-    received_s: float
-
-
 def sum_loads(all_loads: Iterable[Loads]) -> Loads:
     """Return the sum of several hosts' loads."""
     total: Loads = {}
@@ -54,72 +47,91 @@
     ----------
     view : FleetView
         Hosts, and endpoints with the requests of this host.
+    paces : PaceReports or None
+        Paces of endpoints, which some of the messages hold too; None if they are not
+        learnt.
     clock : Clock
         Source of monotonic time.
     """
 
-    def __init__(self, view: FleetView, *, clock: Clock) -> None:
+    def __init__(
+        self, view: FleetView, *, paces: PaceReports | None, clock: Clock
+    ) -> None:
         self._view = view
-        self._clock = clock
-        self._by_host: dict[str, LoadReport] = {}
-        self._by_relay: dict[str, LoadReport] = {}
+        self._paces = paces
+        self._reports: ReportTable[Loads] = ReportTable(
+            view, life_s=LOAD_LIFE_S, clock=clock
+        )
 
     def add_host(self, host_id: str, columns: EndpointLoads) -> None:
         """Record the loads that a host of this failure domain reports of itself."""
-        self._by_host[host_id] = self._report(columns)
+        self._reports.add_host(host_id, parse_loads(columns))
+        if self._paces is not None:
+            self._paces.add_host(host_id, columns)
 
     def add_relay(self, host_id: str, columns: EndpointLoads) -> None:
         """Record the sum of loads that a relay reports."""
-        self._by_relay[host_id] = self._report(columns)
-
-    def _report(self, columns: EndpointLoads) -> LoadReport:
-        return LoadReport(parse_loads(columns), self._clock.monotonic_s())
-
-    def own(self) -> Loads:
-        """Return the loads from this host."""
+        self._reports.add_relay(host_id, parse_loads(columns))
+        if self._paces is not None:
+            self._paces.add_relay(host_id, columns)
+
+    def own(self, *, with_paces: bool = False) -> EndpointLoads:
+        """Return the loads from this host as a message record."""
+        columns = load_columns(self._own())
+        if with_paces and self._paces is not None:
+            self._paces.add_own(columns)
+        return columns
+
+    def domain(self, *, with_paces: bool = False) -> EndpointLoads:
+        """Return the loads from this failure domain as a message record."""
+        columns = load_columns(sum_loads([self._own(), *self._hosts()]))
+        if with_paces and self._paces is not None:
+            self._paces.add_domain(columns)
+        return columns
+
+    def answer(
+        self, host_id: str, *, same_domain: bool, with_paces: bool
+    ) -> EndpointLoads:
+        """Return the loads that are news to a host, as a message record."""
+        loads = sum_loads([self._own(), *self._hosts(without=host_id)])
+        if same_domain:
+            loads = sum_loads([loads, self._relayed()])
+        columns = load_columns(loads)
+        if with_paces and self._paces is not None:
+            self._paces.add_answer(columns, host_id, same_domain=same_domain)
+        return columns
+
+    def _own(self) -> Loads:
         return {
             endpoint.endpoint_id: (endpoint.in_flight_count, endpoint.pending_tokens)
             for endpoint in self._view.endpoints.values()
             if endpoint.in_flight_count
         }
 
-    def domain(self, *, without: str = "") -> Loads:
-        """Return the loads from this failure domain but the host ``without``."""
-        return sum_loads([self.own(), *self._hosts(without=without)])
-
     def _hosts(self, *, without: str = "") -> list[Loads]:
         return [
-            report.loads
-            for host_id, report in self._by_host.items()
-            if host_id != without and self._is_fresh(report)
+            report.content
+            for host_id, report in self._reports.hosts()
+            if host_id != without
         ]
 
-    def relayed(self) -> Loads:
+    def _relayed(self) -> Loads:
         """Return the loads that relays reported, from the latest report of a domain."""
-        latest: dict[str, LoadReport] = {}
-        for host_id, report in self._by_relay.items():
-            host = self._view.hosts.get(host_id)
-            if host is None or not self._is_fresh(report):
-                continue
-            previous = latest.get(host.domain)
-            if previous is None or previous.received_s < report.received_s:
-                latest[host.domain] = report
-        return sum_loads(report.loads for report in latest.values())
+        return sum_loads(report.content for report in self._reports.relayed())
 
     def serves_hosts_besides(self, host_ids: Collection[str]) -> bool:
         """Return whether a host that is not in ``host_ids`` has reported lately."""
-        return any(
-            self._is_fresh(report) and host_id not in host_ids
-            for host_id, report in self._by_host.items()
-        )
-
-    def _is_fresh(self, report: LoadReport) -> bool:
-        return self._clock.monotonic_s() - report.received_s < LOAD_LIFE_S
+        return self._reports.has_hosts_besides(host_ids)
 
     def apply(self) -> None:
         """Set the load of other hosts on each endpoint."""
-        total = sum_loads([self.relayed(), *self._hosts()])
+        total = sum_loads([self._relayed(), *self._hosts()])
         for endpoint in self._view.endpoints.values():
             endpoint.other_in_flight_count, endpoint.other_pending_tokens = total.get(
                 endpoint.endpoint_id, (0, 0)
             )
+
+    def refresh_paces(self, *, is_relay: bool) -> None:
+        """Sum the paces, if they are learnt, and apply them to the endpoints."""
+        if self._paces is not None:
+            self._paces.refresh(is_relay=is_relay)
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -20,22 +20,20 @@
     ChangeReplies,
     DeferredKinds,
 )
-from sesameknot.coordination._load_reports import (
-    LoadReports,
-    Loads,
-    load_columns,
-    sum_loads,
-)
+from sesameknot.coordination._load_reports import LoadReports
+from sesameknot.coordination._pace_reports import PaceReports
 from sesameknot.coordination._stored_records import stored_entry
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_follower import StoreFollower
 from sesameknot.coordination.store_link import StoreLink
 from sesameknot.errors import RouterError
+from sesameknot.policy.endpoint_pace import EndpointPace
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.messages import (
     DomainSync,
     DomainSyncReply,
+    EndpointLoads,
     ObjectVersion,
 )
 from sesameknot.state.fleet_view import FleetView
@@ -56,6 +54,9 @@
 BOTH_RELAYS_ROUND_COUNT = 3
 # Rounds between two calls to the relays of other failure domains.
 OTHER_DOMAINS_ROUND_COUNT = 2
+# Rounds between two messages with the paces of endpoints, which change slowly. It is a
+# multiple of both counts above, so that these messages go to all relays.
+PACE_ROUND_COUNT = 6
 
 log = structlog.get_logger(__name__)
 
@@ -87,6 +88,9 @@
         Follower whose watch shows whether the store answers.
     apply_limit_s : float
         Time within which a change in the store must be in force.
+    endpoint_pace : EndpointPace or None, default=None
+        Time per event by endpoint, shared with the other hosts; None if it is not
+        learnt.
 
     Attributes
     ----------
@@ -109,6 +113,7 @@
         clock: Clock,
         probe: StoreFollower,
         apply_limit_s: float,
+        endpoint_pace: EndpointPace | None = None,
     ) -> None:
         self._view = view
         self._followers = {follower.kind: follower for follower in followers}
@@ -126,7 +131,11 @@
         self._host_id = host_id
         self._domain = domain
         self._clock = clock
-        self._loads = LoadReports(view, clock=clock)
+        paces = None
+        if endpoint_pace is not None:
+            paces = PaceReports(endpoint_pace, view=view, domain=domain, clock=clock)
+        self._loads = LoadReports(view, paces=paces, clock=clock)
+        self._with_paces = False
         self._snapshots = snapshots
         self._change_replies = ChangeReplies(self._followers, snapshots=snapshots)
         self._deferred = DeferredKinds(self._followers)
@@ -142,7 +151,11 @@
         while True:
             await asyncio.sleep(EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1))
             relays = self.relays(self._domain)
-            if self._host_id in relays or not relays:
+            is_relay = self._host_id in relays or not relays
+            self._with_paces = round_count % PACE_ROUND_COUNT == 0
+            if self._with_paces:
+                self._loads.refresh_paces(is_relay=is_relay)
+            if is_relay:
                 await self._exchange_as_relay(relays)
                 if round_count % OTHER_DOMAINS_ROUND_COUNT == 0 or self._is_cut_off:
                     await self._exchange_with_other_domains()
@@ -164,7 +177,9 @@
         self._set_relayed(False, reason="this host is a relay")
         others = [relay for relay in relays if relay != self._host_id]
         replies = await self._sync(
-            others, loads=self._loads.own(), versions=self._versions_if_cut_off()
+            others,
+            loads=self._loads.own(with_paces=self._with_paces),
+            versions=self._versions_if_cut_off(),
         )
         for relay, reply in replies.items():
             self._take_changes(relay, reply)
@@ -216,7 +231,8 @@
     async def _sync_relays(self, relays: list[str]) -> int:
         """Exchange with relays; return how many of them are up to date."""
         versions = self._versions() if self._listed else []
-        replies = await self._sync(relays, loads=self._loads.own(), versions=versions)
+        loads = self._loads.own(with_paces=self._with_paces)
+        replies = await self._sync(relays, loads=loads, versions=versions)
         store_ages_ms = []
         for relay, reply in replies.items():
             self._loads.add_relay(relay, reply.loads)
@@ -264,7 +280,9 @@
         domains = {host.domain for host in self._view.hosts.values()} - {self._domain}
         targets = [self.relays(domain)[0] for domain in sorted(domains)]
         replies = await self._sync(
-            targets, loads=self._loads.domain(), versions=self._versions_if_cut_off()
+            targets,
+            loads=self._loads.domain(with_paces=self._with_paces),
+            versions=self._versions_if_cut_off(),
         )
         for target, reply in replies.items():
             self._loads.add_relay(target, reply.loads)
@@ -274,7 +292,7 @@
         self,
         host_ids: Sequence[str],
         *,
-        loads: Loads,
+        loads: EndpointLoads,
         versions: Sequence[ObjectVersion] = (),
     ) -> dict[str, DomainSyncReply]:
         """Call hosts concurrently, merge their findings and return the replies."""
@@ -282,7 +300,7 @@
         request = DomainSync(
             host_id=self._host_id,
             versions=list(versions),
-            loads=load_columns(loads),
+            loads=loads,
             object_limit_bytes=INLINE_LIMIT_BYTES,
         )
         self._findings.add_to(request)
@@ -351,14 +369,16 @@
         add_report = self._loads.add_host if same_domain else self._loads.add_relay
         add_report(request.host_id, request.loads)
         self._merge_findings(request)
-        loads = self._loads.domain(without=request.host_id)
-        if same_domain:
-            loads = sum_loads([loads, self._loads.relayed()])
+        loads = self._loads.answer(
+            request.host_id,
+            same_domain=same_domain,
+            with_paces=request.loads.with_paces,
+        )
         reply = DomainSyncReply(
             store_age_ms=self._store_age_ms(),
             store_failed_age_ms=self._age_ms(self._view.store_failed_s),
             store_era=min(follower.era for follower in self._followers.values()),
-            loads=load_columns(loads),
+            loads=loads,
         )
         self._findings.add_to(reply)
         self._change_replies.add_changes(request, reply)
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -371,6 +371,18 @@
             entry.service, entry.version, self.model, gap_s=gap_s
         )
 
+    def observe_pace(self, gap_s: float, *, load_share: float) -> None:
+        """Record the mean time between events of the whole stream for the endpoint."""
+        endpoint_pace = self._runner.endpoint_pace
+        if endpoint_pace is not None:
+            endpoint_pace.observe(
+                self.endpoint.entry.service,
+                self.model,
+                self.endpoint.incarnation_id,
+                gap_s=gap_s,
+                load_share=load_share,
+            )
+
     def record_answer(self, result: str = "answered") -> None:
         """Record a complete answer; a 5xx status counts against the endpoint."""
         self._result = result
--- a/src/sesameknot/forwarding/attempt_runner.py
+++ b/src/sesameknot/forwarding/attempt_runner.py
@@ -14,6 +14,7 @@
 from sesameknot.forwarding.request import ForwardedRequest
 from sesameknot.platform import headers_for_endpoint
 from sesameknot.policy.answer_buffer import AnswerBuffer
+from sesameknot.policy.endpoint_pace import EndpointPace
 from sesameknot.policy.pressure import PressureGauge
 from sesameknot.policy.prompt_placement import PromptCacheTracker
 from sesameknot.router.metrics import RouterMetrics
@@ -45,6 +46,8 @@
         Records which endpoints have which prompts cached.
     attempt_counts : AttemptCounts
         Good and bad answers by version.
+    endpoint_pace : EndpointPace or None
+        Time per event by endpoint; None if it is not learnt.
     pressure_gauges : PerService of PressureGauge
         Time to the first data of answers, by service.
     answer_buffer : AnswerBuffer
@@ -77,6 +80,7 @@
         selector: EndpointSelector,
         prompt_cache: PromptCacheTracker,
         attempt_counts: AttemptCounts,
+        endpoint_pace: EndpointPace | None,
         pressure_gauges: PerService[PressureGauge],
         answer_buffer: AnswerBuffer,
         permits: EndpointPermits,
@@ -94,6 +98,7 @@
         self.selector = selector
         self.prompt_cache = prompt_cache
         self.attempt_counts = attempt_counts
+        self.endpoint_pace = endpoint_pace
         self.pressure_gauges = pressure_gauges
         self.answer_buffer = answer_buffer
         self.permits = permits
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -124,6 +124,7 @@
             in_flight=chosen.in_flight_count,
             others_in_flight=chosen.other_in_flight_count,
             failure_share=round(chosen.health.failure_share, 3),
+            relative_event_time=round(chosen.relative_event_time, 2),
             started_ms=chosen.entry.started_ms,
             cold_s=round(self._view.cold_left_s(chosen), 3),
             limit_per_s=self._view.endpoint_limits.rate_per_s(chosen.incarnation_id),
@@ -290,6 +291,7 @@
             failure_share=endpoint.health.failure_share,
             slot_count=endpoint.entry.slot_count,
             preferred_for_model=endpoint.endpoint_id in preferred,
+            relative_event_time=endpoint.relative_event_time,
         )
 
 
--- a/src/sesameknot/forwarding/status_pages.py
+++ b/src/sesameknot/forwarding/status_pages.py
@@ -74,6 +74,7 @@
         metrics.body_limit_bytes.set({}, self._body_budget.limit_bytes)
         metrics.platform_calls.set({}, self._store_call_count())
         metrics.limited_endpoints.set({}, self._view.endpoint_limits.limited_count)
+        metrics.uneven_endpoints.set({}, self._view.uneven_count)
         config_age_s = self._clock.monotonic_s() - self._view.configuration_applied_s
         metrics.config_age_s.set({}, config_age_s)
         accept_headers = http_request.headers.get_list("Accept")
--- a/src/sesameknot/forwarding/stream_pace.py
+++ b/src/sesameknot/forwarding/stream_pace.py
@@ -1,4 +1,4 @@
-"""Measurement of the pace of one stream."""
+"""Measurement of the pace of one stream, for its version and its endpoint."""
 
 from sesameknot.forwarding.attempt import Attempt
 
@@ -7,11 +7,12 @@
 
 
 class StreamPace:
-    """Measures the mean time between events once, and counts it for the version.
+    """Measures the mean time between events for the version, and for the endpoint.
 
-    A stream is measured as soon as it has run for the longest pause that its route
-    wants between events, so that slow streams are counted as early as others. Streams
-    of cold endpoints are not measured.
+    For its version, a stream is measured as soon as it has run for the longest pause
+    that its route wants between events, so that slow streams are counted as early as
+    others. For its endpoint it is measured at its end, over all of its events, as a
+    short slowdown then matters less. Streams of cold endpoints are not measured.
 
     Parameters
     ----------
@@ -19,20 +20,34 @@
         The attempt whose answer is the stream.
     """
 
-    __slots__ = ("_attempt", "_event_count", "_first_event_s", "_measured")
+    __slots__ = (
+        "_attempt",
+        "_cold",
+        "_event_count",
+        "_first_event_s",
+        "_first_load_share",
+        "_last_event_s",
+        "_measured",
+    )
 
     def __init__(self, attempt: Attempt) -> None:
         self._attempt = attempt
         self._event_count = 0
         self._first_event_s = 0.0
+        self._last_event_s = 0.0
+        self._first_load_share = 0.0
+        self._cold = False
         self._measured = False
 
     def events_received(self, count: int, now_s: float) -> None:
         """Note events that arrived together."""
         if not self._event_count:
             self._first_event_s = now_s
-            self._measured = now_s < self._attempt.endpoint.cold_until_s
+            self._first_load_share = self._attempt.endpoint.load_share
+            self._cold = now_s < self._attempt.endpoint.cold_until_s
+            self._measured = self._cold
         self._event_count += count
+        self._last_event_s = now_s
         if now_s - self._first_event_s >= self._measuring_time_s:
             self._measure(now_s)
 
@@ -43,6 +58,8 @@
             return
         if self._event_count > GAP_MIN_COUNT or waited_s >= self._measuring_time_s:
             self._measure(now_s)
+        if self._event_count > GAP_MIN_COUNT and not self._cold:
+            self._measure_endpoint()
 
     @property
     def _measuring_time_s(self) -> float:
@@ -55,3 +72,11 @@
             gap_count = max(1, self._event_count - 1)
             gap_s = (now_s - self._first_event_s) / gap_count
             self._attempt.count_stream(gap_s)
+
+    def _measure_endpoint(self) -> None:
+        # Time after the last event says how the stream ended, not how fast it was.
+        duration_s = self._last_event_s - self._first_event_s
+        load_share = (self._first_load_share + self._attempt.endpoint.load_share) / 2.0
+        self._attempt.observe_pace(
+            duration_s / (self._event_count - 1), load_share=load_share
+        )
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -33,6 +33,7 @@
 from sesameknot.forwarding.status_pages import StatusPages
 from sesameknot.platform import StoreClient
 from sesameknot.policy.crash_guard import CrashGuard
+from sesameknot.policy.endpoint_pace import EndpointPace
 from sesameknot.policy.prompt_part_guard import PromptPartGuard
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.fleet_records import HostEntry
@@ -108,6 +109,9 @@
             endpoint_leave_s=host.bounds.endpoint_leave_ms / 1000.0,
         )
         self.attempt_counts = AttemptCounts()
+        self.endpoint_pace = (
+            EndpointPace(clock=self.clock) if settings.placement.learn_pace else None
+        )
         self.reachability = EndpointReachability()
         self.store_link = StoreLink(
             on_failure=self.view.note_store_failure,
@@ -207,6 +211,7 @@
             ),
             snapshots=self.snapshots,
             peers=self.peer_client,
+            endpoint_pace=self.endpoint_pace,
             clock=self.clock,
         )
         self.rollout_coordinator = build_rollout_coordinator(
@@ -261,6 +266,7 @@
             view=self.view,
             client=self.endpoint_client,
             attempt_counts=self.attempt_counts,
+            endpoint_pace=self.endpoint_pace,
             crash_guard=self.crash_guard,
             part_guard=self.part_guard,
             metrics=self.metrics,
--- a/src/sesameknot/policy/prompt_placement.py
+++ b/src/sesameknot/policy/prompt_placement.py
@@ -11,6 +11,8 @@
 from sesameknot.registry import Registry
 
 CACHE_ENTRY_LIMIT_COUNT = 20_000
+# Endpoints with up to this many requests more than the least loaded one are near ties.
+NEAR_TIE_LOAD_COUNT = 3
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -33,6 +35,9 @@
         Number of requests that it runs concurrently; 0 if unknown.
     preferred_for_model : bool
         Whether the model partition prefers it for the request's model.
+    relative_event_time : float
+        Time per event of its streams over the mean of the service; 1 where the
+        difference is small or not known.
     """
 
     endpoint_id: str
@@ -42,6 +47,7 @@
     failure_share: float = 0.0
     slot_count: int = 0
     preferred_for_model: bool = True
+    relative_event_time: float = 1.0
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -130,7 +136,16 @@
 
 
 class _PlacementBase:
-    """Base class with the cost estimate that all variants share."""
+    """Base class with the cost estimate that all variants share.
+
+    Notes
+    -----
+    Where endpoints are known to be uneven, the load of each, the request included,
+    counts in proportion to its time per event, and one of those with nearly the lowest
+    cost is drawn at random: other hosts see the same loads, up to 0.5 s old, and would
+    all choose the lowest. The window of ``NEAR_TIE_LOAD_COUNT`` requests is smaller
+    than what a cached prompt of 1,000 tokens saves by default.
+    """
 
     __slots__ = ("cache", "costs", "random_generator")
 
@@ -150,15 +165,36 @@
         waiting_count = 0
         if candidate.slot_count:
             waiting_count = max(0, candidate.in_flight_count + 1 - candidate.slot_count)
-        return (
+        work_ms = (
             candidate.in_flight_count * costs.request_load_ms
             + waiting_count * costs.waiting_ms
             + candidate.pending_tokens * costs.prefill_ms_per_token
+        )
+        if candidate.relative_event_time != 1.0:
+            # The request's own load, which is the same at all other endpoints, too.
+            work_ms += costs.request_load_ms
+            work_ms *= candidate.relative_event_time
+            work_ms -= costs.request_load_ms
+        return (
+            work_ms
             + candidate.failure_share * costs.failure_penalty_ms
             + (0.0 if candidate.same_domain else costs.other_domain_ms)
             + (0.0 if candidate.preferred_for_model else costs.other_model_ms)
         )
 
+    def _draw_near_lowest(
+        self, candidates: Sequence[PlacementCandidate], costs_ms: Sequence[float]
+    ) -> PlacementCandidate:
+        """Return one of the candidates with nearly the lowest cost, fast ones first."""
+        limit_ms = min(costs_ms) + NEAR_TIE_LOAD_COUNT * self.costs.request_load_ms
+        near = [
+            candidate
+            for candidate, cost_ms in zip(candidates, costs_ms, strict=True)
+            if cost_ms <= limit_ms
+        ]
+        speeds = [1.0 / candidate.relative_event_time for candidate in near]
+        return self.random_generator.choices(near, speeds)[0]
+
 
 @PLACEMENTS.register("least_busy")
 class LeastBusyPlacement(_PlacementBase):
@@ -170,6 +206,9 @@
         self, candidates: Sequence[PlacementCandidate], request: PlacementRequest
     ) -> PlacementCandidate:
         """Return the candidate with the lowest load."""
+        if _uneven(candidates):
+            loads_ms = [self._load_ms(candidate) for candidate in candidates]
+            return self._draw_near_lowest(candidates, loads_ms)
         draw_tie_break = self.random_generator.random
         return min(
             candidates,
@@ -212,4 +251,11 @@
             prefill_ms = (total_tokens - cached) * self.costs.prefill_ms_per_token
             return self._load_ms(candidate) + prefill_ms
 
+        if _uneven(candidates):
+            costs_ms = [estimate_ms(index) for index in range(len(candidates))]
+            return self._draw_near_lowest(candidates, costs_ms)
         return candidates[min(range(len(candidates)), key=estimate_ms)]
+
+
+def _uneven(candidates: Sequence[PlacementCandidate]) -> bool:
+    return any(candidate.relative_event_time != 1.0 for candidate in candidates)
--- a/src/sesameknot/protocol/_records.py
+++ b/src/sesameknot/protocol/_records.py
@@ -172,11 +172,20 @@
 
 @dataclass(slots=True, kw_only=True)
 class EndpointLoads:
-    """Requests in flight and unprocessed prompt tokens at endpoints, as columns."""
+    """Requests in flight and unprocessed prompt tokens at endpoints, as columns.
+
+    Every few messages hold the paces of endpoints too (``with_paces``), and the reply
+    to such a message as well. ``pace_keys`` are those of incarnations; their means are
+    in thousandths of the natural logarithm, their counts in tenths.
+    """
 
     endpoint_ids: list[str] = field(default_factory=list)
     in_flight_counts: list[int] = field(default_factory=list)
     pending_tokens: list[int] = field(default_factory=list)
+    pace_keys: list[int] = field(default_factory=list)
+    pace_log_means: list[int] = field(default_factory=list)
+    pace_counts: list[int] = field(default_factory=list)
+    with_paces: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/sesameknot/protocol/schema/peer.capnp
+++ b/src/sesameknot/protocol/schema/peer.capnp
@@ -294,6 +294,10 @@
   endpointIds @0 :List(Text);
   inFlightCounts @1 :List(UInt32);
   pendingTokens @2 :List(UInt32);
+  paceKeys @3 :List(UInt32);
+  paceLogMeans @4 :List(Int16);
+  paceCounts @5 :List(UInt16);
+  withPaces @6 :Bool;
 }
 
 struct EndpointOutageAges {
--- a/src/sesameknot/router/metrics.py
+++ b/src/sesameknot/router/metrics.py
@@ -75,6 +75,11 @@
             "Endpoints that named a limit on their request rate",
             registry=registry,
         )
+        self.uneven_endpoints = Gauge(
+            "sesameknot_uneven_endpoints",
+            "Endpoints whose time per event differs from the mean of their service",
+            registry=registry,
+        )
         self.platform_calls = Gauge(
             "sesameknot_platform_calls", "Calls to the platform", registry=registry
         )
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -66,6 +66,9 @@
     # Added if the endpoint should run other models than the requested one.
     other_model_ms: Annotated[float, Meta(ge=0.0)] = 300.0
     cache_life_s: DurationS = 10.0
+    # Learns the time per event of streams by endpoint, and lets slow endpoints have
+    # less work.
+    learn_pace: bool = False
 
 
 class AttemptSettings(SettingsStruct):
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -387,6 +387,11 @@
             for endpoint in self.endpoints.values()
         )
 
+    @property
+    def uneven_count(self) -> int:
+        """Number of endpoints whose time per event differs from the mean."""
+        return sum(e.relative_event_time != 1.0 for e in self.endpoints.values())
+
     def _last_resort(
         self, service: str, versions: VersionFilter
     ) -> list[KnownEndpoint]:
--- a/src/sesameknot/state/known_endpoint.py
+++ b/src/sesameknot/state/known_endpoint.py
@@ -44,6 +44,9 @@
         Prompt tokens of those attempts that have not produced their first event.
     other_in_flight_count, other_pending_tokens : int
         The same counts of all other hosts, from their last reports.
+    relative_event_time : float
+        Time per event of its streams over the mean of the service's endpoints; 1 where
+        the difference is small or not known.
     """
 
     entry: EndpointEntry
@@ -61,6 +64,7 @@
     pending_tokens: int = 0
     other_in_flight_count: int = 0
     other_pending_tokens: int = 0
+    relative_event_time: float = 1.0
 
     @property
     def endpoint_id(self) -> str:
@@ -73,6 +77,14 @@
         started_ms = self.entry.started_ms
         return f"{self.endpoint_id}@{started_ms}" if started_ms else self.endpoint_id
 
+    @property
+    def load_share(self) -> float:
+        """Requests in flight over the slots, at most 1; 0 if these are unknown."""
+        if not self.entry.slot_count:
+            return 0.0
+        in_flight_count = self.in_flight_count + self.other_in_flight_count
+        return min(1.0, in_flight_count / self.entry.slot_count)
+
     def contradicts_leaving(self, entry: EndpointEntry, *, now_s: float) -> bool:
         """Return whether an entry of a restored store may be older than the leaving."""
         if entry.state is not EndpointState.READY:
