Test the exchange of paces and placement by pace; bound its messages

Cause: nothing guarded against observations that count twice while relays change, which the first version did: a former relay added other domains' sums to its new relay's. Messages with paces in each turn took 8.8 KB/s of a host among 380 with 730 endpoints.

Change: a host takes either its relay's sum or, as a relay, its hosts' reports and the other domains' sums. Messages with paces are rarer with more than 128 endpoints. Near ties span 5 requests instead of 3.

--- a/benchmarks/uneven_endpoints.py
+++ b/benchmarks/uneven_endpoints.py
@@ -10,6 +10,7 @@
 
 import heapq
 import itertools
+import math
 import random
 import statistics
 import time
@@ -17,7 +18,14 @@
 
 from benchmarks._figures import Figure, report
 from sesameknot.clock import ManualClock
-from sesameknot.policy.endpoint_pace import EndpointPace, sum_paces
+from sesameknot.coordination._pace_reports import add_paces, parse_paces
+from sesameknot.policy.endpoint_pace import (
+    DECAY_S,
+    EndpointPace,
+    Paces,
+    pace_key,
+    sum_paces,
+)
 from sesameknot.policy.prompt_placement import (
     PLACEMENTS,
     PlacementCandidate,
@@ -25,6 +33,8 @@
     PlacementRequest,
     PromptCacheTracker,
 )
+from sesameknot.protocol.codec import Envelope, decode, encode
+from sesameknot.protocol.messages import DomainSync, EndpointLoads
 from sesameknot.settings.front import PlacementSettings
 
 HOST_COUNT = 90
@@ -46,13 +56,24 @@
 FIRST_EVENT_TARGET_S = 3.0
 DEADLINE_S = 15.0
 WARM_UP_S = 30.0
-END_S = 90.0
+END_S = 70.0
 SEED = 7
 # Routes as (share of requests, shared tokens, own tokens, events).
 ROUTES = ((0.49, 5382, 6610, 42), (0.51, 198, 628, 32))
 SHARED_PROMPT_COUNT = 24
-# Demand over what the endpoints can serve with all slots in use.
-UTILISATIONS = (0.6, 0.9)
+# Hosts, endpoints and streams per second whose pace is measured.
+FLEETS = ((90, 70, 100.0), (380, 730, 4400.0))
+# Time for which a host's observation of an endpoint is sent: until a tenth is left.
+OBSERVED_S = DECAY_S * math.log(10.0)
+MESSAGE_LIMIT_BYTES = 12_000
+HOT_PROMPT_COUNT = 6
+HOT_EMPTY_BATCH_SHARE = 0.4
+HOT_UTILISATION = 0.5
+# Bounds of the ratios, by demand over what the endpoints can serve.
+BOUNDS = {
+    0.6: {"late": 0.5, "first_event": 1.0, "last_event": 1.0, "decision": 1.5},
+    0.9: {"late": 0.3, "first_event": 0.7, "last_event": 0.9, "decision": 1.5},
+}
 
 
 @dataclass(slots=True)
@@ -136,6 +157,9 @@
         Whether hosts learn the pace of endpoints.
     by_load : bool, default=True
         Whether hosts know the load under which they observed a stream.
+    hot : bool, default=False
+        Whether there are few shared prompts, whose endpoints are fuller than others,
+        and the load matters more.
     """
 
     def __init__(
@@ -145,9 +169,12 @@
         *,
         learn: bool,
         by_load: bool = True,
+        hot: bool = False,
     ) -> None:
         self._learn = learn
         self._by_load = by_load
+        self._prompt_count = HOT_PROMPT_COUNT if hot else SHARED_PROMPT_COUNT
+        self._empty_share = HOT_EMPTY_BATCH_SHARE if hot else EMPTY_BATCH_SHARE
         self._clock = ManualClock(0.0)
         # Requests are the same in all runs, whatever the placement draws.
         self._random = random.Random(SEED)
@@ -234,7 +261,7 @@
     def _arrive(self, now_s: float) -> None:
         route = 0 if self._random.random() < ROUTES[0][0] else 1
         _, shared_tokens, own_tokens, event_count = ROUTES[route]
-        shared = f"{route}/{self._random.randrange(SHARED_PROMPT_COUNT)}"
+        shared = f"{route}/{self._random.randrange(self._prompt_count)}"
         own = f"own {self._random.random()}"
         request = PlacementRequest(
             model="m", prompt=((shared, shared_tokens), (own, own_tokens))
@@ -279,7 +306,7 @@
             run = endpoint.queue.pop(0)
             endpoint.running_count += 1
             batch = endpoint.running_count / SLOT_COUNT
-            batch_factor = EMPTY_BATCH_SHARE + (1.0 - EMPTY_BATCH_SHARE) * batch
+            batch_factor = self._empty_share + (1.0 - self._empty_share) * batch
             noise = self._noise(run)
             run.gap_s = EVENT_GAP_S * endpoint.event_time * batch_factor * noise
             (shared, shared_tokens), (_, own_tokens) = run.request.prompt
@@ -350,26 +377,87 @@
 def main() -> bool:
     """Print the figures and return whether all are within their bounds."""
     figures = []
-    for utilisation in UTILISATIONS:
+    for utilisation, bounds in BOUNDS.items():
         name = f"uneven{utilisation}"
         by_load = World(UNEVEN_TIMES, utilisation, learn=False).run()
-        without_load = World(UNEVEN_TIMES, utilisation, learn=True, by_load=False)
-        unadjusted = without_load.run()
         learnt = World(UNEVEN_TIMES, utilisation, learn=True).run()
         figures += _figures(f"{name}_load_only", by_load)
-        figures += _figures(f"{name}_unadjusted", unadjusted)
         figures += _figures(f"{name}_learnt", learnt)
-        first = _p95(learnt.first_event_s) / _p95(by_load.first_event_s)
-        last = _p95(learnt.last_event_s) / _p95(by_load.last_event_s)
-        late = learnt.late_share / max(1e-9, by_load.late_share)
+        ratios = {
+            "late": learnt.late_share / max(1e-9, by_load.late_share),
+            "first_event": _p95(learnt.first_event_s) / _p95(by_load.first_event_s),
+            "last_event": _p95(learnt.last_event_s) / _p95(by_load.last_event_s),
+            "decision": learnt.decision_us / by_load.decision_us,
+        }
         figures += [
-            Figure(f"{name}_first_event_ratio", first, "-"),
-            Figure(f"{name}_last_event_ratio", last, "-"),
-            Figure(f"{name}_late_ratio", late, "-"),
+            Figure(f"{name}_{what}_ratio", ratio, "-", at_most=bounds[what])
+            for what, ratio in ratios.items()
         ]
         before = World((1.0,), utilisation, learn=False).run()
         after = World((1.0,), utilisation, learn=True).run()
-        pairs = zip(before.choices, after.choices, strict=True)
-        changed = sum(a != b for a, b in pairs)
+        changed = _changed_count(before, after)
         figures.append(Figure(f"even{utilisation}_changed", changed, "requests", 0.0))
-    return report(figures)
+    return report(figures + _hot_prompt_figures() + _message_figures())
+
+
+def _hot_prompt_figures() -> list[Figure]:
+    """Return the choices changed at even endpoints, a few of which are much fuller."""
+    before = World((1.0,), HOT_UTILISATION, learn=False, hot=True).run()
+    unadjusted = World((1.0,), HOT_UTILISATION, learn=True, by_load=False, hot=True)
+    changed = _changed_count(before, unadjusted.run())
+    after = World((1.0,), HOT_UTILISATION, learn=True, hot=True).run()
+    return [
+        Figure("hot_even_unadjusted_changed", changed, "requests"),
+        Figure("hot_even_changed", _changed_count(before, after), "requests", 0.0),
+    ]
+
+
+def _message_figures() -> list[Figure]:
+    """Return what paces add to the messages of a host and to the replies of a relay."""
+    figures = []
+    for host_count, endpoint_count, streams_per_s in FLEETS:
+        generator = random.Random(SEED)
+        seen_share = streams_per_s * OBSERVED_S / (host_count * endpoint_count)
+        own, total = {}, {}
+        for number in range(endpoint_count):
+            key = pace_key(f"endpoint-{number}@{1_700_000_000_000 + number}")
+            log_mean = generator.gauss(0.0, 0.3)
+            count = streams_per_s / endpoint_count * DECAY_S
+            total[key] = (log_mean * count, count)
+            if generator.random() < 1.0 - math.exp(-seen_share):
+                own_count = generator.uniform(0.1, 2.0)
+                own[key] = (log_mean * own_count, own_count)
+        name = f"paces_{host_count}_hosts_{endpoint_count}_endpoints"
+        for kind, paces in (("own", own), ("reply", total)):
+            size_bytes, code_us = _extra(paces)
+            figures += [
+                Figure(f"{name}_{kind}_entries", len(paces), "-"),
+                Figure(f"{name}_{kind}_extra", size_bytes, "B", MESSAGE_LIMIT_BYTES),
+                Figure(f"{name}_{kind}_code", code_us, "us"),
+            ]
+    return figures
+
+
+def _extra(paces: Paces) -> tuple[int, float]:
+    """Return the bytes that paces add to a message, and the time to code them."""
+    columns = EndpointLoads()
+    plain = Envelope(1, "host-1", DomainSync(loads=EndpointLoads()))
+    add_paces(columns, paces)
+    envelope = Envelope(1, "host-1", DomainSync(loads=columns))
+
+    def time_us(message: Envelope) -> float:
+        rounds_s = []
+        for _ in range(50):
+            began_s = time.perf_counter()
+            parse_paces(decode(encode(message)).body.loads)
+            rounds_s.append(time.perf_counter() - began_s)
+        return min(rounds_s) * 1e6
+
+    return len(encode(envelope)) - len(encode(plain)), time_us(envelope) - time_us(
+        plain
+    )
+
+
+def _changed_count(before: Outcome, after: Outcome) -> int:
+    pairs = zip(before.choices, after.choices, strict=True)
+    return sum(a != b for a, b in pairs)
--- a/src/sesameknot/coordination/_load_reports.py
+++ b/src/sesameknot/coordination/_load_reports.py
@@ -117,7 +117,8 @@
 
     def _relayed(self) -> Loads:
         """Return the loads that relays reported, from the latest report of a domain."""
-        return sum_loads(report.content for report in self._reports.relayed())
+        relayed = self._reports.relayed().values()
+        return sum_loads(report.content for report in relayed)
 
     def serves_hosts_besides(self, host_ids: Collection[str]) -> bool:
         """Return whether a host that is not in ``host_ids`` has reported lately."""
@@ -131,6 +132,10 @@
                 endpoint.endpoint_id, (0, 0)
             )
 
+    def paces_due(self, turn_count: int) -> bool:
+        """Return whether paces are learnt, and exchanged in this turn."""
+        return self._paces is not None and self._paces.is_due(turn_count)
+
     def refresh_paces(self, *, is_relay: bool) -> None:
         """Sum the paces, if they are learnt, and apply them to the endpoints."""
         if self._paces is not None:
--- a/src/sesameknot/coordination/_pace_reports.py
+++ b/src/sesameknot/coordination/_pace_reports.py
@@ -1,5 +1,7 @@
 """Paces of endpoints, as hosts report them to each other beside their loads."""
 
+import math
+
 from sesameknot.clock import Clock
 from sesameknot.coordination._report_table import Report, ReportTable
 from sesameknot.policy.endpoint_pace import (
@@ -13,9 +15,12 @@
 from sesameknot.protocol.messages import EndpointLoads
 from sesameknot.state.fleet_view import FleetView
 
-# Time after which a report is no longer used. Reports come every 2.4 s, so that a few
-# may be lost.
-PACE_LIFE_S = 15.0
+# Time after which a report is no longer used. Reports come every 2.4 s, with 730
+# endpoints every 14.4 s, so that two may be lost.
+PACE_LIFE_S = 45.0
+# Endpoints for each turn between two messages with paces. At 380 hosts and 730
+# endpoints, messages in each turn would take 8.8 KB/s of a host's 9 KB/s for control.
+ENDPOINTS_PER_TURN_COUNT = 128
 # Endpoints in a message, those with the most observations. 730 endpoints fit.
 MESSAGE_LIMIT_COUNT = 1024
 
@@ -87,6 +92,12 @@
         self._domain_total: Paces = {}
         self._total: Paces = {}
 
+    def is_due(self, turn_count: int) -> bool:
+        """Return whether paces are exchanged in this turn."""
+        endpoint_count = max(1, len(self._view.endpoints))
+        interval_count = math.ceil(endpoint_count / ENDPOINTS_PER_TURN_COUNT)
+        return turn_count % interval_count == 0
+
     def add_host(self, host_id: str, columns: EndpointLoads) -> None:
         """Record the paces that a host of this failure domain observed itself."""
         if columns.with_paces:
@@ -100,8 +111,9 @@
     def refresh(self, *, is_relay: bool) -> None:
         """Sum the reports, and set the relative time per event of each endpoint.
 
-        A relay counts the hosts of its failure domain one by one, any other host by its
-        relay's sum. Both would count them twice while the relays change.
+        A relay counts the hosts of its failure domain one by one and the other domains
+        by their relays; for any other host, the sum of a relay of its domain has all of
+        them. Any more would count them twice while the relays change.
         """
         self._is_relay = is_relay
         self._own = self._endpoint_pace.own()
@@ -111,7 +123,11 @@
                 host_id: self._decayed(report)
                 for host_id, report in self._reports.hosts()
             }
-        relayed = self._reports.relayed(without_domain=self._domain if is_relay else "")
+        relayed = [
+            report
+            for domain, report in self._reports.relayed().items()
+            if (domain == self._domain) != is_relay
+        ]
         self._domain_total = sum_paces([self._own, *self._by_host.values()])
         self._total = sum_paces([self._domain_total, *map(self._decayed, relayed)])
         self._apply()
--- a/src/sesameknot/coordination/_report_table.py
+++ b/src/sesameknot/coordination/_report_table.py
@@ -52,8 +52,8 @@
             if self._is_fresh(report):
                 yield host_id, report
 
-    def relayed(self, *, without_domain: str = "") -> list[Report[T]]:
-        """Return the latest report of a relay of each failure domain."""
+    def relayed(self) -> dict[str, Report[T]]:
+        """Return the latest report of a relay of each failure domain, by domain."""
         latest: dict[str, Report[T]] = {}
         for host_id, report in self._by_relay.items():
             host = self._view.hosts.get(host_id)
@@ -62,8 +62,7 @@
             previous = latest.get(host.domain)
             if previous is None or previous.received_s < report.received_s:
                 latest[host.domain] = report
-        latest.pop(without_domain, None)
-        return list(latest.values())
+        return latest
 
     def has_hosts_besides(self, host_ids: Collection[str]) -> bool:
         """Return whether a host that is not in ``host_ids`` has reported lately."""
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -54,9 +54,9 @@
 BOTH_RELAYS_ROUND_COUNT = 3
 # Rounds between two calls to the relays of other failure domains.
 OTHER_DOMAINS_ROUND_COUNT = 2
-# Rounds between two messages with the paces of endpoints, which change slowly. It is a
-# multiple of both counts above, so that these messages go to all relays.
-PACE_ROUND_COUNT = 6
+# Paces of endpoints are sent in a multiple of so many rounds: in these, all relays are
+# called.
+ALL_RELAYS_ROUND_COUNT = BOTH_RELAYS_ROUND_COUNT * OTHER_DOMAINS_ROUND_COUNT
 
 log = structlog.get_logger(__name__)
 
@@ -152,7 +152,10 @@
             await asyncio.sleep(EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1))
             relays = self.relays(self._domain)
             is_relay = self._host_id in relays or not relays
-            self._with_paces = round_count % PACE_ROUND_COUNT == 0
+            self._with_paces = (
+                round_count % ALL_RELAYS_ROUND_COUNT == 0
+                and self._loads.paces_due(round_count // ALL_RELAYS_ROUND_COUNT)
+            )
             if self._with_paces:
                 self._loads.refresh_paces(is_relay=is_relay)
             if is_relay:
--- a/src/sesameknot/policy/prompt_placement.py
+++ b/src/sesameknot/policy/prompt_placement.py
@@ -12,7 +12,7 @@
 
 CACHE_ENTRY_LIMIT_COUNT = 20_000
 # Endpoints with up to this many requests more than the least loaded one are near ties.
-NEAR_TIE_LOAD_COUNT = 3
+NEAR_TIE_LOAD_COUNT = 5
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
