--- a/benchmarks/uneven_endpoints.py
+++ b/benchmarks/uneven_endpoints.py
@@ -354,7 +354,7 @@
         self._total_tokens = [sum(c) for c in zip(*self._tokens, strict=True)]
 
     def _share_paces(self) -> None:
-        totals = sum_paces(pace.own() for pace in self._paces)
+        totals = sum_paces((pace.own(), 1.0) for pace in self._paces)
         names = [str(number) for number in range(ENDPOINT_COUNT)]
         for pace in self._paces:
             uneven = pace.set_totals(totals, {"service": names})
--- a/src/sesameknot/coordination/_pace_reports.py
+++ b/src/sesameknot/coordination/_pace_reports.py
@@ -8,7 +8,6 @@
     EndpointPace,
     Paces,
     decay_factor,
-    scale_paces,
     subtract_paces,
     sum_paces,
 )
@@ -87,7 +86,7 @@
         )
         self._is_relay = False
         # Summed once in each round with paces: a relay answers 155 calls a second.
-        self._by_host: dict[str, Paces] = {}
+        self._by_host: dict[str, tuple[Paces, float]] = {}
         self._own: Paces = {}
         self._domain_total: Paces = {}
         self._total: Paces = {}
@@ -120,7 +119,7 @@
         self._by_host = {}
         if is_relay:
             self._by_host = {
-                host_id: self._decayed(report)
+                host_id: self._weighted(report)
                 for host_id, report in self._reports.hosts()
             }
         relayed = [
@@ -128,13 +127,15 @@
             for domain, report in self._reports.relayed().items()
             if (domain == self._domain) != is_relay
         ]
-        self._domain_total = sum_paces([self._own, *self._by_host.values()])
-        self._total = sum_paces([self._domain_total, *map(self._decayed, relayed)])
+        self._domain_total = sum_paces([(self._own, 1.0), *self._by_host.values()])
+        self._total = sum_paces(
+            [(self._domain_total, 1.0), *map(self._weighted, relayed)]
+        )
         self._apply()
 
-    def _decayed(self, report: Report[Paces]) -> Paces:
+    def _weighted(self, report: Report[Paces]) -> tuple[Paces, float]:
         age_s = self._clock.monotonic_s() - report.received_s
-        return scale_paces(report.content, decay_factor(age_s))
+        return report.content, decay_factor(age_s)
 
     def _apply(self) -> None:
         incarnation_ids: dict[str, list[str]] = {}
@@ -163,4 +164,6 @@
         """
         if self._is_relay:
             total = self._total if same_domain else self._domain_total
-            add_paces(columns, subtract_paces(total, self._by_host.get(host_id, {})))
+            if host_id in self._by_host:
+                total = subtract_paces(total, *self._by_host[host_id])
+            add_paces(columns, total)
--- a/src/sesameknot/policy/endpoint_pace.py
+++ b/src/sesameknot/policy/endpoint_pace.py
@@ -55,31 +55,26 @@
     return math.exp(-max(0.0, age_s) / DECAY_S)
 
 
-def scale_paces(paces: Paces, factor: float) -> Paces:
-    """Return the sums multiplied by ``factor``."""
-    return {key: (s * factor, count * factor) for key, (s, count) in paces.items()}
-
-
-def sum_paces(all_paces: Iterable[Paces]) -> Paces:
-    """Return the sum of several hosts' observations."""
+def sum_paces(weighted_paces: Iterable[tuple[Paces, float]]) -> Paces:
+    """Return the sum of several hosts' observations, each with a weight."""
     total: Paces = {}
-    for paces in all_paces:
+    for paces, weight in weighted_paces:
         for key, (log_sum, count) in paces.items():
-            subtotal = total.get(key)
-            if subtotal is None:
-                total[key] = (log_sum, count)
-            else:
-                total[key] = (subtotal[0] + log_sum, subtotal[1] + count)
+            total_sum, total_count = total.get(key, (0.0, 0.0))
+            total[key] = (total_sum + weight * log_sum, total_count + weight * count)
     return total
 
 
-def subtract_paces(total: Paces, part: Paces) -> Paces:
-    """Return ``total`` without the observations of ``part``, which it includes."""
+def subtract_paces(total: Paces, part: Paces, weight: float) -> Paces:
+    """Return ``total`` without ``part``, which it includes with this weight."""
     remaining = dict(total)
     for key, (log_sum, count) in part.items():
         total_sum, total_count = remaining.pop(key, (0.0, 0.0))
-        if total_count - count >= FORGOTTEN_COUNT:
-            remaining[key] = (total_sum - log_sum, total_count - count)
+        if total_count - weight * count >= FORGOTTEN_COUNT:
+            remaining[key] = (
+                total_sum - weight * log_sum,
+                total_count - weight * count,
+            )
     return remaining
 
 
--- a/tests/forwarding/test_uneven_endpoints.py
+++ b/tests/forwarding/test_uneven_endpoints.py
@@ -54,7 +54,10 @@
         page = await self.http.fetch(
             f"http://127.0.0.1:{front.settings.metrics_port}/metrics"
         )
-        self.assertThat(page.body.decode(), Contains("sesameknot_uneven_endpoints"))
+        count = front.view.uneven_count
+        self.assertThat(
+            page.body.decode(), Contains(f"sesameknot_uneven_endpoints {count}\n")
+        )
 
     @gen_test(timeout=40)
     async def test_nothing_is_learnt_by_default(self):
--- a/tests/policy/test_endpoint_pace.py
+++ b/tests/policy/test_endpoint_pace.py
@@ -66,7 +66,7 @@
 
     def share(self):
         """Tell all hosts the sums of all."""
-        totals = sum_paces(pace.own() for pace in self.paces)
+        totals = sum_paces((pace.own(), 1.0) for pace in self.paces)
         for pace in self.paces:
             self.uneven = pace.set_totals(totals, {"service": self.event_times})
 
@@ -170,6 +170,5 @@
     def test_sum_without_a_part_is_the_sum_of_the_others(self):
         """Guards against a host that gets its own observations back."""
         own, other = {1: (0.5, 2.0), 2: (0.1, 1.0)}, {1: (0.25, 1.0)}
-        self.assertThat(
-            subtract_paces(sum_paces([own, other]), own), Equals({1: (0.25, 1.0)})
-        )
+        total = sum_paces([(own, 0.5), (other, 1.0)])
+        self.assertThat(subtract_paces(total, own, 0.5), Equals(other))
