Compare endpoints once half of a service's are known

Cause: the first three endpoints with enough observations set the mean, so that early on an endpoint of mean speed could count as slow or fast.

Change: a mean needs three endpoints and half of all. A test shows that reports of hosts that left are dropped.

--- a/src/sesameknot/policy/endpoint_pace.py
+++ b/src/sesameknot/policy/endpoint_pace.py
@@ -7,7 +7,7 @@
 
 import functools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from sesameknot.clock import Clock
@@ -18,13 +18,15 @@
 # observations in it.
 DECAY_S = 60.0
 # Observations from which on an endpoint's pace counts. A slowdown of 0.6 s reaches the
-# streams in the endpoint's slots, 12 or 16, which must be the minority.
+# streams in the endpoint's slots, and a few more.
 MIN_COUNT = 24.0
 # Observations without a difference that are added to an endpoint's own. With them, 14
 # streams of 1 s with a slowdown of 0.6 s to 2.5 times stay within EVEN_RATIO.
 PRIOR_COUNT = 6.0
-# Endpoints of a service that are needed for a mean.
+# Endpoints of a service that are needed for a mean, and their share. With fewer, the
+# ones that are known first would decide which of them is slow.
 MIN_ENDPOINT_COUNT = 3
+MIN_ENDPOINT_SHARE = 0.5
 # Larger differences of one stream have other reasons than the endpoint's speed.
 MAX_LOG_RATIO = math.log(2.0)
 # Differences up to a quarter do not change the placement.
@@ -162,7 +164,7 @@
         return {key: (own.log_sum, own.count) for key, own in self._own.items()}
 
     def set_totals(
-        self, totals: Paces, incarnation_ids: Mapping[str, Iterable[str]]
+        self, totals: Paces, incarnation_ids: Mapping[str, Collection[str]]
     ) -> dict[str, float]:
         """Take the observations of all hosts, and return the relative times per event.
 
@@ -170,7 +172,7 @@
         ----------
         totals : Paces
             Observations of all hosts, this one included.
-        incarnation_ids : mapping of str to iterable of str
+        incarnation_ids : mapping of str to collection of str
             Present incarnations of the endpoints, by service.
 
         Returns
@@ -183,7 +185,8 @@
         uneven: dict[str, float] = {}
         for service_ids in incarnation_ids.values():
             estimates = _estimates(totals, service_ids)
-            if len(estimates) < MIN_ENDPOINT_COUNT:
+            wanted_count = MIN_ENDPOINT_SHARE * len(service_ids)
+            if len(estimates) < max(MIN_ENDPOINT_COUNT, wanted_count):
                 continue
             mean = sum(estimates.values()) / len(estimates)
             for incarnation_id, estimate in estimates.items():
--- a/tests/coordination/test_pace_reports.py
+++ b/tests/coordination/test_pace_reports.py
@@ -175,6 +175,9 @@
         fleet.stopped = {"a1", "a2"}
         fleet.rounds(round(PACE_LIFE_S / ROUND_S) + 2)
         self.assertThat(fleet.counts(["a3", "a4"]), Equals([4.0, 8.0]))
+        # The reports of hosts that left must not stay in memory.
+        reports = fleet.hosts["a3"].loads._paces._reports
+        self.assertThat([reports._by_host, reports._by_relay], Equals([{}, {}]))
 
     def test_hosts_that_learn_no_paces_take_part_in_the_exchange(self):
         """Guards against a host without paces that clears those of others."""
--- a/tests/policy/test_endpoint_pace.py
+++ b/tests/policy/test_endpoint_pace.py
@@ -4,6 +4,7 @@
 every 2.4 s.
 """
 
+import itertools
 import random
 
 from testtools import TestCase
@@ -13,6 +14,7 @@
 from sesameknot.policy.endpoint_pace import (
     LINE_LIMIT_COUNT,
     EndpointPace,
+    pace_key,
     subtract_paces,
     sum_paces,
 )
@@ -160,6 +162,20 @@
         alone = service.paces[0]
         self.assertThat(alone.set_totals(alone.own(), {"service": NAMES}), Equals({}))
 
+    def test_half_of_the_endpoints_must_be_known(self):
+        """Guards against a mean of the few endpoints that are known first."""
+        pace = EndpointPace(clock=ManualClock())
+        totals = {
+            pace_key(name): (30.0 * log_mean, 30.0)
+            for name, log_mean in zip(
+                NAMES[:6], [0.0, 0.0, 0.5, 0.5, 0.5, 0.5], strict=True
+            )
+        }
+        few = dict(itertools.islice(totals.items(), 5))
+        self.assertThat(pace.set_totals(few, {"service": NAMES}), Equals({}))
+        uneven = pace.set_totals(totals, {"service": NAMES})
+        self.assertThat(set(uneven), Equals({NAMES[0], NAMES[1]}))
+
     def test_invented_models_take_no_memory(self):
         """Guards against callers that name a new model in each request."""
         pace = EndpointPace(clock=ManualClock())
