--- a/tests/coordination/test_pace_reports.py
+++ b/tests/coordination/test_pace_reports.py
@@ -49,11 +49,10 @@
     data = encode(Envelope(1, "host", DomainSync(loads=columns)))
     if path is None:
         return decode(data).body.loads
-    reader = load_schema(path.read_text()).Envelope.from_bytes_packed(data)
-    message = load_schema(path.read_text()).Envelope.new_message(callId=1)
-    message.domainSync = message.init("domainSync")
-    loads = reader.domainSync.loads
-    columns = message.domainSync.init("loads")
+    schema = load_schema(path.read_text())
+    loads = schema.Envelope.from_bytes_packed(data).domainSync.loads
+    message = schema.Envelope.new_message(callId=1)
+    columns = message.init("domainSync").init("loads")
     columns.endpointIds = list(loads.endpointIds)
     columns.inFlightCounts = list(loads.inFlightCounts)
     columns.pendingTokens = list(loads.pendingTokens)
