Follow a refusal by its head alone

Cause: the body of a refusal as not run was read before the next endpoint was asked. An endpoint that refuses an upload early resets the connection, which cut that body, and the request was answered with 503. Change: the body of such a refusal is not read. Measured: test_early_refusal_is_followed_by_another_endpoint got 503 'connection was reset', expected 200, before; tests/forwarding: 184 passed.

--- a/src/sesameknot/forwarding/plain.py
+++ b/src/sesameknot/forwarding/plain.py
@@ -54,7 +54,9 @@
                     ),
                 ) as attempt:
                     await attempt.read_head()
-                    body = await attempt.read_all()
+                    # The head of a refusal says all; its body may be cut.
+                    refused = attempt.metadata.not_run
+                    body = b"" if refused else await attempt.read_all()
                     if self._is_final(request, attempt):
                         attempt.record_answer()
                         self._note_sound(request, attempt)
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -157,12 +157,14 @@
         self, state: _StreamState, attempt: Attempt, caller: CallerConnection
     ) -> bool:
         request = state.request
-        body = await attempt.read_all()
-        attempt.record_answer("refused" if attempt.metadata.not_run else "error")
         if attempt.metadata.not_run:
+            # The head of a refusal says all; its body may be cut.
+            attempt.record_answer("refused")
             if self._retry_policy.may_resend(request):
                 return False
             raise self._retry_policy.ended_error(request, "endpoints are full")
+        body = await attempt.read_all()
+        attempt.record_answer("error")
         retryable = attempt.status >= SERVER_ERROR_STATUS and request.route.repeatable
         if (
             retryable
--- a/tests/forwarding/test_invalid_answers.py
+++ b/tests/forwarding/test_invalid_answers.py
@@ -240,6 +240,23 @@
         """Guards against a second run, or 'not run', after such a part."""
         await self.check(UNSAFE_PATH, PLAIN_SERVICE, BODY)
 
+    @gen_test(timeout=60)
+    async def test_early_refusal_is_followed_by_another_endpoint(self):
+        """Guards against a request that is lost since the text of a refusal is cut."""
+        refusal = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n\r\nno ro"
+        for path, service, body in (
+            (UNSAFE_PATH, PLAIN_SERVICE, BODY),
+            (STREAM_PATH, MODEL_SERVICE, EVENTS),
+        ):
+            for end in self.ENDS:
+                front = await self.start_scripts(
+                    *(self.script(refusal, end), self.sound(body)), service=service
+                )
+                response = await self.ask(front, path, body=UPLOADS[1])
+                result = (response.code, response.body)
+                self.assertThat(result, Equals((200, body)), end.__name__)
+                await self.leave(front, 2)
+
     @gen_test(timeout=60)
     async def test_whole_early_answer_is_passed_on(self):
         """Guards against a whole answer that is lost with the check of its end."""
