--- a/src/sesameknot/platform/standin/_endpoint.py
+++ b/src/sesameknot/platform/standin/_endpoint.py
@@ -79,6 +79,8 @@
     cut_uploads_from_bytes : int or None, default=None
         Size from which requests are answered with 200, no length and a part of the body
         as soon as their head has arrived; the connection is then reset. None for never.
+    half_closes : bool, default=False
+        Whether it closes its direction of such a connection before the reset.
     odd_status : str, default=""
         Status that its answers have instead of a valid one; empty for a valid one.
     rate_limit : str, default=""
@@ -123,6 +125,7 @@
     crash_after_head_s: float | None = None
     cut_body: bool = False
     cut_uploads_from_bytes: int | None = None
+    half_closes: bool = False
     odd_status: str = ""
     rate_limit: str = ""
     leaving: str = ""
@@ -179,12 +182,14 @@
         run = self._record_run(request)
         part = self.body[: len(self.body) // 2]
         if self.event_count:
-            part = _event(1)
+            part = _event(_first_event_number(request))
         head = _head(str(OK_STATUS), self._answer_headers(request, run))
         try:
+            sock = stream.socket
             await stream.write(head + part)
+            if self.half_closes:
+                sock.shutdown(socket.SHUT_WR)
             await asyncio.sleep(DELIVERY_TIME_S)
-            sock = stream.socket
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
         except StreamClosedError:
             run.caller_left = True
@@ -379,9 +384,7 @@
         self, request: HTTPServerRequest, headers: HTTPHeaders
     ) -> None:
         await self._write_head(request, headers)
-        first_number = (
-            int(request.headers.get(platform_headers.LAST_EVENT_ID_HEADER, "0")) + 1
-        )
+        first_number = _first_event_number(request)
         for number in range(first_number, self.event_count + 1):
             event = _event(number)
             cut_after_count = self.cut_after_count
@@ -398,6 +401,11 @@
         request.connection.finish()
 
 
+def _first_event_number(request: HTTPServerRequest) -> int:
+    """Return the number of the event after the last one that the caller received."""
+    return int(request.headers.get(platform_headers.LAST_EVENT_ID_HEADER, "0")) + 1
+
+
 def _event(number: int) -> bytes:
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
