Add the decisions on requests while endpoints lack room

Under overload, hosts pass on requests in the order in which they come, and endpoints refuse what exceeds their queues, whatever its priority, customer or work.

Add the package scheduling, without I/O: this host's share of the free slots (HostRoom), a bounded queue with named orderings, weighted fair sharing among the customers of a priority, and an estimate of a request's work. The share depends on when the loads of other hosts last came and were applied, which FleetView now holds.

--- a/src/sesameknot/coordination/_load_reports.py
+++ b/src/sesameknot/coordination/_load_reports.py
@@ -73,7 +73,9 @@
         self._by_relay[host_id] = self._report(columns)
 
     def _report(self, columns: EndpointLoads) -> LoadReport:
-        return LoadReport(parse_loads(columns), self._clock.monotonic_s())
+        received_s = self._clock.monotonic_s()
+        self._view.peer_loads_s = received_s
+        return LoadReport(parse_loads(columns), received_s)
 
     def own(self) -> Loads:
         """Return the loads from this host."""
@@ -123,3 +125,4 @@
             endpoint.other_in_flight_count, endpoint.other_pending_tokens = total.get(
                 endpoint.endpoint_id, (0, 0)
             )
+        self._view.loads_applied_s = self._clock.monotonic_s()
--- /dev/null
+++ b/src/sesameknot/scheduling/_queue.py
@@ -0,0 +1,256 @@
+"""Bounded queue of requests that wait for a slot."""
+
+from collections.abc import Sequence
+
+from sesameknot.scheduling._decay import DecayingMean, DecayingSum
+from sesameknot.scheduling._decision import Action, Decision, Entry, RefusalReason
+from sesameknot.scheduling._fair_shares import FairShares
+from sesameknot.scheduling._orderings import Ordering, OrderingState, SortKey
+from sesameknot.scheduling._room import HostRoom
+
+# Time constant of the rate at which requests start. Bursts last a few seconds.
+DRAIN_DECAY_S = 2.0
+# Time constant of the mean run time.
+RUN_TIME_DECAY_S = 10.0
+# Time constant of the served share and the mean work by priority. A host sees a few
+# requests of each priority a second; shorter ones made the shares noisy.
+PRIORITY_DECAY_S = 20.0
+# A priority without requests for this long gets no reserve.
+RESERVE_LIFE_S = 5.0
+# An entry is refused early only if its estimated wait exceeds its time by this factor,
+# as the estimate is rough.
+WAIT_ESTIMATE_SLACK = 1.5
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 5.0
+
+
+class _PriorityState:
+    """Recent requests of one priority."""
+
+    __slots__ = ("last_arrival_s", "refused", "served", "shares", "work")
+
+    def __init__(self) -> None:
+        self.shares = FairShares()
+        self.served = DecayingSum(PRIORITY_DECAY_S)
+        self.refused = DecayingSum(PRIORITY_DECAY_S)
+        self.work = DecayingMean(PRIORITY_DECAY_S)
+        self.last_arrival_s = 0.0
+
+    def served_share(self, now_s: float) -> float:
+        """Return the share of requests that were served; 1 without any."""
+        served = self.served.value(now_s)
+        total = served + self.refused.value(now_s)
+        return served / total if total else 1.0
+
+
+class AdmissionQueue:
+    """Decides which requests of one service run, wait or are refused on this host.
+
+    Parameters
+    ----------
+    ordering : callable
+        Order of the entries, one of ``ORDERINGS``.
+    limit_count : int
+        Entries that may wait.
+    """
+
+    __slots__ = (
+        "_entries",
+        "_limit_count",
+        "_ordering",
+        "_priorities",
+        "_run_s",
+        "_starts",
+    )
+
+    def __init__(self, *, ordering: Ordering, limit_count: int) -> None:
+        self._ordering = ordering
+        self._limit_count = limit_count
+        self._entries: list[Entry] = []
+        self._priorities: dict[int, _PriorityState] = {}
+        self._starts = DecayingSum(DRAIN_DECAY_S)
+        self._run_s = DecayingMean(RUN_TIME_DECAY_S)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def offer(self, entry: Entry, room: HostRoom, now_s: float) -> Decision:
+        """Decide on a new request, which is queued if it has to wait.
+
+        The caller has started all that may start before, by :meth:`next_ready`.
+        """
+        state = self._priorities.setdefault(entry.priority, _PriorityState())
+        state.last_arrival_s = now_s
+        state.work.add(entry.work_s, now_s)
+        state.shares.record_arrival(entry, now_s)
+        if not room.crowded:
+            room.occupy()
+            self._record_start(entry, now_s)
+            return Decision(action=Action.RUN)
+        self._entries.append(entry)
+        order = self._order(now_s)
+        if self._may_start(entry, order, room, now_s):
+            room.occupy()
+            self._entries.remove(entry)
+            self._record_start(entry, now_s)
+            return Decision(action=Action.RUN)
+        if self._is_late(entry, order.index(entry), room, now_s):
+            return self._refusal(entry, RefusalReason.LATE, room, now_s)
+        if len(self._entries) <= self._limit_count:
+            return Decision(action=Action.WAIT)
+        if order[-1] is entry:
+            return self._refusal(entry, RefusalReason.QUEUE_FULL, room, now_s)
+        self._refuse(order[-1], now_s)
+        return Decision(action=Action.WAIT, displaced=order[-1])
+
+    def next_ready(
+        self, room: HostRoom, now_s: float, *, unlimited: bool = False
+    ) -> Entry | None:
+        """Remove and return the next entry that may start; None if none may.
+
+        Parameters
+        ----------
+        unlimited : bool, default=False
+            Whether it may start without room, as requests are not scheduled any more.
+        """
+        for entry in self._leaders(self._order(now_s)):
+            rank = self._urgency_rank(entry.priority, now_s)
+            if not unlimited and not room.has_room(rank):
+                continue
+            room.occupy()
+            self._entries.remove(entry)
+            self._record_start(entry, now_s)
+            return entry
+        return None
+
+    def expired(self, room: HostRoom, now_s: float) -> list[Entry]:
+        """Remove and return the entries that can no longer meet their target."""
+        late = []
+        ahead_count = 0
+        for entry in self._order(now_s):
+            if self._is_late(entry, ahead_count, room, now_s):
+                late.append(entry)
+            else:
+                ahead_count += 1
+        for entry in late:
+            self._refuse(entry, now_s)
+        return late
+
+    def remove(self, entry: Entry) -> None:
+        """Remove an entry whose caller left; one that is not queued is ignored."""
+        if entry in self._entries:
+            self._entries.remove(entry)
+
+    def record_run(self, run_s: float, now_s: float) -> None:
+        """Record how long a request occupied a slot."""
+        self._run_s.add(run_s, now_s)
+
+    def mean_run_s(self, now_s: float, *, min_count: float = 0.0) -> float | None:
+        """Return the mean run time; None with fewer recent runs than ``min_count``."""
+        count = self._run_s.count(now_s)
+        return self._run_s.value(now_s) if count > 0.0 and count >= min_count else None
+
+    def retry_after_s(self, room: HostRoom, now_s: float) -> float:
+        """Return the estimated time in which the present queue drains."""
+        rate_per_s = self._drain_per_s(room, now_s)
+        if not rate_per_s:
+            return MAX_RETRY_AFTER_S
+        wait_s = (1 + len(self._entries)) / rate_per_s
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    def served_share(self, priority: int, now_s: float) -> float:
+        """Return the recent share of a priority's requests that were not refused."""
+        state = self._priorities.get(priority)
+        return state.served_share(now_s) if state is not None else 1.0
+
+    def _order(self, now_s: float) -> list[Entry]:
+        if len(self._entries) < 2:
+            return list(self._entries)
+        return sorted(self._entries, key=self._sort_key(now_s))
+
+    def _sort_key(self, now_s: float) -> SortKey:
+        tags = {}
+        for priority, state in self._priorities.items():
+            entries = [entry for entry in self._entries if entry.priority == priority]
+            if entries:
+                tags.update(state.shares.start_tags(entries, now_s))
+        priorities = {entry.priority for entry in self._entries}
+        return self._ordering(
+            OrderingState(
+                start_tags=tags,
+                served_shares={
+                    priority: self._priorities[priority].served_share(now_s)
+                    for priority in priorities
+                },
+                mean_work_s={
+                    priority: self._priorities[priority].work.value(now_s)
+                    for priority in priorities
+                },
+            )
+        )
+
+    def _leaders(self, order: Sequence[Entry]) -> list[Entry]:
+        """Return the first entry of each priority, in order."""
+        leaders: dict[int, Entry] = {}
+        for entry in order:
+            leaders.setdefault(entry.priority, entry)
+        return list(leaders.values())
+
+    def _may_start(
+        self, entry: Entry, order: Sequence[Entry], room: HostRoom, now_s: float
+    ) -> bool:
+        for leader in self._leaders(order):
+            if leader is entry:
+                return room.has_room(self._urgency_rank(entry.priority, now_s))
+            if room.has_room(self._urgency_rank(leader.priority, now_s)):
+                return False
+        return False
+
+    def _urgency_rank(self, priority: int, now_s: float) -> int:
+        """Return the number of more urgent priorities seen lately."""
+        return sum(
+            other < priority and now_s - state.last_arrival_s < RESERVE_LIFE_S
+            for other, state in self._priorities.items()
+        )
+
+    def _is_late(
+        self, entry: Entry, ahead_count: int, room: HostRoom, now_s: float
+    ) -> bool:
+        time_left_s = entry.latest_start_s - now_s
+        if time_left_s < 0.0:
+            return True
+        rate_per_s = self._drain_per_s(room, now_s)
+        if not ahead_count or not rate_per_s:
+            return False
+        return ahead_count / rate_per_s > WAIT_ESTIMATE_SLACK * time_left_s
+
+    def _drain_per_s(self, room: HostRoom, now_s: float) -> float:
+        """Return the rate at which requests start.
+
+        A host that was idle until now has started few, so the rate at which those that
+        run will end counts as well.
+        """
+        starts_per_s = self._starts.value(now_s) / DRAIN_DECAY_S
+        run_s = self.mean_run_s(now_s)
+        ends_per_s = room.in_use_count / run_s if run_s else 0.0
+        return max(starts_per_s, ends_per_s)
+
+    def _record_start(self, entry: Entry, now_s: float) -> None:
+        state = self._priorities[entry.priority]
+        state.served.add(1.0, now_s)
+        state.shares.record_start(entry, now_s)
+        self._starts.add(1.0, now_s)
+
+    def _refuse(self, entry: Entry, now_s: float) -> None:
+        self._entries.remove(entry)
+        self._priorities[entry.priority].refused.add(1.0, now_s)
+
+    def _refusal(
+        self, entry: Entry, reason: RefusalReason, room: HostRoom, now_s: float
+    ) -> Decision:
+        self._refuse(entry, now_s)
+        return Decision(
+            action=Action.REFUSE,
+            reason=reason,
+            retry_after_s=self.retry_after_s(room, now_s),
+        )
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -69,6 +69,10 @@
         they have been written again, or had time to be.
     hosts : dict
         Front hosts by name.
+    loads_applied_s : float
+        Monotonic time at which the loads of other hosts were last updated.
+    peer_loads_s : float
+        Monotonic time of the last report of loads by another host.
     store_failed_s : float
         Monotonic time of the last failed call to the store, of this host or a relay.
     store : StoreAvailability
@@ -96,6 +100,8 @@
     unlisted_domains: set[str] = field(default_factory=set)
     unlisted_rollouts: set[str] = field(default_factory=set)
     hosts: dict[str, HostEntry] = field(default_factory=dict)
+    loads_applied_s: float = float("-inf")
+    peer_loads_s: float = float("-inf")
     store_failed_s: float = float("-inf")
     store_restored_s: float = float("-inf")
     endpoint_limits: EndpointLimits = field(init=False)
