Add the settings of request scheduling

Add the section scheduling to the front settings, off by default, and decode the contract 'pressure' of the node file's list Contracts into HostSettings.endpoint_memory_limited. Scheduling needs both, so that other deployments are served as before.

tests/platform/test_node_file.py passes.

--- a/src/sesameknot/platform/_node_file.py
+++ b/src/sesameknot/platform/_node_file.py
@@ -12,6 +12,8 @@
     HostSettings,
 )
 
+# Endpoints and callers may read slowly, and endpoints hold limited memory for requests.
+MEMORY_LIMITED_CONTRACT = "pressure"
 NODE_FILE_VARIABLE = "SESAMEKNOT_NODE_FILE"
 
 
@@ -64,6 +66,8 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_ms: float = 1200.0
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Names of further agreements between the platform and its users.
+    contracts: list[str] = []
 
 
 def load_host_settings(path: Path) -> HostSettings:
@@ -98,6 +102,7 @@
         bounds=_host_bounds(node_file.bounds),
         heartbeat_s=node_file.heartbeat_ms / 1000.0,
         memory_limit_bytes=_memory_limit_bytes(node_file.limits),
+        endpoint_memory_limited=MEMORY_LIMITED_CONTRACT in node_file.contracts,
     )
 
 
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -116,6 +116,32 @@
     step_interval_s: DurationS = 0.5
 
 
+class SchedulingSettings(SettingsStruct):
+    """Scheduling of requests while endpoints lack room.
+
+    It also needs a host whose node file declares that endpoints have limited memory.
+    """
+
+    enabled: bool = False
+    ordering: str = "least_cost"
+    # Requests that may wait, for each service on each host.
+    queue_limit_count: PositiveCount = 64
+    # Share of its latency target for which a request may wait. The rest is for the time
+    # to the first event of its answer.
+    wait_share: Share = 0.5
+    # Share of taken slots up to which every request starts at once.
+    crowded_share: Annotated[float, Meta(gt=0.0)] = 0.9
+    # Requests beyond the slots that endpoints may hold, as a share of the slots. Loads
+    # are up to 0.5 s old; with none, slots that become free would stay empty meanwhile.
+    endpoint_queue_share: Annotated[float, Meta(ge=0.0)] = 0.1
+    # Share of a host's slots that each priority leaves to the more urgent ones.
+    reserve_share: Share = 0.05
+    # Initial cost of a generated token, and the share of shared prompt tokens that
+    # count as not cached; observed run times of each route correct the result.
+    output_ms_per_token: Annotated[float, Meta(gt=0.0)] = 10.0
+    uncached_share: Share = 0.5
+
+
 class LogSettings(SettingsStruct):
     """Limits on log output."""
 
@@ -133,6 +159,7 @@
     attempts: AttemptSettings = field(default_factory=AttemptSettings)
     memory: MemorySettings = field(default_factory=MemorySettings)
     rollouts: RolloutPlanSettings = field(default_factory=RolloutPlanSettings)
+    scheduling: SchedulingSettings = field(default_factory=SchedulingSettings)
     log: LogSettings = field(default_factory=LogSettings)
     metrics_port: PositiveCount = 9464
     random_state: Annotated[int, Meta(ge=0)] = 0
--- a/src/sesameknot/settings/host.py
+++ b/src/sesameknot/settings/host.py
@@ -82,6 +82,8 @@
         Time between two heartbeats of an endpoint.
     memory_limit_bytes : int
         Memory above which the platform ends the process.
+    endpoint_memory_limited : bool
+        Whether endpoints crash if the requests that they hold exceed their memory.
     """
 
     host_id: str
@@ -98,3 +100,4 @@
     bounds: HostBounds = field(default_factory=HostBounds)
     heartbeat_s: float = 1.2
     memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
+    endpoint_memory_limited: bool = False
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -1,4 +1,4 @@
-"""Tests of the memory limit in the node file."""
+"""Tests of the limits and contracts in the node file."""
 
 import json
 from pathlib import Path
@@ -22,11 +22,25 @@
 
 class MemoryLimitTest(TestCase):
     def _limit_bytes(self, **fields):
+        return self._load(**fields).memory_limit_bytes
+
+    def _load(self, **fields):
         directory = TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         path = Path(directory.name) / "node.json"
         path.write_text(json.dumps({**NODE, **fields}))
-        return load_host_settings(path).memory_limit_bytes
+        return load_host_settings(path)
+
+    def test_contract_enables_scheduling(self):
+        """Guards against new behaviour in deployments that do not declare it."""
+        for contracts, expected in (
+            ({}, False),
+            ({"Contracts": []}, False),
+            ({"Contracts": ["other"]}, False),
+            ({"Contracts": ["other", "pressure"]}, True),
+        ):
+            limited = self._load(**contracts).endpoint_memory_limited
+            self.assertThat(limited, matchers.Equals(expected))
 
     def test_limit_of_the_host_is_used(self):
         """Guards against a budget that does not follow from the host's memory."""
