Delay or refuse requests while endpoints lack room

Add RequestScheduler, which the ingress asks before the first attempt of a request and tells its end.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -17,6 +17,7 @@
 from sesameknot.forwarding.peer_handover import PeerHandover
 from sesameknot.forwarding.per_service import PerService
 from sesameknot.forwarding.plain import PlainForwarder
+from sesameknot.forwarding.request_scheduler import RequestScheduler
 from sesameknot.forwarding.retry_policy import RetryPolicy
 from sesameknot.forwarding.stream import StreamForwarder
 from sesameknot.policy.answer_buffer import AnswerBuffer
@@ -210,6 +211,15 @@
             metrics=self._metrics,
             clock=self._clock,
         )
+        scheduler = RequestScheduler(
+            view=self._view,
+            settings=settings.scheduling,
+            enabled=settings.scheduling.enabled and self._host.endpoint_memory_limited,
+            prefill_ms_per_token=settings.placement.prefill_ms_per_token,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+        self._stack.callback(scheduler.close)
         return Ingress(
             view=self._view,
             pause_guard=self._pause_guard,
@@ -218,6 +228,7 @@
             stream_forwarder=stream_forwarder,
             handover=handover,
             crash_detector=crash_detector,
+            scheduler=scheduler,
             drain=drain,
             metrics=self._metrics,
             clock=self._clock,
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -23,6 +23,7 @@
 from sesameknot.forwarding.peer_handover import PeerHandover
 from sesameknot.forwarding.plain import PlainForwarder
 from sesameknot.forwarding.request import ForwardedRequest
+from sesameknot.forwarding.request_scheduler import RequestScheduler
 from sesameknot.forwarding.stream import StreamForwarder
 from sesameknot.platform import (
     RequestMetadata,
@@ -70,6 +71,8 @@
         Hands requests over to other hosts while this one reaches no endpoint.
     crash_detector : CrashDetector
         Checks endpoints whose runs ended without an answer.
+    scheduler : RequestScheduler
+        Delays or refuses requests while endpoints lack room.
     drain : Drain
         Counts requests in flight; rejects new ones during shutdown.
     metrics : RouterMetrics
@@ -89,6 +92,7 @@
         stream_forwarder: StreamForwarder,
         handover: PeerHandover,
         crash_detector: CrashDetector,
+        scheduler: RequestScheduler,
         drain: Drain,
         metrics: RouterMetrics,
         pause_guard: PauseGuard,
@@ -101,6 +105,7 @@
         self._stream_forwarder = stream_forwarder
         self._handover = handover
         self._crash_detector = crash_detector
+        self._scheduler = scheduler
         self._drain = drain
         self._metrics = metrics
         self._clock = clock
@@ -214,6 +219,7 @@
             self._crash_detector.check_abandoned_runs(request)
             raise
         finally:
+            self._scheduler.ended(request)
             self._runner.release_slots(request)
             request.release_body()
 
@@ -249,6 +255,7 @@
             if not await self._handover.forward(request, caller):
                 raise self._handover.refusal(request)
             return
+        await self._scheduler.admit(request)
         forward = self._plain_forwarder.forward
         if request.route.kind is RequestKind.STREAM:
             forward = self._stream_forwarder.forward
--- a/src/sesameknot/router/metrics.py
+++ b/src/sesameknot/router/metrics.py
@@ -75,6 +75,32 @@
             "Endpoints that named a limit on their request rate",
             registry=registry,
         )
+        self.scheduling_queue = Gauge(
+            "sesameknot_scheduling_queue",
+            "Requests that wait for a slot, by service",
+            registry=registry,
+        )
+        self.scheduling_slots = Gauge(
+            "sesameknot_scheduling_slots",
+            "Slots in use by this host, and its limit while endpoints are crowded",
+            registry=registry,
+        )
+        self.scheduling_taken_share = Gauge(
+            "sesameknot_scheduling_taken_share",
+            "Share of a service's slots that all hosts use, as far as known",
+            registry=registry,
+        )
+        self.scheduling_wait_s = Histogram(
+            "sesameknot_scheduling_wait_seconds",
+            "Wait of requests that did not start at once",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.scheduling_refusals = Counter(
+            "sesameknot_scheduling_refusals_total",
+            "Requests refused for lack of room",
+            registry=registry,
+        )
         self.platform_calls = Gauge(
             "sesameknot_platform_calls", "Calls to the platform", registry=registry
         )
