Order waiting requests by benefit, customers' parts and served shares

The ordering least_cost put a priority that was slightly ahead of a more urgent one behind all others, so that less useful ones were served in its place, and the reserve for urgent requests overrode the ordering.

Priorities now get places by pooled benefit per work: the most benefit with no priority served better than a more urgent one. Requests beyond twice their customer's usual part of the present work come last, across priorities.

--- a/src/sesameknot/scheduling/_orderings.py
+++ b/src/sesameknot/scheduling/_orderings.py
@@ -16,17 +16,21 @@
 
     Parameters
     ----------
+    surplus : mapping of Entry to bool
+        Whether an entry exceeds its customer's part of the present work.
     start_tags : mapping of Entry to float
         Start tags of weighted fair sharing; comparable within one priority.
     served_shares : mapping of int to float
         Recent share of requests that were not refused, by priority.
-    mean_work_s : mapping of int to float
-        Recent mean work of a request, by priority.
+    mean_work_s, arrival_counts : mapping of int to float
+        Recent mean work of a request, and decaying count of requests, by priority.
     """
 
+    surplus: Mapping[Entry, bool]
     start_tags: Mapping[Entry, float]
     served_shares: Mapping[int, float]
     mean_work_s: Mapping[int, float]
+    arrival_counts: Mapping[int, float]
 
 
 SortKey = Callable[[Entry], tuple[float, ...]]
@@ -70,31 +74,67 @@
 
 @ORDERINGS.register("priority")
 def order_by_priority(state: OrderingState) -> SortKey:
-    """Return a key that puts urgent requests first, shared fairly among customers."""
-    return lambda entry: (entry.priority, state.start_tags[entry], entry.arrived_s)
+    """Return a key that puts urgent requests first, shared fairly among customers.
+
+    Requests beyond their customer's part come after all others.
+    """
+    return lambda entry: (
+        state.surplus[entry],
+        entry.priority,
+        state.start_tags[entry],
+        entry.arrived_s,
+    )
 
 
 @ORDERINGS.register("least_cost")
 def order_by_least_cost(state: OrderingState) -> SortKey:
     """Return a key that serves the most benefit, but no priority before its turn.
 
-    Priorities are ordered by their mean benefit per work. One that was served better
-    than a more urgent one comes last until that one has caught up. The work of a single
-    request does not count, so that large ones do not starve.
+    The most benefit for the slot time that there is, with no priority served better
+    than a more urgent one, comes from serving priorities one after the other by their
+    benefit per work, where a priority that has more than a more urgent one shares its
+    place with it, and both are served equally [1]_.
+
+    The work of a single request does not count, so that large ones do not starve.
+    Requests beyond their customer's part come after all others.
+
+    References
+    ----------
+    .. [1] M. Ayer et al., "An empirical distribution function for sampling with
+       incomplete information", Annals of Mathematical Statistics 26(4), 1955 (pool
+       adjacent violators).
     """
-    ranks: dict[int, tuple[float, float]] = {}
+    ranks: dict[int, tuple[float, ...]] = {}
     least_share = 1.0
-    for priority in sorted(state.mean_work_s):
-        share = state.served_shares.get(priority, 1.0)
-        if share > least_share:
-            ranks[priority] = (1.0, float(priority))
-        else:
-            cost = state.mean_work_s[priority] * BENEFIT_RATIO**priority
-            ranks[priority] = (0.0, cost)
-        least_share = min(least_share, share)
+    for place, priorities in enumerate(_places(state)):
+        shares = [state.served_shares.get(priority, 1.0) for priority in priorities]
+        for priority, share in zip(priorities, shares, strict=True):
+            # A longer latency target gives a priority more time to find a slot.
+            is_ahead = share > least_share
+            ranks[priority] = (float(is_ahead), float(place), share, priority)
+        least_share = min(least_share, *shares)
     return lambda entry: (
+        state.surplus[entry],
         *ranks[entry.priority],
-        float(entry.priority),
         state.start_tags[entry],
         entry.arrived_s,
     )
+
+
+def _places(state: OrderingState) -> list[list[int]]:
+    """Return the priorities of each place in the order of benefit per work."""
+    # Priorities, benefit and work of each place.
+    pools: list[tuple[list[int], float, float]] = []
+    for priority in sorted(state.mean_work_s):
+        count = state.arrival_counts.get(priority, 0.0)
+        benefit = count * BENEFIT_RATIO**-priority
+        pool = ([priority], benefit, count * state.mean_work_s[priority])
+        while pools and pool[1] * pools[-1][2] > pools[-1][1] * pool[2]:
+            previous = pools.pop()
+            pool = (
+                previous[0] + pool[0],
+                previous[1] + pool[1],
+                previous[2] + pool[2],
+            )
+        pools.append(pool)
+    return [priorities for priorities, _, _ in pools]
--- a/src/sesameknot/scheduling/_queue.py
+++ b/src/sesameknot/scheduling/_queue.py
@@ -1,10 +1,8 @@
 """Bounded queue of requests that wait for a slot."""
 
-from collections.abc import Sequence
-
 from sesameknot.scheduling._decay import DecayingMean, DecayingSum
 from sesameknot.scheduling._decision import Action, Decision, Entry, RefusalReason
-from sesameknot.scheduling._fair_shares import FairShares
+from sesameknot.scheduling._fair_shares import CustomerUsage, FairShares
 from sesameknot.scheduling._orderings import Ordering, OrderingState, SortKey
 from sesameknot.scheduling._room import HostRoom
 
@@ -61,12 +59,15 @@
         "_priorities",
         "_run_s",
         "_starts",
+        "_usage",
     )
 
     def __init__(self, *, ordering: Ordering, limit_count: int) -> None:
         self._ordering = ordering
         self._limit_count = limit_count
-        self._entries: list[Entry] = []
+        # In the order of arrival, with whether they exceed their customer's part.
+        self._entries: dict[Entry, bool] = {}
+        self._usage = CustomerUsage()
         self._priorities: dict[int, _PriorityState] = {}
         self._starts = DecayingSum(DRAIN_DECAY_S)
         self._run_s = DecayingMean(RUN_TIME_DECAY_S)
@@ -82,16 +83,16 @@
         state = self._priorities.setdefault(entry.priority, _PriorityState())
         state.last_arrival_s = now_s
         state.work.add(entry.work_s, now_s)
-        state.shares.record_arrival(entry, now_s)
+        is_surplus = self._usage.record_arrival(entry, now_s)
         if not room.crowded:
             room.occupy()
             self._record_start(entry, now_s)
             return Decision(action=Action.RUN)
-        self._entries.append(entry)
+        self._entries[entry] = is_surplus
         order = self._order(now_s)
-        if self._may_start(entry, order, room, now_s):
-            room.occupy()
-            self._entries.remove(entry)
+        rank = self._reserve_rank(entry.priority, now_s)
+        if order[0] is entry and room.take(rank):
+            del self._entries[entry]
             self._record_start(entry, now_s)
             return Decision(action=Action.RUN)
         if self._is_late(entry, order.index(entry), room, now_s):
@@ -113,15 +114,16 @@
         unlimited : bool, default=False
             Whether it may start without room, as requests are not scheduled any more.
         """
-        for entry in self._leaders(self._order(now_s)):
-            rank = self._urgency_rank(entry.priority, now_s)
-            if not unlimited and not room.has_room(rank):
-                continue
-            room.occupy()
-            self._entries.remove(entry)
-            self._record_start(entry, now_s)
-            return entry
-        return None
+        if not self._entries:
+            return None
+        entry = self._order(now_s)[0]
+        rank = self._reserve_rank(entry.priority, now_s)
+        if not unlimited and not room.has_room(rank):
+            return None
+        room.occupy()
+        del self._entries[entry]
+        self._record_start(entry, now_s)
+        return entry
 
     def expired(self, room: HostRoom, now_s: float) -> list[Entry]:
         """Remove and return the entries that can no longer meet their target."""
@@ -138,8 +140,7 @@
 
     def remove(self, entry: Entry) -> None:
         """Remove an entry whose caller left; one that is not queued is ignored."""
-        if entry in self._entries:
-            self._entries.remove(entry)
+        self._entries.pop(entry, None)
 
     def record_run(self, run_s: float, now_s: float) -> None:
         """Record how long a request occupied a slot."""
@@ -170,44 +171,30 @@
 
     def _sort_key(self, now_s: float) -> SortKey:
         tags = {}
+        weights = self._usage.weights(now_s)
         for priority, state in self._priorities.items():
             entries = [entry for entry in self._entries if entry.priority == priority]
             if entries:
-                tags.update(state.shares.start_tags(entries, now_s))
-        priorities = {entry.priority for entry in self._entries}
+                tags.update(state.shares.start_tags(entries, weights))
+        states = self._priorities.items()
         return self._ordering(
             OrderingState(
+                surplus=self._entries,
                 start_tags=tags,
-                served_shares={
-                    priority: self._priorities[priority].served_share(now_s)
-                    for priority in priorities
-                },
-                mean_work_s={
-                    priority: self._priorities[priority].work.value(now_s)
-                    for priority in priorities
-                },
+                served_shares={p: state.served_share(now_s) for p, state in states},
+                mean_work_s={p: state.work.value(now_s) for p, state in states},
+                arrival_counts={p: state.work.count(now_s) for p, state in states},
             )
         )
 
-    def _leaders(self, order: Sequence[Entry]) -> list[Entry]:
-        """Return the first entry of each priority, in order."""
-        leaders: dict[int, Entry] = {}
-        for entry in order:
-            leaders.setdefault(entry.priority, entry)
-        return list(leaders.values())
+    def _reserve_rank(self, priority: int, now_s: float) -> int:
+        """Return the number of more urgent priorities that get a reserve.
 
-    def _may_start(
-        self, entry: Entry, order: Sequence[Entry], room: HostRoom, now_s: float
-    ) -> bool:
-        for leader in self._leaders(order):
-            if leader is entry:
-                return room.has_room(self._urgency_rank(entry.priority, now_s))
-            if room.has_room(self._urgency_rank(leader.priority, now_s)):
-                return False
-        return False
-
-    def _urgency_rank(self, priority: int, now_s: float) -> int:
-        """Return the number of more urgent priorities seen lately."""
+        It is kept for requests that may come. If more urgent ones wait already, the
+        ordering decides, which the reserve would override.
+        """
+        if any(entry.priority < priority for entry in self._entries):
+            return 0
         return sum(
             other < priority and now_s - state.last_arrival_s < RESERVE_LIFE_S
             for other, state in self._priorities.items()
@@ -238,11 +225,12 @@
     def _record_start(self, entry: Entry, now_s: float) -> None:
         state = self._priorities[entry.priority]
         state.served.add(1.0, now_s)
-        state.shares.record_start(entry, now_s)
+        weight = self._usage.weights(now_s).get(entry.customer, 1.0)
+        state.shares.record_start(entry, weight)
         self._starts.add(1.0, now_s)
 
     def _refuse(self, entry: Entry, now_s: float) -> None:
-        self._entries.remove(entry)
+        del self._entries[entry]
         self._priorities[entry.priority].refused.add(1.0, now_s)
 
     def _refusal(
--- a/src/sesameknot/scheduling/_room.py
+++ b/src/sesameknot/scheduling/_room.py
@@ -22,7 +22,7 @@
     """
 
     crowded_share: float = 0.9
-    endpoint_queue_share: float = 0.1
+    endpoint_queue_share: float = 0.25
     reserve_share: float = 0.05
 
 
@@ -156,23 +156,23 @@
         """Whether another request would exceed the share at which requests wait."""
         return self._taken_share(self.in_use_count + 1) > self._limits.crowded_share
 
-    def has_room(self, urgency_rank: int) -> bool:
+    def has_room(self, reserve_rank: int) -> bool:
         """Return whether a request may start now.
 
         Parameters
         ----------
-        urgency_rank : int
-            Number of more urgent priorities that have had requests lately.
+        reserve_rank : int
+            Number of more urgent priorities for which a reserve is kept.
         """
         if not self.crowded:
             return True
         # A small host leaves no reserve, since its only slot would never be used.
-        reserve_count = int(self._limits.reserve_share * urgency_rank * self.limit)
+        reserve_count = int(self._limits.reserve_share * reserve_rank * self.limit)
         return self.in_use_count + 1 + reserve_count <= self.limit + ROUNDING
 
-    def take(self, urgency_rank: int) -> bool:
+    def take(self, reserve_rank: int) -> bool:
         """Count a request that starts; return False if it may not."""
-        if not self.has_room(urgency_rank):
+        if not self.has_room(reserve_rank):
             return False
         self.occupy()
         return True
