Let requests wait for what first events leave of their latency target

Requests waited for at most half of their target, however fast first events come. They now wait for the target less 1.5 times the mean time to the first event, at most 0.8 of the target.

--- a/benchmarks/scheduling.py
+++ b/benchmarks/scheduling.py
@@ -31,7 +31,9 @@
 REPORT_INTERVAL_S = 0.4
 QUEUE_LIMIT_COUNT = 64
 CUSTOMER_COUNT = 12
-WAIT_SHARE = 0.5
+# Of the latency target. The rest is for the time to the first event, which is not part
+# of the simulation.
+WAIT_SHARE = 0.8
 DURATION_S = 36.0
 BURST_S = (15.0, 28.0)
 LOST_S = (20.0, 24.0)
--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -216,6 +216,7 @@
             settings=settings.scheduling,
             enabled=settings.scheduling.enabled and self._host.endpoint_memory_limited,
             prefill_ms_per_token=settings.placement.prefill_ms_per_token,
+            first_event_share=lambda service: runner.pressure_gauges.get(service).level,
             metrics=self._metrics,
             clock=self._clock,
         )
--- a/src/sesameknot/forwarding/request_scheduler.py
+++ b/src/sesameknot/forwarding/request_scheduler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import structlog
@@ -39,6 +40,11 @@
 # for the first of these times on average, and until they run for less than the second.
 MIN_RUN_S = 1.0
 MIN_RUN_KEPT_S = 0.7
+# A request may wait for what its target leaves after this multiple of the mean time to
+# the first event, since every second answer takes longer than the mean; at least for
+# the given share, as a slow service would else refuse all that has to wait.
+FIRST_EVENT_FACTOR = 1.5
+MIN_WAIT_SHARE = 0.25
 # Observations before which the mean run time is not known.
 MIN_RUN_COUNT = 5.0
 
@@ -77,6 +83,9 @@
         Whether requests are scheduled at all.
     prefill_ms_per_token : float
         Initial cost of a prompt token.
+    first_event_share : callable
+        Returns the mean time to the first event of a service's answers, as a share of
+        their latency target.
     metrics : RouterMetrics
         Queue length, waits and refusals.
     clock : Clock
@@ -90,6 +99,7 @@
         settings: SchedulingSettings,
         enabled: bool,
         prefill_ms_per_token: float,
+        first_event_share: Callable[[str], float],
         metrics: RouterMetrics,
         clock: Clock,
     ) -> None:
@@ -98,6 +108,7 @@
         self._enabled = enabled
         self._ordering = ORDERINGS.get(settings.ordering)
         self._prefill_ms_per_token = prefill_ms_per_token
+        self._first_event_share = first_event_share
         self._metrics = metrics
         self._clock = clock
         self._services: dict[str, _ServiceSchedule] = {}
@@ -190,12 +201,15 @@
         target_s = request.route.latency_target_ms / 1000.0
         # A caller that has less time left must still get its answer.
         target_s = min(target_s, request.deadline_s - request.arrived_s)
+        needed_share = FIRST_EVENT_FACTOR * self._first_event_share(request.service)
+        wait_share = max(MIN_WAIT_SHARE, 1.0 - needed_share)
+        wait_s = min(wait_share, self._settings.wait_share) * target_s
         return Entry(
             priority=request.priority,
             customer=request.customer.name if request.customer is not None else "",
             work_s=schedule.estimator.estimate_s(request.route.name, size, now_s),
             arrived_s=now_s,
-            latest_start_s=request.arrived_s + self._settings.wait_share * target_s,
+            latest_start_s=request.arrived_s + wait_s,
         )
 
     async def _wait(
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -126,9 +126,9 @@
     ordering: str = "least_cost"
     # Requests that may wait, for each service on each host.
     queue_limit_count: PositiveCount = 64
-    # Share of its latency target for which a request may wait. The rest is for the time
-    # to the first event of its answer.
-    wait_share: Share = 0.5
+    # Largest share of its latency target for which a request may wait. It is less where
+    # first events take longer than the rest.
+    wait_share: Share = 0.8
     # Share of taken slots up to which every request starts at once.
     crowded_share: Annotated[float, Meta(gt=0.0)] = 0.9
     # Requests beyond the slots that endpoints may hold, as a share of the slots. Loads
--- a/tests/forwarding/test_request_scheduler.py
+++ b/tests/forwarding/test_request_scheduler.py
@@ -40,7 +40,8 @@
         """Start a host that knows how long requests run."""
         host = replace(self.host_settings(), endpoint_memory_limited=memory_limited)
         settings = FrontSettings(
-            metrics_port=reserve_port(), scheduling=SchedulingSettings(enabled=True)
+            metrics_port=reserve_port(),
+            scheduling=SchedulingSettings(enabled=True, wait_share=0.5),
         )
         front = await self.start_front_with(host, settings=settings)
         # A front process knows its own entry; other hosts do not report here.
