--- a/src/sesameknot/coordination/_load_reports.py
+++ b/src/sesameknot/coordination/_load_reports.py
@@ -59,18 +59,21 @@
     ) -> None:
         self._view = view
         self._paces = paces
+        self._clock = clock
         self._reports: ReportTable[Loads] = ReportTable(
             view, life_s=LOAD_LIFE_S, clock=clock
         )
 
     def add_host(self, host_id: str, columns: EndpointLoads) -> None:
         """Record the loads that a host of this failure domain reports of itself."""
+        self._view.peer_loads_s = self._clock.monotonic_s()
         self._reports.add_host(host_id, parse_loads(columns))
         if self._paces is not None:
             self._paces.add_host(host_id, columns)
 
     def add_relay(self, host_id: str, columns: EndpointLoads) -> None:
         """Record the sum of loads that a relay reports."""
+        self._view.peer_loads_s = self._clock.monotonic_s()
         self._reports.add_relay(host_id, parse_loads(columns))
         if self._paces is not None:
             self._paces.add_relay(host_id, columns)
@@ -132,6 +135,7 @@
             endpoint.other_in_flight_count, endpoint.other_pending_tokens = total.get(
                 endpoint.endpoint_id, (0, 0)
             )
+        self._view.loads_applied_s = self._clock.monotonic_s()
 
     def paces_due(self, turn_count: int) -> bool:
         """Return whether paces are learnt, and exchanged in this turn."""
