--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -171,7 +171,9 @@
             time_left_ms=max(MIN_TIME_LEFT_MS, int(time_left_s * 1000)),
             customer=customer.name if customer is not None else "",
             model=self.model,
-            priority=self.request.priority if self.request.metadata.prompt else None,
+            priority=(
+                self.request.endpoint_priority if self.request.metadata.prompt else None
+            ),
             resume_after_event_id=self._resume_after_event_id,
         )
 
--- a/src/sesameknot/forwarding/request.py
+++ b/src/sesameknot/forwarding/request.py
@@ -81,6 +81,8 @@
         endpoints; None if it has not.
     sent_s : dict of str to float
         Monotonic time at which the request was last sent to each endpoint.
+    urgency_rank : int or None
+        Rank among the requests at an endpoint, 0 to 9; None for the priority alone.
     first_event_s : float or None
         Monotonic time at which the first event for the caller arrived; None before it
         and for answers that are no streams.
@@ -111,6 +113,7 @@
     abandoned_runs: list[AbandonedRun] = field(default_factory=list)
     doubted_run_count: int | None = None
     sent_s: dict[str, float] = field(default_factory=dict)
+    urgency_rank: int | None = None
     first_event_s: float | None = None
     _fingerprint: int | None = None
 
@@ -141,6 +144,11 @@
             return self.customer.priority
         return self.route.priority
 
+    @property
+    def endpoint_priority(self) -> int:
+        """Priority that endpoints are told."""
+        return self.priority if self.urgency_rank is None else self.urgency_rank
+
     @property
     def has_attempts_left(self) -> bool:
         """Whether the attempt limit of the route allows another attempt."""
--- a/src/sesameknot/forwarding/request_scheduler.py
+++ b/src/sesameknot/forwarding/request_scheduler.py
@@ -22,6 +22,7 @@
     RoomLimits,
     RoomLoads,
     WorkEstimator,
+    urgency_rank,
 )
 from sesameknot.settings.front import SchedulingSettings
 from sesameknot.state.fleet_view import FleetView
@@ -126,6 +127,7 @@
         """
         if not self._enabled:
             return
+        request.urgency_rank = urgency_rank(request.priority, request.route.priority)
         now_s = self._clock.monotonic_s()
         schedule = self._schedule(request.service)
         size = _request_size(request)
@@ -205,7 +207,7 @@
         wait_share = max(MIN_WAIT_SHARE, 1.0 - needed_share)
         wait_s = min(wait_share, self._settings.wait_share) * target_s
         return Entry(
-            priority=request.priority,
+            priority=request.endpoint_priority,
             customer=request.customer.name if request.customer is not None else "",
             work_s=schedule.estimator.estimate_s(request.route.name, size, now_s),
             arrived_s=now_s,
--- a/src/sesameknot/scheduling/__init__.py
+++ b/src/sesameknot/scheduling/__init__.py
@@ -4,6 +4,7 @@
 from sesameknot.scheduling._orderings import ORDERINGS
 from sesameknot.scheduling._queue import AdmissionQueue
 from sesameknot.scheduling._room import HostRoom, RoomLimits, RoomLoads
+from sesameknot.scheduling._urgency import urgency_rank
 from sesameknot.scheduling._work import RequestSize, WorkEstimator
 
 __all__ = [
@@ -18,4 +19,5 @@
     "RoomLimits",
     "RoomLoads",
     "WorkEstimator",
+    "urgency_rank",
 ]
