--- a/src/sesameknot/forwarding/request_scheduler.py
+++ b/src/sesameknot/forwarding/request_scheduler.py
@@ -251,10 +251,10 @@
         if acts and room.crowded:
             for entry in queue.expired(room, now_s):
                 schedule.finish(entry, RefusalReason.LATE)
-        while entry := queue.next_ready(room, now_s, unlimited=not acts):
-            waiter = schedule.waiters[entry]
+        while ready := queue.next_ready(room, now_s, unlimited=not acts):
+            waiter = schedule.waiters[ready]
             self._record_start(schedule, waiter.request, waiter.size, now_s)
-            schedule.finish(entry, None)
+            schedule.finish(ready, None)
 
     def _record_start(
         self,
--- a/tests/scheduling/test_queue.py
+++ b/tests/scheduling/test_queue.py
@@ -112,12 +112,12 @@
     def play(self, arrivals, *, ordering="least_cost", seconds=60, slots_per_s=10):
         """Offer ``arrivals(step)`` each tenth of a second; return (served, all)."""
         queue, room = self.make_queue(ordering), full_room()
-        offered, started = [], []
+        offered, started, self.refused = [], [], []
         for step in range(seconds * 10):
             now_s = step / 10
             for _ in range(slots_per_s // 10):
                 room.give_back()
-                queue.expired(room, now_s)
+                self.refused += queue.expired(room, now_s)
                 ready = queue.next_ready(room, now_s)
                 if ready is None:
                     room.occupy()
@@ -125,8 +125,13 @@
                     started.append(ready)
             for new in arrivals(step, now_s):
                 offered.append(new)
-                if queue.offer(new, room, now_s).action is Action.RUN:
+                decision = queue.offer(new, room, now_s)
+                self.refused += decision.displaced
+                if decision.action is Action.RUN:
                     started.append(new)
+                elif decision.action is Action.REFUSE:
+                    self.refused.append(new)
+                self.assertThat(len(queue), LessThan(65))
         return started, offered
 
     def shares(self, started, offered, key):
@@ -191,6 +196,25 @@
         overall = len(started) / len(offered)
         self.assertThat(by_size[2.5], GreaterThan(overall / 2))
 
+    def test_all_refused_requests_come_back_at_once(self):
+        """Guards against retries that take the room of requests served in time.
+
+        Demand is twice the room, and what was refused comes again every two seconds.
+        """
+
+        def arrivals(step, now_s):
+            new = [entry(now_s, priority=step % 2, wait_s=1.0) for _ in range(2)]
+            if step % 20 == 0:
+                new += [entry(now_s, priority=e.priority) for e in self.refused]
+                self.refused = []
+            return new
+
+        started, offered = self.play(arrivals)
+        # Ten slots a second; the first ones start and the last ones end outside.
+        self.assertThat(len(started), GreaterThan(590))
+        by_priority = self.shares(started, offered, lambda e: e.priority)
+        self.assertThat(by_priority[1] - by_priority[0], LessThan(0.05))
+
     def test_frozen_host_clears_its_queue(self):
         """Guards against requests that wait on after a pause of the process."""
         queue, room = self.make_queue(), full_room()
