--- a/src/sesameknot/scheduling/_room.py
+++ b/src/sesameknot/scheduling/_room.py
@@ -5,6 +5,8 @@
 
 # Guards comparisons of counts against rounding errors of accumulated shares.
 ROUNDING = 1e-9
+# However many priorities there are, the last one keeps most of a host's slots.
+MAX_RESERVE_SHARE = 0.3
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -167,7 +169,10 @@
         if not self.crowded:
             return True
         # A small host leaves no reserve, since its only slot would never be used.
-        reserve_count = int(self._limits.reserve_share * reserve_rank * self.limit)
+        reserve_share = min(
+            MAX_RESERVE_SHARE, self._limits.reserve_share * reserve_rank
+        )
+        reserve_count = int(reserve_share * self.limit)
         return self.in_use_count + 1 + reserve_count <= self.limit + ROUNDING
 
     def take(self, reserve_rank: int) -> bool:
--- a/src/sesameknot/scheduling/_urgency.py
+++ b/src/sesameknot/scheduling/_urgency.py
@@ -9,8 +9,8 @@
 def urgency_rank(priority: int, route_priority: int) -> int:
     """Return the rank of a request; 0 is the most urgent.
 
-    Operators set the customer's priority above the route's. Most customers share one, so
-    the route's decides among their requests.
+    The customer's priority goes first. Most customers share one, so that the route's
+    decides among their requests.
 
     Parameters
     ----------
--- a/tests/scheduling/test_room.py
+++ b/tests/scheduling/test_room.py
@@ -95,3 +95,11 @@
         less_urgent_count = self.take_all(rank=2)
         self.assertThat(less_urgent_count, GreaterThan(60))
         self.assertThat(self.take_all(rank=0), GreaterThan(6))
+
+    def test_last_of_many_priorities_keeps_most_of_the_slots(self):
+        """Guards against reserves that leave nothing to the last of many priorities."""
+        self.report(300, hosts=1)
+        last_count = self.take_all(rank=8)
+        self.report(300, hosts=1)
+        first_count = last_count + self.take_all(rank=0)
+        self.assertThat(last_count, GreaterThan(0.6 * first_count))
