Move the schedule of one service into a module of its own

Cause: request_scheduler.py had 453 lines and two classes; `acts`, `finish` and `_report` (which updates metrics, while reports are loads elsewhere) had to be read twice, and MIN_RUN_KEPT_S named no direction. Change: ServiceSchedule and WaitingRequest are in service_schedule.py. is_active, resolve, _update_metrics, START_RUN_S and STOP_RUN_S replace the names above. No behaviour changes.

--- a/src/sesameknot/forwarding/request_scheduler.py
+++ b/src/sesameknot/forwarding/request_scheduler.py
@@ -10,6 +10,7 @@
 from sesameknot.clock import Clock
 from sesameknot.forwarding.error_answer import RequestEndedError, not_run_answer
 from sesameknot.forwarding.request import ForwardedRequest
+from sesameknot.forwarding.service_schedule import ServiceSchedule, WaitingRequest
 from sesameknot.router.metrics import RouterMetrics
 from sesameknot.scheduling import (
     ORDERINGS,
@@ -20,56 +21,32 @@
     RefusalReason,
     RequestSize,
     RoomLimits,
-    RoomLoads,
     WorkEstimator,
 )
 from sesameknot.settings.front import SchedulingSettings
 from sesameknot.state.fleet_view import FleetView
-from sesameknot.state.known_endpoint import KnownEndpoint
-from sesameknot.state.version_filter import VersionFilter
 
 # Interval at which waiting requests are looked at again. It bounds the delay until a
 # new report of loads, or a time that has run out, takes effect.
 WAKE_INTERVAL_S = 0.05
-# The slots of a service are counted again after this time, as it takes time in
-# proportion to the number of endpoints.
-COUNT_INTERVAL_S = 0.05
-# Without a report from another host for this long, their loads are unknown.
-PEER_SILENCE_S = 2.0
-# Reports of loads are up to 0.5 s old. A service is scheduled while its requests run
-# for the first of these times on average, and until they run for less than the second.
-MIN_RUN_S = 1.0
-MIN_RUN_KEPT_S = 0.7
 # A request may wait for what its target leaves after this multiple of the mean time to
 # the first event, since every second answer takes longer than the mean; at least for
 # the given share, as a slow service would else refuse all that has to wait.
 FIRST_EVENT_FACTOR = 1.5
 MIN_WAIT_SHARE = 0.25
-# Observations before which the mean run time is not known.
-MIN_RUN_COUNT = 5.0
 
 log = structlog.get_logger(__name__)
 
 
 @dataclass(slots=True, eq=False)
-class _Admitted:
+class _RunningRequest:
     """A request that runs, and when it began to."""
 
-    service: "_ServiceSchedule"
+    schedule: ServiceSchedule
     size: RequestSize
     started_s: float
 
 
-@dataclass(slots=True, eq=False)
-class _Waiter:
-    """A request that waits; the result is the reason of its refusal, or None."""
-
-    request: ForwardedRequest
-    entry: Entry
-    size: RequestSize
-    outcome: asyncio.Future[RefusalReason | None]
-
-
 class RequestScheduler:
     """Decides when each request may start its first attempt.
 
@@ -111,9 +88,9 @@
         self._first_event_share = first_event_share
         self._metrics = metrics
         self._clock = clock
-        self._services: dict[str, _ServiceSchedule] = {}
+        self._services: dict[str, ServiceSchedule] = {}
         # By identity, since requests are mutable.
-        self._admitted: dict[int, _Admitted] = {}
+        self._admitted: dict[int, _RunningRequest] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     async def admit(self, request: ForwardedRequest) -> None:
@@ -129,7 +106,7 @@
         now_s = self._clock.monotonic_s()
         schedule = self._schedule(request.service)
         size = _request_size(request)
-        if not schedule.acts(now_s) or request.prior_run_count:
+        if not schedule.is_active(now_s) or request.prior_run_count:
             schedule.room.occupy()
             self._record_start(schedule, request, size, now_s)
             return
@@ -137,14 +114,14 @@
         self._start_waiting(schedule, now_s)
         decision = schedule.queue.offer(entry, schedule.room, now_s)
         for displaced in decision.displaced:
-            schedule.finish(displaced, RefusalReason.DISPLACED)
+            schedule.resolve(displaced, RefusalReason.DISPLACED)
         if decision.action is Action.RUN:
             self._record_start(schedule, request, size, now_s)
         elif decision.reason is not None:
             raise self._refusal(schedule, request, entry, decision.reason)
         else:
             await self._wait(schedule, request, entry, size)
-        self._report(schedule)
+        self._update_metrics(schedule)
 
     def ended(self, request: ForwardedRequest) -> None:
         """Give back the slot of a request that ended, if it was admitted."""
@@ -152,24 +129,24 @@
         if admitted is None:
             return
         now_s = self._clock.monotonic_s()
-        schedule = admitted.service
+        schedule = admitted.schedule
         schedule.room.give_back()
         if request.run_count:
             run_s = now_s - admitted.started_s
             schedule.queue.record_run(run_s, now_s)
             schedule.estimator.observe(request.route.name, admitted.size, run_s, now_s)
         self._start_waiting(schedule, now_s)
-        self._report(schedule)
+        self._update_metrics(schedule)
 
     def close(self) -> None:
         """Stop the timer."""
         if self._timer is not None:
             self._timer.cancel()
 
-    def _schedule(self, service: str) -> "_ServiceSchedule":
+    def _schedule(self, service: str) -> ServiceSchedule:
         schedule = self._services.get(service)
         if schedule is None:
-            schedule = self._services[service] = _ServiceSchedule(
+            schedule = self._services[service] = ServiceSchedule(
                 service,
                 view=self._view,
                 queue=AdmissionQueue(
@@ -193,7 +170,7 @@
 
     def _entry(
         self,
-        schedule: "_ServiceSchedule",
+        schedule: ServiceSchedule,
         request: ForwardedRequest,
         size: RequestSize,
         now_s: float,
@@ -214,14 +191,14 @@
 
     async def _wait(
         self,
-        schedule: "_ServiceSchedule",
+        schedule: ServiceSchedule,
         request: ForwardedRequest,
         entry: Entry,
         size: RequestSize,
     ) -> None:
         outcome = asyncio.get_running_loop().create_future()
-        schedule.waiters[entry] = _Waiter(request, entry, size, outcome)
-        self._report(schedule)
+        schedule.waiters[entry] = WaitingRequest(request, entry, size, outcome)
+        self._update_metrics(schedule)
         self._arm_timer()
         try:
             reason = await outcome
@@ -229,7 +206,7 @@
             # Without effect unless the caller left or the deadline passed.
             schedule.waiters.pop(entry, None)
             schedule.queue.remove(entry)
-            self._report(schedule)
+            self._update_metrics(schedule)
         waited_s = self._clock.monotonic_s() - entry.arrived_s
         if reason is not None:
             raise self._refusal(schedule, request, entry, reason)
@@ -242,32 +219,32 @@
             waited_ms=round(waited_s * 1000),
         )
 
-    def _start_waiting(self, schedule: "_ServiceSchedule", now_s: float) -> None:
+    def _start_waiting(self, schedule: ServiceSchedule, now_s: float) -> None:
         """Start all waiting requests that may start, and refuse those that cannot."""
         schedule.update(now_s)
         queue, room = schedule.queue, schedule.room
-        acts = schedule.acts(now_s)
+        active = schedule.is_active(now_s)
         # While there is room, also a request that is late after a pause is served.
-        if acts and room.crowded:
+        if active and room.crowded:
             for entry in queue.expired(room, now_s):
-                schedule.finish(entry, RefusalReason.LATE)
-        while entry := queue.next_ready(room, now_s, unlimited=not acts):
+                schedule.resolve(entry, RefusalReason.LATE)
+        while entry := queue.next_ready(room, now_s, unlimited=not active):
             waiter = schedule.waiters[entry]
             self._record_start(schedule, waiter.request, waiter.size, now_s)
-            schedule.finish(entry, None)
+            schedule.resolve(entry, None)
 
     def _record_start(
         self,
-        schedule: "_ServiceSchedule",
+        schedule: ServiceSchedule,
         request: ForwardedRequest,
         size: RequestSize,
         now_s: float,
     ) -> None:
-        self._admitted[id(request)] = _Admitted(schedule, size, now_s)
+        self._admitted[id(request)] = _RunningRequest(schedule, size, now_s)
 
     def _refusal(
         self,
-        schedule: "_ServiceSchedule",
+        schedule: ServiceSchedule,
         request: ForwardedRequest,
         entry: Entry,
         reason: RefusalReason,
@@ -294,10 +271,10 @@
             retry_after_s=round(error_answer.retry_after_s, 3),
             served_share=round(schedule.queue.served_share(entry.priority, now_s), 3),
         )
-        self._report(schedule)
+        self._update_metrics(schedule)
         return RequestEndedError(error_answer)
 
-    def _report(self, schedule: "_ServiceSchedule") -> None:
+    def _update_metrics(self, schedule: ServiceSchedule) -> None:
         labels = {"service": schedule.service}
         self._metrics.scheduling_queue.set(labels, len(schedule.queue))
         room = schedule.room
@@ -323,105 +300,6 @@
             self._arm_timer()
 
 
-class _ServiceSchedule:
-    """Queue and room of one service.
-
-    Parameters
-    ----------
-    service : str
-        Name of the service.
-    view : FleetView
-        Endpoints with their loads, and hosts.
-    queue : AdmissionQueue
-        Entries that wait.
-    room : HostRoom
-        This host's share of the slots.
-    estimator : WorkEstimator
-        Work of requests.
-    """
-
-    __slots__ = (
-        "_acting",
-        "_counted_s",
-        "_slots_known",
-        "_view",
-        "estimator",
-        "queue",
-        "room",
-        "service",
-        "waiters",
-    )
-
-    def __init__(
-        self,
-        service: str,
-        *,
-        view: FleetView,
-        queue: AdmissionQueue,
-        room: HostRoom,
-        estimator: WorkEstimator,
-    ) -> None:
-        self.service = service
-        self.queue = queue
-        self.room = room
-        self.estimator = estimator
-        self.waiters: dict[Entry, _Waiter] = {}
-        self._view = view
-        self._acting = False
-        self._slots_known = False
-        self._counted_s = -math.inf
-
-    def acts(self, now_s: float) -> bool:
-        """Return whether the requests of the service are scheduled now."""
-        self.update(now_s)
-        run_s = self.queue.mean_run_s(now_s, min_count=MIN_RUN_COUNT)
-        if run_s is not None:
-            self._acting = run_s >= (MIN_RUN_KEPT_S if self._acting else MIN_RUN_S)
-        return self._acting and self._slots_known
-
-    def update(self, now_s: float) -> None:
-        """Take in the endpoints' present slots and loads."""
-        view = self._view
-        if (
-            now_s - self._counted_s < COUNT_INTERVAL_S
-            and self._counted_s >= view.loads_applied_s
-        ):
-            return
-        self._counted_s = now_s
-        usable = view.usable(self.service, VersionFilter())
-        healthy = [e for e in usable if not e.health.ejected] or usable
-        self._slots_known = bool(healthy) and all(
-            endpoint.entry.slot_count for endpoint in healthy
-        )
-        loads = RoomLoads(
-            slot_count=sum(self._slot_count(e, now_s) for e in healthy),
-            other_in_flight_count=sum(e.other_in_flight_count for e in healthy),
-            report_s=view.loads_applied_s,
-            peers_heard=now_s - view.peer_loads_s < PEER_SILENCE_S,
-        )
-        self.room.update(loads, len(view.hosts), now_s)
-
-    def _slot_count(self, endpoint: KnownEndpoint, now_s: float) -> int:
-        """Return the slots of an endpoint, or those it can fill while it is cold."""
-        slot_count = endpoint.entry.slot_count
-        configuration = self._view.configuration
-        if configuration is None or not self._view.cold_left_s(endpoint):
-            return slot_count
-        cold_rate_per_s = configuration.service(self.service).cold_rate_per_s
-        if not cold_rate_per_s:
-            return slot_count
-        run_s = self.queue.mean_run_s(now_s) or MIN_RUN_S
-        in_flight_count = endpoint.in_flight_count + endpoint.other_in_flight_count
-        filled_count = max(in_flight_count, math.ceil(cold_rate_per_s * run_s))
-        return min(slot_count, filled_count)
-
-    def finish(self, entry: Entry, reason: RefusalReason | None) -> None:
-        """Let a waiting request start, or be refused for ``reason``."""
-        waiter = self.waiters.pop(entry, None)
-        if waiter is not None and not waiter.outcome.done():
-            waiter.outcome.set_result(reason)
-
-
 def _request_size(request: ForwardedRequest) -> RequestSize:
     metadata = request.metadata
     shared_count = sum(part.token_count for part in metadata.prompt[:-1])
@@ -436,7 +314,7 @@
 
 
 def _log_fields(
-    schedule: _ServiceSchedule, request: ForwardedRequest, entry: Entry
+    schedule: ServiceSchedule, request: ForwardedRequest, entry: Entry
 ) -> dict[str, object]:
     room = schedule.room
     return {
