--- a/src/sesameknot/coordination/_load_reports.py
+++ b/src/sesameknot/coordination/_load_reports.py
@@ -137,9 +137,11 @@
             )
         self._view.loads_applied_s = self._clock.monotonic_s()
 
-    def paces_due(self, turn_count: int) -> bool:
-        """Return whether paces are learnt, and exchanged in this turn."""
-        return self._paces is not None and self._paces.is_due(turn_count)
+    def paces_due(self, turn_count: int | None) -> bool:
+        """Return whether paces are learnt, and exchanged in this turn if it is one."""
+        if self._paces is None or turn_count is None:
+            return False
+        return self._paces.is_due(turn_count)
 
     def refresh_paces(self, *, is_relay: bool) -> None:
         """Sum the paces, if they are learnt, and apply them to the endpoints."""
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -20,6 +20,11 @@
     ChangeReplies,
     DeferredKinds,
 )
+from sesameknot.coordination._exchange_rounds import (
+    calls_both_relays,
+    calls_other_domains,
+    pace_turn,
+)
 from sesameknot.coordination._load_reports import LoadReports
 from sesameknot.coordination._pace_reports import PaceReports
 from sesameknot.coordination._stored_records import stored_entry
@@ -49,14 +54,6 @@
 FALLBACK_MARGIN_S = 0.4
 # The store's last answer to a relay may be older than its longest wait by this much.
 PROBE_MARGIN_S = 0.4
-# Rounds between two calls to the second relay while the first one is up to date. The
-# second one must receive a host's load before the previous report expires.
-BOTH_RELAYS_ROUND_COUNT = 3
-# Rounds between two calls to the relays of other failure domains.
-OTHER_DOMAINS_ROUND_COUNT = 2
-# Paces of endpoints are sent in a multiple of so many rounds: in these, all relays are
-# called.
-ALL_RELAYS_ROUND_COUNT = BOTH_RELAYS_ROUND_COUNT * OTHER_DOMAINS_ROUND_COUNT
 
 log = structlog.get_logger(__name__)
 
@@ -152,21 +149,16 @@
             await asyncio.sleep(EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1))
             relays = self.relays(self._domain)
             is_relay = self._host_id in relays or not relays
-            self._with_paces = (
-                round_count % ALL_RELAYS_ROUND_COUNT == 0
-                and self._loads.paces_due(round_count // ALL_RELAYS_ROUND_COUNT)
-            )
+            self._with_paces = self._loads.paces_due(pace_turn(round_count))
             if self._with_paces:
                 self._loads.refresh_paces(is_relay=is_relay)
             if is_relay:
                 await self._exchange_as_relay(relays)
-                if round_count % OTHER_DOMAINS_ROUND_COUNT == 0 or self._is_cut_off:
+                if calls_other_domains(round_count) or self._is_cut_off:
                     await self._exchange_with_other_domains()
             else:
-                call_both = round_count % BOTH_RELAYS_ROUND_COUNT == 0
-                await self._exchange_with_relays(
-                    relays, call_both=call_both or not self._link.relayed
-                )
+                call_both = calls_both_relays(round_count) or not self._link.relayed
+                await self._exchange_with_relays(relays, call_both=call_both)
             round_count += 1
             self._loads.apply()
 
--- a/src/sesameknot/forwarding/attempt.py
+++ b/src/sesameknot/forwarding/attempt.py
@@ -363,25 +363,6 @@
             and not self._runner.view.cold_left_s(self.endpoint),
         )
 
-    def count_stream(self, gap_s: float) -> None:
-        """Count the answer as a stream with a mean time between events of ``gap_s``."""
-        entry = self.endpoint.entry
-        self._runner.attempt_counts.count_stream(
-            entry.service, entry.version, self.model, gap_s=gap_s
-        )
-
-    def observe_pace(self, gap_s: float, *, load_share: float) -> None:
-        """Record the mean time between events of the whole stream for the endpoint."""
-        endpoint_pace = self._runner.endpoint_pace
-        if endpoint_pace is not None:
-            endpoint_pace.observe(
-                self.endpoint.entry.service,
-                self.model,
-                self.endpoint.incarnation_id,
-                gap_s=gap_s,
-                load_share=load_share,
-            )
-
     def record_answer(self, result: str = "answered") -> None:
         """Record a complete answer; a 5xx status counts against the endpoint."""
         self._result = result
--- a/src/sesameknot/forwarding/endpoint_selector.py
+++ b/src/sesameknot/forwarding/endpoint_selector.py
@@ -13,8 +13,9 @@
     PlacementCandidate,
     PlacementRequest,
 )
-from sesameknot.state.fleet_view import LAPSE_GRACE_S, FleetView
+from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
+from sesameknot.state.store_availability import LAPSE_GRACE_S
 from sesameknot.state.version_filter import VersionFilter
 
 # Lower limit of the estimated wait for endpoints whose return cannot be predicted.
--- a/src/sesameknot/forwarding/stream.py
+++ b/src/sesameknot/forwarding/stream.py
@@ -119,9 +119,14 @@
                 if await self._cascade.replaces(state, attempt, caller):
                     timer.answer_dropped(head_s)
                     return False
-                pace = StreamPace(attempt)
+                runner = self._retry_policy.runner
+                pace = StreamPace(
+                    attempt,
+                    attempt_counts=runner.attempt_counts,
+                    endpoint_pace=runner.endpoint_pace,
+                )
                 try:
-                    with self._retry_policy.runner.answer_buffer.reservation() as held:
+                    with runner.answer_buffer.reservation() as held:
                         await self._relay_events(
                             state, attempt, caller, pace, held, timer
                         )
--- a/src/sesameknot/forwarding/stream_pace.py
+++ b/src/sesameknot/forwarding/stream_pace.py
@@ -1,6 +1,8 @@
 """Measurement of the pace of one stream, for its version and its endpoint."""
 
 from sesameknot.forwarding.attempt import Attempt
+from sesameknot.policy.endpoint_pace import EndpointPace
+from sesameknot.state.attempt_counts import AttemptCounts
 
 # Shorter streams are measured at their end, if they have this many gaps.
 GAP_MIN_COUNT = 3
@@ -18,11 +20,17 @@
     ----------
     attempt : Attempt
         The attempt whose answer is the stream.
+    attempt_counts : AttemptCounts
+        Receives the time for the version.
+    endpoint_pace : EndpointPace or None
+        Receives the time for the endpoint; None if it is not learnt.
     """
 
     __slots__ = (
         "_attempt",
+        "_attempt_counts",
         "_cold",
+        "_endpoint_pace",
         "_event_count",
         "_first_event_s",
         "_first_load_share",
@@ -30,8 +38,16 @@
         "_measured",
     )
 
-    def __init__(self, attempt: Attempt) -> None:
+    def __init__(
+        self,
+        attempt: Attempt,
+        *,
+        attempt_counts: AttemptCounts,
+        endpoint_pace: EndpointPace | None,
+    ) -> None:
         self._attempt = attempt
+        self._attempt_counts = attempt_counts
+        self._endpoint_pace = endpoint_pace
         self._event_count = 0
         self._first_event_s = 0.0
         self._last_event_s = 0.0
@@ -71,12 +87,22 @@
             self._measured = True
             gap_count = max(1, self._event_count - 1)
             gap_s = (now_s - self._first_event_s) / gap_count
-            self._attempt.count_stream(gap_s)
+            entry = self._attempt.endpoint.entry
+            self._attempt_counts.count_stream(
+                entry.service, entry.version, self._attempt.model, gap_s=gap_s
+            )
 
     def _measure_endpoint(self) -> None:
+        if self._endpoint_pace is None:
+            return
+        endpoint = self._attempt.endpoint
         # Time after the last event says how the stream ended, not how fast it was.
         duration_s = self._last_event_s - self._first_event_s
-        load_share = (self._first_load_share + self._attempt.endpoint.load_share) / 2.0
-        self._attempt.observe_pace(
-            duration_s / (self._event_count - 1), load_share=load_share
+        load_share = (self._first_load_share + endpoint.load_share) / 2.0
+        self._endpoint_pace.observe(
+            endpoint.entry.service,
+            self._attempt.model,
+            endpoint.incarnation_id,
+            gap_s=duration_s / (self._event_count - 1),
+            load_share=load_share,
         )
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -10,17 +10,18 @@
     EndpointState,
     HostEntry,
     RolloutOrder,
-    RolloutOutcome,
 )
 from sesameknot.state.endpoint_health import EndpointHealth
 from sesameknot.state.endpoint_limits import EndpointLimits
 from sesameknot.state.endpoint_outages import EndpointOutages
 from sesameknot.state.known_endpoint import KnownEndpoint
-from sesameknot.state.store_availability import RECENT_OUTAGE_S, StoreAvailability
-from sesameknot.state.version_filter import VersionFilter
+from sesameknot.state.store_availability import (
+    LAPSE_GRACE_S,
+    RECENT_OUTAGE_S,
+    StoreAvailability,
+)
+from sesameknot.state.version_filter import VersionFilter, versions_for_session
 
-# Endpoints whose entries expired during a store outage register again within this time.
-LAPSE_GRACE_S = 2.0
 # An endpoint of a new version may belong to a roll-out whose order this host has not
 # received yet.
 NEW_VERSION_DEFER_S = 4.0
@@ -245,24 +246,15 @@
             or now_s - self.store_restored_s < RECENT_OUTAGE_S
         )
         if endpoint.entry.state is EndpointState.READY and may_be_lost:
-            endpoint.gone_at_s = self._lapse_end_s(now_s)
+            endpoint.gone_at_s = (
+                now_s + LAPSE_GRACE_S
+                if self.restored_recently
+                else self.store.lapse_end_s(now_s, leave_s=self.endpoint_leave_s)
+            )
             return endpoint.gone_at_s > now_s
         endpoint.gone_at_s = now_s
         return False
 
-    def _lapse_end_s(self, now_s: float) -> float:
-        """Return until when an endpoint is usable whose entry may have lapsed.
-
-        The outage may have been one of this host's connection only, and the endpoint
-        has left. It was removed after the store's return, so the time within which an
-        endpoint that leaves must get no more requests counts from there.
-        """
-        end_s = now_s + LAPSE_GRACE_S
-        if self.store.unavailable_since_s is not None or self.restored_recently:
-            return end_s
-        limit_s = max(RECENT_OUTAGE_S, self.endpoint_leave_s)
-        return min(end_s, max(now_s, self.store.returned_s + limit_s))
-
     def note_leaving(self, endpoint: KnownEndpoint) -> bool:
         """Record that an endpoint's answer says that it leaves.
 
@@ -354,25 +346,9 @@
     def allowed_versions(self, service: str, session_position: float) -> VersionFilter:
         """Return the versions of ``service`` that a session may use now.
 
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-        session_position : float
-            Fixed position of the session between 0 and 1; sessions below the share of
-            a roll-out use its version.
+        The parameter is the one of :func:`versions_for_session`.
         """
-        order = self.rollouts.get(service)
-        if order is None:
-            return VersionFilter()
-        if order.outcome is RolloutOutcome.SUCCEEDED:
-            return VersionFilter(only=order.target_version)
-        on_target = (
-            order.outcome is RolloutOutcome.RUNNING and session_position < order.share
-        )
-        if on_target:
-            return VersionFilter(prefer=order.target_version)
-        return VersionFilter(exclude=order.target_version)
+        return versions_for_session(self.rollouts.get(service), session_position)
 
     def usable(self, service: str, versions: VersionFilter) -> list[KnownEndpoint]:
         """Return the endpoints of ``service`` that a request may use now.
--- a/src/sesameknot/state/store_availability.py
+++ b/src/sesameknot/state/store_availability.py
@@ -4,6 +4,8 @@
 
 from sesameknot.clock import Clock
 
+# Endpoints whose entries expired during a store outage register again within this time.
+LAPSE_GRACE_S = 2.0
 # Entries may have expired in an outage that ended not longer ago than this.
 RECENT_OUTAGE_S = 3.0
 # An entry lives for three heartbeats, the last of which may be one interval older than
@@ -77,6 +79,25 @@
         now_s = self.clock.monotonic_s()
         return now_s < self.expired_until_s or self._may_expire_entries(now_s)
 
+    def lapse_end_s(self, now_s: float, *, leave_s: float) -> float:
+        """Return until when an endpoint is usable whose entry was removed at ``now_s``.
+
+        The entry may have lapsed in an outage. If that was one of this host's
+        connection only, the endpoint may have left instead. Its entry was removed after
+        the store's return, so the time within which a leaving endpoint must get no more
+        requests counts from there.
+
+        Parameters
+        ----------
+        leave_s : float
+            Time within which hosts must stop sending requests to a leaving endpoint.
+        """
+        end_s = now_s + LAPSE_GRACE_S
+        if self.unavailable_since_s is not None:
+            return end_s
+        limit_s = max(RECENT_OUTAGE_S, leave_s)
+        return min(end_s, max(now_s, self.returned_s + limit_s))
+
     def _may_expire_entries(self, until_s: float) -> bool:
         if self.unavailable_since_s is None:
             return False
--- a/src/sesameknot/state/version_filter.py
+++ b/src/sesameknot/state/version_filter.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from sesameknot.protocol.fleet_records import RolloutOrder, RolloutOutcome
 from sesameknot.state.known_endpoint import KnownEndpoint
 
 
@@ -35,3 +36,28 @@
             return candidates
         preferred = [c for c in candidates if c.entry.version == self.prefer]
         return preferred or candidates
+
+
+def versions_for_session(
+    order: RolloutOrder | None, session_position: float
+) -> VersionFilter:
+    """Return the versions that a session may use.
+
+    Parameters
+    ----------
+    order : RolloutOrder or None
+        Roll-out of the service; None without one.
+    session_position : float
+        Fixed position of the session between 0 and 1; sessions below the share of the
+        roll-out use its version.
+    """
+    if order is None:
+        return VersionFilter()
+    if order.outcome is RolloutOutcome.SUCCEEDED:
+        return VersionFilter(only=order.target_version)
+    on_target = (
+        order.outcome is RolloutOutcome.RUNNING and session_position < order.share
+    )
+    if on_target:
+        return VersionFilter(prefer=order.target_version)
+    return VersionFilter(exclude=order.target_version)
