--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -234,7 +234,7 @@
         scheduler = RequestScheduler(
             view=self._view,
             settings=settings.scheduling,
-            enabled=settings.scheduling.enabled and self._host.endpoint_memory_limited,
+            enabled=self._schedules,
             prefill_ms_per_token=settings.placement.prefill_ms_per_token,
             first_event_share=lambda service: runner.pressure_gauges.get(service).level,
             metrics=self._metrics,
@@ -255,6 +255,11 @@
             clock=self._clock,
         )
 
+    @property
+    def _schedules(self) -> bool:
+        """Whether settings and deployment ask for the scheduling of requests."""
+        return self._settings.scheduling.enabled and self._host.endpoint_memory_limited
+
     def _incarnation_id(self, endpoint_id: str) -> str:
         endpoint = self._view.endpoints.get(endpoint_id)
         return endpoint.incarnation_id if endpoint is not None else endpoint_id
@@ -273,7 +278,11 @@
         return EndpointSelector(
             view=self._view,
             placement=PLACEMENTS.get(placement.strategy)(
-                costs=costs, cache=prompt_cache, random_generator=random.Random(seed)
+                costs=costs,
+                cache=prompt_cache,
+                random_generator=random.Random(seed),
+                # Requests must not gather at one endpoint, whose memory is limited.
+                spread_near_ties=self._schedules,
             ),
             model_partition=ModelPartition(clock=self._clock),
             cold_start_limiter=ColdStartLimiter(
--- a/src/sesameknot/policy/prompt_placement.py
+++ b/src/sesameknot/policy/prompt_placement.py
@@ -140,6 +140,17 @@
 class _PlacementBase:
     """Base class with the cost estimate that all variants share.
 
+    Parameters
+    ----------
+    costs : PlacementCosts
+        Weights of the cost estimate.
+    cache : PromptCacheTracker
+        Prompts that endpoints have cached.
+    random_generator : random.Random
+        Source of random choices.
+    spread_near_ties : bool, default=False
+        Whether to draw among nearly equal endpoints also where all are even.
+
     Notes
     -----
     Where endpoints are known to be uneven, the load of each, the request included,
@@ -148,7 +159,7 @@
     all choose the lowest.
     """
 
-    __slots__ = ("cache", "costs", "random_generator")
+    __slots__ = ("cache", "costs", "random_generator", "spread_near_ties")
 
     def __init__(
         self,
@@ -156,10 +167,12 @@
         costs: PlacementCosts,
         cache: PromptCacheTracker,
         random_generator: random.Random,
+        spread_near_ties: bool = False,
     ) -> None:
         self.costs = costs
         self.cache = cache
         self.random_generator = random_generator
+        self.spread_near_ties = spread_near_ties
 
     def _load_ms(self, candidate: PlacementCandidate) -> float:
         costs = self.costs
@@ -183,6 +196,9 @@
             + (0.0 if candidate.preferred_for_model else costs.other_model_ms)
         )
 
+    def _spreads(self, candidates: Sequence[PlacementCandidate]) -> bool:
+        return self.spread_near_ties or _uneven(candidates)
+
     def _near_lowest(self, costs_ms: Sequence[float]) -> list[int]:
         """Return the indices of the candidates with nearly the lowest cost."""
         limit_ms = min(costs_ms) + NEAR_TIE_LOAD_COUNT * self.costs.request_load_ms
@@ -204,7 +220,7 @@
         self, candidates: Sequence[PlacementCandidate], request: PlacementRequest
     ) -> PlacementCandidate:
         """Return the candidate with the lowest load."""
-        if _uneven(candidates):
+        if self._spreads(candidates):
             loads_ms = [self._load_ms(candidate) for candidate in candidates]
             return self._draw([candidates[i] for i in self._near_lowest(loads_ms)])
         draw_tie_break = self.random_generator.random
@@ -253,7 +269,7 @@
             prefill_ms = (total_tokens - cached) * self.costs.prefill_ms_per_token
             return self._load_ms(candidate) + prefill_ms
 
-        if _uneven(candidates):
+        if self._spreads(candidates):
             costs_ms = [estimate_ms(index) for index in range(len(candidates))]
             near = self._near_lowest(costs_ms)
             # What this host knows to be cached still decides; hosts differ in that.
--- a/tests/policy/test_uneven_placement.py
+++ b/tests/policy/test_uneven_placement.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan, LessThan
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan, Not
 
 from sesameknot.clock import ManualClock
 from sesameknot.policy.prompt_placement import (
@@ -22,7 +22,7 @@
 TIMES = (0.6, 1.0, 1.6)
 
 
-def placement(name, seed=1):
+def placement(name, seed=1, **options):
     """Return a strategy with the costs of the default settings."""
     costs = PlacementCosts(
         prefill_ms_per_token=0.015,
@@ -36,7 +36,7 @@
         clock=ManualClock(), cache_life_s=10.0, incarnation_id=lambda name: name
     )
     return PLACEMENTS.get(name)(
-        costs=costs, cache=cache, random_generator=random.Random(seed)
+        costs=costs, cache=cache, random_generator=random.Random(seed), **options
     )
 
 
@@ -139,3 +139,17 @@
         for seed in range(30):
             chosen = placement("least_busy", seed).choose(state, NO_PROMPT)
             self.assertThat(chosen.endpoint_id, Equals("e2"))
+
+    def test_hosts_spread_over_even_endpoints_if_asked_to(self):
+        """Guards against all hosts that read one report choosing one endpoint."""
+        even = [replace(c, relative_event_time=1.0) for c in candidates(9)]
+        chosen = Counter(
+            placement("least_busy", seed, spread_near_ties=True)
+            .choose(even, NO_PROMPT)
+            .endpoint_id
+            for seed in range(90)
+        )
+        self.assertThat(chosen, HasLength(9))
+        even[0] = replace(even[0], in_flight_count=12)
+        chosen = placement("prompt_cache", spread_near_ties=True).choose(even, PROMPT)
+        self.assertThat(chosen.endpoint_id, Not(Equals("e0")))
