Hold fewer requests at endpoints beyond their slots

With a quarter of the slots beyond them, requests waited in the endpoints' order under heavy load, and less urgent ones delayed the others there.

endpoint_queue_share is 0.2 and reserve_share 0.12. A test that waits for a queue before it pauses the host asks for more than four waiting requests, as two of eight are now refused at once.

--- a/src/sesameknot/scheduling/_room.py
+++ b/src/sesameknot/scheduling/_room.py
@@ -22,8 +22,8 @@
     """
 
     crowded_share: float = 0.9
-    endpoint_queue_share: float = 0.25
-    reserve_share: float = 0.15
+    endpoint_queue_share: float = 0.2
+    reserve_share: float = 0.12
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -132,13 +132,13 @@
     # Share of taken slots up to which every request starts at once.
     crowded_share: Annotated[float, Meta(gt=0.0)] = 0.9
     # Requests beyond the slots that endpoints may hold, as a share of the slots. Loads
-    # are up to 0.5 s old: with 0.1, a host with a third of the load refused requests
-    # while slots were free (benchmarks/scheduling.py, hot_host).
-    endpoint_queue_share: Annotated[float, Meta(ge=0.0)] = 0.25
+    # are up to 0.5 s old: with 0.1, 0.015 of the requests waited while slots were free,
+    # with 0.25, a few hundredths fewer were served in time under heavy load.
+    endpoint_queue_share: Annotated[float, Meta(ge=0.0)] = 0.2
     # Share of a host's slots that each priority leaves to the more urgent ones. With
     # 0.05, long runs of others kept urgent requests from slots; with 0.2, more requests
     # waited while slots were free (docs/design/scheduling.md).
-    reserve_share: Share = 0.15
+    reserve_share: Share = 0.12
     # Initial cost of a generated token, and the share of shared prompt tokens that
     # count as not cached; observed run times of each route correct the result.
     output_ms_per_token: Annotated[float, Meta(gt=0.0)] = 10.0
--- a/tests/forwarding/test_request_scheduler.py
+++ b/tests/forwarding/test_request_scheduler.py
@@ -18,8 +18,8 @@
 from tests.virtual_time import VirtualTimeMixin
 
 SLOT_COUNT = 4
-# Slots and a quarter of them beyond, which endpoints may hold.
-HELD_COUNT = 5
+# Slots and a fifth of them beyond, which endpoints may hold, in whole requests.
+HELD_COUNT = 4
 RUN_S = 1.2
 DEADLINE_MS = 9000
 # Requests wait for half of the latency target.
@@ -146,7 +146,7 @@
         """Guards against a queue that a frozen host never clears."""
         front = await self.start()
         burst = asyncio.ensure_future(self.burst(front, 12))
-        await eventually(lambda: len(self.schedule(front).queue) == 12 - HELD_COUNT)
+        await eventually(lambda: len(self.schedule(front).queue) > HELD_COUNT)
         self.io_loop.asyncio_loop.pause(4.0)
         await burst
         self.assert_nothing_left(front)
--- a/tests/scheduling/test_room.py
+++ b/tests/scheduling/test_room.py
@@ -47,7 +47,7 @@
         for _ in range(10):
             # 20 free slots of 58 hosts.
             in_use_count = self.room.in_use_count
-            self.report(round(1.25 * SLOT_COUNT) - 20 - in_use_count)
+            self.report(round(1.2 * SLOT_COUNT) - 20 - in_use_count)
             started_count += self.take_all()
         self.assertThat(started_count, Equals(int(unused + 10 * 20 / HOST_COUNT)))
 
@@ -60,7 +60,7 @@
     def test_idle_host_gets_its_equal_part_under_overload(self):
         """Guards against hosts that were busy first and keep all slots."""
         self.report(2 * SLOT_COUNT)
-        self.assertThat(self.take_all(), Equals(15))
+        self.assertThat(self.take_all(), Equals(14))
 
     def test_hosts_above_their_part_shrink_under_overload(self):
         """Guards against slots that are used again while endpoints are over full."""
