--- a/tests/forwarding/test_service_slots.py
+++ b/tests/forwarding/test_service_slots.py
@@ -5,7 +5,7 @@
 
 from sesameknot.clock import ManualClock
 from sesameknot.coordination._load_reports import LoadReports, load_columns
-from sesameknot.forwarding.request_scheduler import _ServiceSchedule
+from sesameknot.forwarding.service_schedule import ServiceSchedule
 from sesameknot.protocol.configuration import Configuration, ServiceConfiguration
 from sesameknot.protocol.fleet_records import EndpointEntry, HostEntry
 from sesameknot.scheduling import (
@@ -34,8 +34,8 @@
             name: HostEntry(host_id=name, peer_address="", domain="a")
             for name in ("h1", "h2")
         }
-        self.reports = LoadReports(self.view, clock=self.clock)
-        self.schedule = _ServiceSchedule(
+        self.reports = LoadReports(self.view, paces=None, clock=self.clock)
+        self.schedule = ServiceSchedule(
             "s",
             view=self.view,
             queue=AdmissionQueue(ordering=ORDERINGS.get("least_cost"), limit_count=9),
@@ -95,14 +95,16 @@
     def test_short_requests_and_unknown_slots_are_not_scheduled(self):
         """Guards against waits at services that load reports say nothing about."""
         now_s = self.clock.monotonic_s()
-        self.assertThat(self.schedule.acts(now_s), Equals(False))
+        self.assertThat(self.schedule.is_active(now_s), Equals(False))
         for _ in range(10):
             self.schedule.queue.record_run(0.05, now_s)
-        self.assertThat(self.schedule.acts(now_s), Equals(False))
+        self.assertThat(self.schedule.is_active(now_s), Equals(False))
         for _ in range(10):
             self.schedule.queue.record_run(4.0, now_s)
-        self.assertThat(self.schedule.acts(now_s), Equals(True))
+        self.assertThat(self.schedule.is_active(now_s), Equals(True))
         self.assertThat(self.schedule.room.limit, GreaterThan(23))
         self.view.put_endpoint(self.entry("e4", slot_count=0))
         self.clock.advance(0.1)
-        self.assertThat(self.schedule.acts(self.clock.monotonic_s()), Equals(False))
+        self.assertThat(
+            self.schedule.is_active(self.clock.monotonic_s()), Equals(False)
+        )
