Name refusals plainly, shorten long functions and give constants reasons

Change: refuse, _unservable, _single_key and CheckResult; the counting and logging of choices, the parts of the summary and the building of the stream forwarder and the scheduler are functions of their own; comments say what a constant is bounded by. The figures stand in docs/design. No behaviour changes; metrics, log lines and settings keep their names.

--- a/src/sesameknot/_front_request_path.py
+++ b/src/sesameknot/_front_request_path.py
@@ -204,33 +204,53 @@
             settings=settings.attempts,
             clock=self._clock,
         )
+        handover = PeerHandover(
+            view=self._view,
+            reachability=self._reachability,
+            client=self._client,
+            answer_buffer=runner.answer_buffer,
+            host_id=self._host.host_id,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+        return Ingress(
+            view=self._view,
+            pause_guard=self._pause_guard,
+            runner=runner,
+            plain_forwarder=PlainForwarder(retry_policy),
+            stream_forwarder=self._build_stream_forwarder(retry_policy),
+            handover=handover,
+            crash_detector=crash_detector,
+            scheduler=self._build_scheduler(runner),
+            drain=drain,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
+
+    def _build_stream_forwarder(self, retry_policy: RetryPolicy) -> StreamForwarder:
+        settings = self._settings
         answer_times = AnswerTimes(
             clock=self._clock,
             quantile=settings.cascade.time_quantile,
             decay_s=settings.cascade.time_decay_s,
         )
-        stream_forwarder = StreamForwarder(
+        cascade = ModelCascade(
             retry_policy,
-            cascade=ModelCascade(
-                retry_policy,
-                strategy=CASCADE_STRATEGIES.get(settings.cascade.strategy),
-                settings=settings.cascade,
-                answer_times=answer_times,
-                metrics=self._metrics,
-            ),
+            strategy=CASCADE_STRATEGIES.get(settings.cascade.strategy),
+            settings=settings.cascade,
             answer_times=answer_times,
-            patience_factor=settings.pressure.patience_factor,
             metrics=self._metrics,
         )
-        handover = PeerHandover(
-            view=self._view,
-            reachability=self._reachability,
-            client=self._client,
-            answer_buffer=runner.answer_buffer,
-            host_id=self._host.host_id,
+        return StreamForwarder(
+            retry_policy,
+            cascade=cascade,
+            answer_times=answer_times,
+            patience_factor=settings.pressure.patience_factor,
             metrics=self._metrics,
-            clock=self._clock,
         )
+
+    def _build_scheduler(self, runner: AttemptRunner) -> RequestScheduler:
+        settings = self._settings
         scheduler = RequestScheduler(
             view=self._view,
             settings=settings.scheduling,
@@ -241,19 +261,7 @@
             clock=self._clock,
         )
         self._stack.callback(scheduler.close)
-        return Ingress(
-            view=self._view,
-            pause_guard=self._pause_guard,
-            runner=runner,
-            plain_forwarder=PlainForwarder(retry_policy),
-            stream_forwarder=stream_forwarder,
-            handover=handover,
-            crash_detector=crash_detector,
-            scheduler=scheduler,
-            drain=drain,
-            metrics=self._metrics,
-            clock=self._clock,
-        )
+        return scheduler
 
     def _incarnation_id(self, endpoint_id: str) -> str:
         endpoint = self._view.endpoints.get(endpoint_id)
--- a/src/sesameknot/forwarding/model_cascade.py
+++ b/src/sesameknot/forwarding/model_cascade.py
@@ -73,12 +73,7 @@
             return ""
         if model != models[-1] and self._asks_largest_first(request, model):
             model = models[-1]
-            self._metrics.model_choices.inc(
-                {
-                    "choice": "largest_first",
-                    "reason": ModelChoiceReason.NO_TIME_FOR_TWO.value,
-                }
-            )
+            self._count_choice("largest_first", ModelChoiceReason.NO_TIME_FOR_TWO)
             log.info(
                 "largest_model_asked_first",
                 request_id=request.request_id,
@@ -125,30 +120,16 @@
             state.asked_models.append(model)
         if choice.larger:
             choice = await self._find_next_endpoint(state, model, choice)
-        self._metrics.model_choices.inc(
-            {
-                "choice": "replaced" if choice.larger else "kept",
-                "reason": choice.reason.value,
-            }
-        )
+        self._count_choice("replaced" if choice.larger else "kept", choice.reason)
         if not choice.larger:
+            # For a lack of endpoints, the line is written where it is found.
             if (
                 target is not None
                 and choice.reason is not ModelChoiceReason.NO_ENDPOINT
             ):
                 self._log_kept(state, attempt, model, choice, threshold)
             return False
-        log.info(
-            "answer_dropped_for_larger_model",
-            request_id=request.request_id,
-            endpoint=attempt.endpoint.endpoint_id,
-            confidence=confidence,
-            threshold=round(threshold, 1),
-            pressure=round(self._pressure_gauge(request).level, 3),
-            model=state.model,
-            next_model=model,
-            reason=choice.reason.value,
-        )
+        self._log_dropped(state, attempt, model, choice, threshold)
         attempt.record_answer("dropped")
         state.model = model
         return True
@@ -205,6 +186,29 @@
         state.next_endpoint = endpoint
         return choice if self._retry_policy.spend_retry(request) else no_retry
 
+    def _count_choice(self, choice: str, reason: ModelChoiceReason) -> None:
+        self._metrics.model_choices.inc({"choice": choice, "reason": reason.value})
+
+    def _log_dropped(
+        self,
+        state: StreamState,
+        attempt: Attempt,
+        model: str,
+        choice: ModelChoice,
+        threshold: float,
+    ) -> None:
+        log.info(
+            "answer_dropped_for_larger_model",
+            request_id=state.request.request_id,
+            endpoint=attempt.endpoint.endpoint_id,
+            confidence=attempt.metadata.confidence,
+            threshold=round(threshold, 1),
+            pressure=round(self._pressure_gauge(state.request).level, 3),
+            model=state.model,
+            next_model=model,
+            reason=choice.reason.value,
+        )
+
     def _log_kept(
         self,
         state: StreamState,
--- a/src/sesameknot/operator/_configuration_command.py
+++ b/src/sesameknot/operator/_configuration_command.py
@@ -27,6 +27,7 @@
 )
 
 FILE_SUFFIX = ".json"
+# Larger files are not read, so that a wrong path does not fill the memory.
 FILE_LIMIT_BYTES = 16 * 1024 * 1024
 
 
--- a/src/sesameknot/operator/_summary_text.py
+++ b/src/sesameknot/operator/_summary_text.py
@@ -10,6 +10,7 @@
 )
 from sesameknot.operator.results import table
 
+# Rows of the tables that engineers read; the JSON value has all.
 REASON_LIMIT_COUNT = 30
 STEP_LIMIT_COUNT = 200
 
@@ -45,39 +46,9 @@
         "by_customer": _values(summary.by_customer),
         "by_domain": _values(summary.by_domain),
         "by_priority": _values(summary.by_priority),
-        "by_size": [
-            {
-                "route": group.route,
-                "size": group.label,
-                "min_tokens": group.min_tokens,
-                "max_tokens": group.max_tokens,
-                **_value(group.tally),
-            }
-            for group in summary.size_groups()
-        ],
-        "steps": [
-            {
-                "route": route,
-                "result": result,
-                "step": step,
-                "last_count": time.last_count,
-                "last_s": round(time.last_s, 3),
-                "last_max_s": round(time.last_max_s, 3),
-                "total_s": round(time.total_s, 3),
-            }
-            for (route, result, step), time in summary.steps.items()
-        ],
-        "reasons": [
-            {
-                "route": route,
-                "result": result,
-                "status": status,
-                "reason": reason,
-                "count": ends.count,
-                "duration_s": round(ends.duration_s, 3),
-            }
-            for (route, result, status, reason), ends in summary.reasons.items()
-        ],
+        "by_size": [_size_value(group) for group in summary.size_groups()],
+        "steps": _step_values(summary),
+        "reasons": _reason_values(summary),
         "line_count": summary.line_count,
         "unreadable_count": summary.unreadable_count,
         "unidentified_count": summary.unidentified_count,
@@ -88,6 +59,45 @@
     }
 
 
+def _size_value(group: SizeGroup) -> dict[str, Any]:
+    return {
+        "route": group.route,
+        "size": group.label,
+        "min_tokens": group.min_tokens,
+        "max_tokens": group.max_tokens,
+        **_value(group.tally),
+    }
+
+
+def _step_values(summary: LogSummary) -> list[dict[str, Any]]:
+    return [
+        {
+            "route": route,
+            "result": result,
+            "step": step,
+            "last_count": time.last_count,
+            "last_s": round(time.last_s, 3),
+            "last_max_s": round(time.last_max_s, 3),
+            "total_s": round(time.total_s, 3),
+        }
+        for (route, result, step), time in summary.steps.items()
+    ]
+
+
+def _reason_values(summary: LogSummary) -> list[dict[str, Any]]:
+    return [
+        {
+            "route": route,
+            "result": result,
+            "status": status,
+            "reason": reason,
+            "count": ends.count,
+            "duration_s": round(ends.duration_s, 3),
+        }
+        for (route, result, status, reason), ends in summary.reasons.items()
+    ]
+
+
 def _counts(tally: Tally) -> list[object]:
     return [
         tally.accepted_count,
@@ -187,13 +197,13 @@
         if count:
             remarks.append(f"{text}: {count}.")
     remarks += [
-        f"Lines without {name}: {count}, {_LACK_EFFECTS.get(name, 'not shown')}."
+        f"Lines without {name}: {count}, {_MISSING_EFFECTS.get(name, 'not shown')}."
         for name, count in sorted(summary.missing_fields.items())
     ]
     return remarks
 
 
-_LACK_EFFECTS = {
+_MISSING_EFFECTS = {
     "domain": "as no front_started line of the host came before them",
     "first_event_ms": "their answers count as untimed",
     "priority": "of an older build",
--- a/src/sesameknot/operator/configuration_check.py
+++ b/src/sesameknot/operator/configuration_check.py
@@ -59,8 +59,8 @@
     attempts: AttemptSettings
 
 
-Result = tuple[Severity, ValueFault]
-Check = Callable[[CheckedConfiguration], Iterator[Result]]
+CheckResult = tuple[Severity, ValueFault]
+Check = Callable[[CheckedConfiguration], Iterator[CheckResult]]
 CHECKS: Registry[Check] = Registry("configuration check")
 
 
@@ -93,28 +93,28 @@
     ]
 
 
-def _error(path: str, given: object, expected: str) -> Result:
+def _error(path: str, given: object, expected: str) -> CheckResult:
     return Severity.ERROR, ValueFault(path, str(given), expected)
 
 
-def _warning(path: str, given: object, expected: str) -> Result:
+def _warning(path: str, given: object, expected: str) -> CheckResult:
     return Severity.WARNING, ValueFault(path, str(given), expected)
 
 
 @CHECKS.register("value")
-def _check_values(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_values(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     for fault in checked.read.faults:
         yield Severity.ERROR, fault
 
 
 @CHECKS.register("passed-over")
-def _check_passed_over(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_passed_over(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     for fault in checked.read.passed_over:
         yield Severity.WARNING, fault
 
 
 @CHECKS.register("range")
-def _check_ranges(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_ranges(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     read = checked.read
     for index, route in read.routes.items():
         for name in ("timeout_ms", "latency_target_ms", "attempt_limit_count"):
@@ -145,7 +145,7 @@
 
 
 @CHECKS.register("unmatched-route")
-def _check_unmatched_routes(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_unmatched_routes(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     """Check for routes that no request can match."""
     read = checked.read
     if not read.routes and read.complete("Routes"):
@@ -175,7 +175,7 @@
 
 
 @CHECKS.register("route-services")
-def _check_route_services(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_route_services(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     """Check that each route has services that exist and get requests."""
     read = checked.read
     services = {service.name: service for service in read.services.values()}
@@ -206,7 +206,7 @@
 
 def _check_models(
     read: ReadConfiguration, index: int, route: Route, service: ServiceConfiguration
-) -> Iterator[Result]:
+) -> Iterator[CheckResult]:
     for model in route.models:
         if service.model_costs and model not in service.model_costs:
             path = read.route_path(index, "models")
@@ -215,7 +215,7 @@
 
 
 @CHECKS.register("unused-service")
-def _check_unused_services(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_unused_services(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     read = checked.read
     used = {share.service for route in read.routes.values() for share in route.services}
     last_index = {service.name: index for index, service in read.services.items()}
@@ -230,7 +230,7 @@
 
 
 @CHECKS.register("customers")
-def _check_customers(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_customers(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     """Check names and keys of customers; a key is never part of a finding."""
     read = checked.read
     protected = any(not route.public for route in read.routes.values())
@@ -259,7 +259,7 @@
 
 
 @CHECKS.register("times")
-def _check_times(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_times(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     """Check the time targets of routes against their time-outs."""
     read = checked.read
     for index, route in read.routes.items():
@@ -274,7 +274,7 @@
 
 
 @CHECKS.register("attempts")
-def _check_attempts(checked: CheckedConfiguration) -> Iterator[Result]:
+def _check_attempts(checked: CheckedConfiguration) -> Iterator[CheckResult]:
     """Check limits on attempts against what a route allows and has time for."""
     read = checked.read
     for index, route in read.routes.items():
--- a/src/sesameknot/policy/_load_line.py
+++ b/src/sesameknot/policy/_load_line.py
@@ -5,6 +5,8 @@
 # Observations with a deviation of 0.25 from the mean load that are needed to move the
 # slope half-way from zero to the fitted one.
 _RIDGE = 4 * 0.25**2
+# Bounds slopes that are fitted to few observations. For logarithms of times, it is a
+# factor of 7.4 between an idle endpoint and a full one.
 MAX_SLOPE = 2.0
 
 
--- a/src/sesameknot/policy/prompt_placement.py
+++ b/src/sesameknot/policy/prompt_placement.py
@@ -12,8 +12,9 @@
 
 CACHE_ENTRY_LIMIT_COUNT = 20_000
 # Endpoints with up to this many requests more than the least loaded one are near ties.
-# With 3, hosts still filled the same endpoints (late share 0.032 instead of 0.013 in
-# benchmarks/uneven_endpoints.py); with 8, streams took longer at low load.
+# Reports of loads are up to 0.5 s old, so other hosts may have sent as many meanwhile.
+# The wider the tie, the more streams run on slow endpoints at low load.
+# docs/design/uneven-endpoints.md compares widths.
 NEAR_TIE_LOAD_COUNT = 5
 
 
--- a/src/sesameknot/policy/quality_target.py
+++ b/src/sesameknot/policy/quality_target.py
@@ -5,6 +5,7 @@
 MAX_CONFIDENCE = 100
 # Weight of the prior, evenly spread confidences, as a number of answers.
 PRIOR_WEIGHT = 20.0
+# Share of good answers among them.
 PRIOR_MEAN_SHARE = 0.5
 
 
--- a/src/sesameknot/scheduling/_orderings.py
+++ b/src/sesameknot/scheduling/_orderings.py
@@ -44,13 +44,13 @@
     ----------
     start : callable
         Key of the next entry to start, which has the lowest one.
-    keep : callable
+    refuse : callable
         Key of the next entry to refuse if not all can be served in time, which has the
         highest one.
     """
 
     start: SortKey
-    keep: SortKey
+    refuse: SortKey
 
 
 Ordering = Callable[[OrderingState], Order]
@@ -61,31 +61,31 @@
 @ORDERINGS.register("arrival")
 def order_by_arrival(state: OrderingState) -> Order:
     """Put the earliest request first."""
-    return _same(lambda entry: (entry.arrived_s,))
+    return _single_key(lambda entry: (entry.arrived_s,))
 
 
 @ORDERINGS.register("deadline")
 def order_by_deadline(state: OrderingState) -> Order:
     """Put the request with the earliest latest start first."""
-    return _same(_latest_start)
+    return _single_key(_latest_start)
 
 
 @ORDERINGS.register("shortest_work")
 def order_by_work(state: OrderingState) -> Order:
     """Put the request with the least work first."""
-    return _same(lambda entry: (entry.work_s, entry.arrived_s))
+    return _single_key(lambda entry: (entry.work_s, entry.arrived_s))
 
 
 @ORDERINGS.register("weighted_fair")
 def order_by_fair_shares(state: OrderingState) -> Order:
     """Share among customers and ignore priorities."""
-    return _same(lambda entry: (state.start_tags[entry], entry.arrived_s))
+    return _single_key(lambda entry: (state.start_tags[entry], entry.arrived_s))
 
 
 @ORDERINGS.register("benefit_per_work")
 def order_by_benefit(state: OrderingState) -> Order:
     """Put the request with the most benefit per work first."""
-    return _same(
+    return _single_key(
         lambda entry: (entry.work_s * BENEFIT_RATIO**entry.priority, entry.arrived_s)
     )
 
@@ -96,7 +96,7 @@
 
     Requests beyond their customer's part come after all others.
     """
-    return _same(
+    return _single_key(
         lambda entry: (
             state.surplus[entry],
             entry.priority,
@@ -138,7 +138,7 @@
         least_share = min(least_share, *shares)
     return Order(
         start=_latest_start,
-        keep=lambda entry: (
+        refuse=lambda entry: (
             state.surplus[entry],
             *ranks[entry.priority],
             state.start_tags[entry],
@@ -147,8 +147,9 @@
     )
 
 
-def _same(key: SortKey) -> Order:
-    return Order(start=key, keep=key)
+def _single_key(key: SortKey) -> Order:
+    """Return an order in which the last entry to start is the first to be refused."""
+    return Order(start=key, refuse=key)
 
 
 def _latest_start(entry: Entry) -> tuple[float, ...]:
--- a/src/sesameknot/scheduling/_queue.py
+++ b/src/sesameknot/scheduling/_queue.py
@@ -16,12 +16,13 @@
 # A priority without requests for this long gets no reserve.
 RESERVE_LIFE_S = 5.0
 # Share of the time that an entry may wait within which its estimated start must lie.
-# Work is estimated, and later requests may come first. With 1.0, benefit under heavy
-# overload was a few hundredths less (benchmarks/scheduling.py), with 0.5 more requests
-# than needed were refused under light overload.
+# Below 1, since work is only estimated and later requests may come first; a low share
+# refuses requests that could have been served. benchmarks/scheduling.py compares them.
 STARTABLE_SHARE = 0.7
 # The same while no request arrives: slots that end together free none for a while.
 WAITING_STARTABLE_SHARE = 1.5
+# Limits of the estimated drain time. The upper one also stands for an unknown rate; the
+# time left of the caller limits Retry-After further.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 
@@ -100,11 +101,11 @@
             del self._entries[entry]
             self._record_start(entry, now_s)
             return Decision(action=Action.RUN)
-        refused = self._hopeless(order, room, now_s, STARTABLE_SHARE)
+        refused = self._unservable(order, room, now_s, STARTABLE_SHARE)
         reason = RefusalReason.LATE
         if len(self._entries) - len(refused) > self._limit_count:
             waiting = [e for e in reversed(self._entries) if e not in refused]
-            refused.append(max(waiting, key=order.keep))
+            refused.append(max(waiting, key=order.refuse))
             reason = RefusalReason.QUEUE_FULL
         for other in refused:
             self._refuse(other, now_s)
@@ -143,7 +144,9 @@
         """Remove and return the entries that can no longer meet their target."""
         if not self._entries:
             return []
-        late = self._hopeless(self._order(now_s), room, now_s, WAITING_STARTABLE_SHARE)
+        late = self._unservable(
+            self._order(now_s), room, now_s, WAITING_STARTABLE_SHARE
+        )
         for entry in late:
             self._refuse(entry, now_s)
         return late
@@ -174,13 +177,22 @@
         state = self._priorities.get(priority)
         return state.served_share(now_s) if state is not None else 1.0
 
-    def _hopeless(
+    def _unservable(
         self, order: Order, room: HostRoom, now_s: float, startable_share: float
     ) -> list[Entry]:
         """Return the entries to refuse so that the others can start in time.
 
         Where an entry would start too late, the one to refuse is that with the highest
         key among it and those before it.
+
+        Parameters
+        ----------
+        order : Order
+            Keys for the next start and the next refusal.
+        room : HostRoom
+            Slots that the entries share.
+        startable_share : float
+            Share of the time left within which the estimated start must lie.
         """
         refused = []
         kept: list[Entry] = []
@@ -195,7 +207,7 @@
             work_s += entry.work_s
             wait_s = (work_s - entry.work_s) / slot_count
             if wait_s > startable_share * time_left_s:
-                last = max(reversed(kept), key=order.keep)
+                last = max(reversed(kept), key=order.refuse)
                 kept.remove(last)
                 refused.append(last)
                 work_s -= last.work_s
--- a/src/sesameknot/scheduling/_room.py
+++ b/src/sesameknot/scheduling/_room.py
@@ -126,6 +126,7 @@
         return taken_count / slot_count if slot_count else math.inf
 
     def _renew(self, now_s: float) -> None:
+        """Set the limit from the loads of a new report."""
         total_limit = self._loads.slot_count * (1 + self._limits.endpoint_queue_share)
         equal_share = total_limit / self._host_count
         elapsed_s = min(1.0, now_s - self._renewed_s)
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -144,8 +144,8 @@
     # Share of taken slots up to which every request starts at once.
     crowded_share: Annotated[float, Meta(gt=0.0)] = 0.9
     # Requests beyond the slots that endpoints may hold, as a share of the slots. Loads
-    # are up to 0.5 s old: with 0.1, a host with a third of the load refused 1 in 100
-    # requests while slots were free (benchmarks/scheduling.py, hot_host).
+    # are up to 0.5 s old, so without them, slots that become free meanwhile stay empty
+    # and a host with much of the load refuses requests too early.
     endpoint_queue_share: Annotated[float, Meta(ge=0.0)] = 0.25
     # Share of a host's slots that each priority leaves to the more urgent ones.
     reserve_share: Share = 0.05
