--- a/benchmarks/scheduling.py
+++ b/benchmarks/scheduling.py
@@ -35,9 +35,11 @@
 # of the simulation.
 WAIT_SHARE = 0.8
 DURATION_S = 36.0
+# Begin and end of the burst, and of the loss of endpoints.
 BURST_S = (15.0, 28.0)
 LOST_S = (20.0, 24.0)
 SEED_COUNT = 2
+# Benefit of an answer in time, by priority.
 BENEFITS = (4.0, 2.0, 1.0)
 
 
@@ -142,18 +144,18 @@
     rate_per_s = case.load * ENDPOINT_COUNT * ENDPOINT_SLOT_COUNT / mean_work_s
     found = []
     now_s = 0.0
-    # Arrivals at the highest rate, of which those beyond the present one are dropped.
-    top = case.burst + (case.customer_burst - 1.0) / CUSTOMER_COUNT
+    # Arrivals are drawn at the highest rate, and those beyond the present one dropped.
+    peak_factor = case.burst + (case.customer_burst - 1.0) / CUSTOMER_COUNT
     while now_s < DURATION_S:
-        now_s += generator.expovariate(rate_per_s * top)
+        now_s += generator.expovariate(rate_per_s * peak_factor)
         in_burst = BURST_S[0] <= now_s < BURST_S[1]
-        present = top if in_burst else 1.0
-        place = generator.random() * top
+        present_factor = peak_factor if in_burst else 1.0
+        drawn_factor = generator.random() * peak_factor
         draws = [generator.random() for _ in range(5)]
-        if place >= present:
+        if drawn_factor >= present_factor:
             continue
         customer = int(draws[0] * CUSTOMER_COUNT)
-        if in_burst and place >= case.burst:
+        if in_burst and drawn_factor >= case.burst:
             customer = 0
         kind = generator.choices(case.kinds, [k.share for k in case.kinds])[0]
         is_long = draws[1] < case.long_share
