--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -224,9 +224,9 @@
             self._crash_detector.check_abandoned_runs(request)
             raise
         finally:
-            self._scheduler.ended(request)
             self._runner.release_slots(request)
             request.release_body()
+            self._scheduler.ended(request)
 
     async def _forward_until_deadline(
         self, request: ForwardedRequest, caller: CallerConnection
--- a/src/sesameknot/forwarding/request_scheduler.py
+++ b/src/sesameknot/forwarding/request_scheduler.py
@@ -295,11 +295,14 @@
     def _wake(self) -> None:
         self._timer = None
         now_s = self._clock.monotonic_s()
-        for schedule in self._services.values():
-            if len(schedule.queue):
-                self._start_waiting(schedule, now_s)
-        if any(len(schedule.queue) for schedule in self._services.values()):
-            self._arm_timer()
+        try:
+            for schedule in self._services.values():
+                if len(schedule.queue):
+                    self._start_waiting(schedule, now_s)
+        finally:
+            # Without the timer, requests would wait until their deadline.
+            if any(len(schedule.queue) for schedule in self._services.values()):
+                self._arm_timer()
 
 
 def _request_size(request: ForwardedRequest) -> RequestSize:
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -144,12 +144,10 @@
     # Share of taken slots up to which every request starts at once.
     crowded_share: Annotated[float, Meta(gt=0.0)] = 0.9
     # Requests beyond the slots that endpoints may hold, as a share of the slots. Loads
-    # are up to 0.5 s old: with 0.1, 0.015 of the requests waited while slots were free,
-    # with 0.25, a few hundredths fewer were served in time under heavy load.
+    # are up to 0.5 s old, so without them, slots that become free meanwhile stay empty
+    # and a host with much of the load refuses requests too early.
     endpoint_queue_share: Annotated[float, Meta(ge=0.0)] = 0.2
-    # Share of a host's slots that each priority leaves to the more urgent ones. With
-    # 0.05, long runs of others kept urgent requests from slots; with 0.2, more requests
-    # waited while slots were free (docs/design/scheduling.md).
+    # Share of a host's slots that each priority leaves to the more urgent ones.
     reserve_share: Share = 0.12
     # Initial cost of a generated token, and the share of shared prompt tokens that
     # count as not cached; observed run times of each route correct the result.
