--- a/review/stage/proxy.py
+++ b/review/stage/proxy.py
@@ -80,6 +80,8 @@
             )
         finally:
             self._links.discard(link)
+            if link.silent:
+                link.abort()
 
 
 class _Link:
