--- a/src/sesameknot/_front_shutdown.py
+++ b/src/sesameknot/_front_shutdown.py
@@ -1,8 +1,7 @@
 """Part of a front process's planned stop: finishes the requests in flight."""
 
 import asyncio
-import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import structlog
 
@@ -16,6 +15,9 @@
 SERVE_AFTER_SIGTERM_S = 2.3
 # Share of the grace time after which requests still in flight are ended.
 FINISH_GRACE_SHARE = 0.9
+# An answer that began before SIGTERM leaves its connection open. A caller that goes on
+# at once sends its next request within this time, which covers distant callers.
+KEEP_AFTER_ANSWER_S = 0.25
 # Time in which the last answers are sent; it lies within the grace time.
 LAST_ANSWERS_S = 0.3
 
@@ -26,7 +28,7 @@
     *,
     drain: Drain,
     ingress: Ingress,
-    connections: CallerConnections,
+    connections: Sequence[CallerConnections],
     deregister: Callable[[], Awaitable[None]],
     grace_s: float,
     clock: Clock,
@@ -36,11 +38,12 @@
     Parameters
     ----------
     drain : Drain
-        Decides which requests are accepted and counts those in flight.
+        Decides which requests are accepted and counts those in flight; closed on
+        return.
     ingress : Ingress
         Ends the requests that are in flight at the end of the grace time.
-    connections : CallerConnections
-        Callers' connections; idle ones are closed.
+    connections : sequence of CallerConnections
+        Connections of callers and other hosts; idle ones are closed.
     deregister : callable
         Removes this host from the list of hosts.
     grace_s : float
@@ -50,21 +53,22 @@
     """
     started_s = clock.monotonic_s()
     limit_s = FINISH_GRACE_SHARE * grace_s
-    drain.draining = True
+    drain.leave()
     log.info("shutdown_started", in_flight=drain.in_flight_count)
     await deregister()
     deregistered_after_s = clock.monotonic_s() - started_s
     await asyncio.sleep(max(0.0, SERVE_AFTER_SIGTERM_S - deregistered_after_s))
     # Requests with a deadline within the grace time are still accepted.
-    drain.finish_by_s = started_s + limit_s
-    drain.refusing = True
-    closed_count = connections.close_idle()
+    drain.finish(by_s=started_s + limit_s)
+    closed_count = sum(callers.close_idle() for callers in connections)
     remaining_s = limit_s - (clock.monotonic_s() - started_s)
-    idle = await drain.wait_idle(max(0.0, remaining_s))
+    idle = await drain.close_when_quiet(
+        KEEP_AFTER_ANSWER_S, limit_s=max(0.0, remaining_s)
+    )
     ended_count = drain.in_flight_count
     if not idle:
         # Nothing is accepted any more, and what is in flight gets a last answer.
-        drain.finish_by_s = -math.inf
+        drain.close()
         ingress.end_requests()
         await drain.wait_idle(LAST_ANSWERS_S)
     log.info(
--- a/src/sesameknot/forwarding/body_admission.py
+++ b/src/sesameknot/forwarding/body_admission.py
@@ -7,6 +7,7 @@
 from sesameknot.forwarding.error_answer import (
     REQUEST_TIMEOUT_STATUS,
     ErrorAnswer,
+    leaving_answer,
     not_run_answer,
 )
 from sesameknot.platform import RequestMetadata, parse_request_metadata
@@ -97,14 +98,20 @@
         self._metrics.refused_bodies.inc({"reason": "late"})
         self._answer(http_request, metadata, error_answer)
 
+    def refuse_leaving(self, http_request: HTTPServerRequest) -> None:
+        """Answer a request whose body comes too late for a host that leaves."""
+        metadata = parse_request_metadata(http_request.headers)
+        error_answer = leaving_answer(time_left_s=(metadata.time_left_ms or 0) / 1000.0)
+        self._metrics.refused_bodies.inc({"reason": "leaving"})
+        self._answer(http_request, metadata, error_answer)
+
     def _answer(
         self,
         http_request: HTTPServerRequest,
         metadata: RequestMetadata,
         error_answer: ErrorAnswer,
     ) -> None:
-        caller = CallerConnection(http_request)
-        caller.close_after_answer = self._drain.draining
+        caller = CallerConnection(http_request, self._drain)
         caller.send_error_early(error_answer)
         self._metrics.observe_request("ended", error_answer.status, 0.0)
         log.info(
--- a/src/sesameknot/forwarding/caller.py
+++ b/src/sesameknot/forwarding/caller.py
@@ -9,6 +9,7 @@
 from sesameknot.forwarding.error_answer import ErrorAnswer
 from sesameknot.platform import UNREACHABLE_HEADER
 from sesameknot.policy.answer_buffer import AnswerBuffer, AnswerReservation
+from sesameknot.router.drain import Drain
 
 # A body up to this size is sent together with the head, which copies it; a larger one
 # would be held twice until the caller has read it.
@@ -22,13 +23,16 @@
     ----------
     http_request : tornado.httputil.HTTPServerRequest
         The request as received by the HTTP server.
+    drain : Drain
+        Tells whether this host is leaving; answers that begin then ask the caller to
+        close its connection.
     """
 
-    __slots__ = ("_connection", "close_after_answer", "head_sent", "status")
+    __slots__ = ("_connection", "_drain", "head_sent", "status")
 
-    def __init__(self, http_request: HTTPServerRequest) -> None:
+    def __init__(self, http_request: HTTPServerRequest, drain: Drain) -> None:
         self._connection = http_request.connection
-        self.close_after_answer = False
+        self._drain = drain
         self.head_sent = False
         self.status = 0
 
@@ -46,7 +50,7 @@
         TransportError
             If the caller closed the connection.
         """
-        if self.close_after_answer:
+        if self._drain.draining:
             headers["Connection"] = "close"
         self.head_sent = True
         self.status = status
@@ -165,7 +169,7 @@
         """
         headers, body = _error_content(error_answer)
         headers["Content-Length"] = str(len(body))
-        if self.close_after_answer:
+        if self._drain.draining:
             headers["Connection"] = "close"
         self.head_sent = True
         self.status = error_answer.status
--- a/src/sesameknot/forwarding/error_answer.py
+++ b/src/sesameknot/forwarding/error_answer.py
@@ -14,6 +14,8 @@
 RETRY_AFTER_JITTER = 0.3
 # Upper limit of Retry-After, as a share of the time until the caller's deadline.
 RETRY_AFTER_SHARE_OF_TIME_LEFT = 0.33
+# Short, because the caller's next connection goes to another host.
+LEAVING_WAIT_S = 0.05
 
 
 class RequestEndedError(RouterError):
@@ -73,6 +75,17 @@
     )
 
 
+def leaving_answer(*, time_left_s: float) -> ErrorAnswer:
+    """Return the answer to a request that would outlast this host.
+
+    It promises that the request has not run; the parameter is the one of
+    :func:`not_run_answer`.
+    """
+    return not_run_answer(
+        "host is leaving", estimated_wait_s=LEAVING_WAIT_S, time_left_s=time_left_s
+    )
+
+
 def unsuited_answer() -> ErrorAnswer:
     """Return the answer to a request for a model that its route does not have.
 
--- a/src/sesameknot/forwarding/ingress.py
+++ b/src/sesameknot/forwarding/ingress.py
@@ -1,6 +1,7 @@
 """Entry point for requests: routing, authentication, forwarding and logging."""
 
 import asyncio
+import contextlib
 from collections.abc import Coroutine
 from typing import Any
 
@@ -16,6 +17,7 @@
 from sesameknot.forwarding.error_answer import (
     ErrorAnswer,
     RequestEndedError,
+    leaving_answer,
     not_run_answer,
     timeout_answer,
     unsuited_answer,
@@ -48,8 +50,6 @@
 START_POLL_S = 0.01
 # Largest share of its time that a request waits for the configuration.
 START_WAIT_SHARE = 0.3
-# Short, because the caller's next connection goes to another host.
-LEAVING_WAIT_S = 0.05
 
 log = structlog.get_logger(__name__)
 
@@ -134,15 +134,18 @@
                 time_limit.reschedule(now_s)
 
     def _start(self, handling: Coroutine[Any, Any, None]) -> None:
+        # Counted before the task runs, so that the host is never idle in between.
+        tracked = contextlib.ExitStack()
+        tracked.enter_context(self._drain.track_request())
         task = asyncio.create_task(handling)
+        task.add_done_callback(lambda _: tracked.close())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _handle(
         self, http_request: HTTPServerRequest, body: RequestBody, *, handed_over: bool
     ) -> None:
-        caller = CallerConnection(http_request)
-        caller.close_after_answer = self._drain.draining
+        caller = CallerConnection(http_request, self._drain)
         current_task = asyncio.current_task()
         if current_task is not None:
             caller.cancel_on_close(current_task)
@@ -150,31 +153,30 @@
         metadata = parse_request_metadata(http_request.headers)
         outcome, reason = "answered", ""
         request: ForwardedRequest | None = None
-        with self._drain.track_request():
-            try:
-                await self._wait_until_informed(metadata)
-                request = self._admit(http_request, body, metadata, arrived_s)
-                if handed_over:
-                    request.handed_over = True
-                    request.prior_run_count = parse_run_count(http_request.headers)
-                await self._forward(request, caller)
-            except RequestEndedError as error:
-                outcome, reason = "ended", error.error_answer.reason
-                await self._send_error(caller, error.error_answer)
-            except TransportError as error:
-                outcome, reason = "broken", str(error)
-                caller.abort()
-            except asyncio.CancelledError:
-                outcome, reason = "caller-left", "connection closed"
-                caller.abort()
-            except Exception:
-                log.exception("request_fault", request_id=metadata.request_id)
-                outcome, reason = "fault", "internal error"
-                await self._send_error(
-                    caller, ErrorAnswer(status=INTERNAL_ERROR_STATUS, reason=reason)
-                )
-            finally:
-                body.release()
+        try:
+            await self._wait_until_informed(metadata)
+            request = self._admit(http_request, body, metadata, arrived_s)
+            if handed_over:
+                request.handed_over = True
+                request.prior_run_count = parse_run_count(http_request.headers)
+            await self._forward(request, caller)
+        except RequestEndedError as error:
+            outcome, reason = "ended", error.error_answer.reason
+            await self._send_error(caller, error.error_answer)
+        except TransportError as error:
+            outcome, reason = "broken", str(error)
+            caller.abort()
+        except asyncio.CancelledError:
+            outcome, reason = "caller-left", "connection closed"
+            caller.abort()
+        except Exception:
+            log.exception("request_fault", request_id=metadata.request_id)
+            outcome, reason = "fault", "internal error"
+            await self._send_error(
+                caller, ErrorAnswer(status=INTERNAL_ERROR_STATUS, reason=reason)
+            )
+        finally:
+            body.release()
         duration_s = self._clock.monotonic_s() - arrived_s
         self._metrics.observe_request(outcome, caller.status, duration_s)
         log.info(
@@ -313,13 +315,7 @@
             raise RequestEndedError(unsuited_answer())
         time_limit_s = _time_limit_s(route, metadata)
         if not self._drain.accepts(arrived_s + time_limit_s):
-            raise RequestEndedError(
-                not_run_answer(
-                    "host is leaving",
-                    estimated_wait_s=LEAVING_WAIT_S,
-                    time_left_s=time_limit_s,
-                )
-            )
+            raise RequestEndedError(leaving_answer(time_left_s=time_limit_s))
         session = metadata.session_key or metadata.request_id
         return ForwardedRequest(
             metadata=metadata,
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -53,7 +53,7 @@
 from sesameknot.state.attempt_counts import AttemptCounts
 from sesameknot.state.endpoint_reachability import EndpointReachability
 from sesameknot.state.fleet_view import FleetView
-from sesameknot.transport.caller_server import CallerConnections
+from sesameknot.transport.caller_server import CallerConnections, RequestCallback
 from sesameknot.transport.early_listeners import EarlyListeners
 from sesameknot.transport.endpoint_client import EndpointClient
 from sesameknot.transport.peer_client import PeerClient
@@ -122,10 +122,21 @@
         self.body_admission = build_body_admission(
             host, settings, drain=self.drain, metrics=self.metrics
         )
-        self._caller_connections = CallerConnections(
-            self._accept, body_policy=self.body_admission
-        )
+        self._caller_connections = self._track_connections(self._accept)
         self._build()
+        self._peer_connections = self._track_connections(
+            self.ingress.accept_handed_over
+        )
+
+    def _track_connections(self, on_request: RequestCallback) -> CallerConnections:
+        """Return the delegate of a server whose requests this host's stop finishes."""
+        connections = CallerConnections(
+            on_request,
+            body_policy=self.body_admission,
+            track_request=self.drain.track_request,
+        )
+        self.drain.on_close(connections.stop)
+        return connections
 
     def _build(self) -> None:
         settings = self.settings
@@ -315,12 +326,12 @@
             self._caller_connections,
             idle_connection_timeout=INITIAL_IDLE_TIMEOUT_S,
         )
+        self.drain.on_close(self._caller_server.stop)
         self._listeners.serve(self._caller_server, self.host.caller_address)
         if self.host.handover_address:
-            handed_over = CallerConnections(
-                self.ingress.accept_handed_over, body_policy=self.body_admission
-            )
-            self._listeners.serve(HTTPServer(handed_over), self.host.handover_address)
+            peer_request_server = HTTPServer(self._peer_connections)
+            self.drain.on_close(peer_request_server.stop)
+            self._listeners.serve(peer_request_server, self.host.handover_address)
         self._listeners.serve(
             HTTPServer(self._status_pages.answer_ready), self.host.ready_address
         )
@@ -384,13 +395,11 @@
         await finish_requests(
             drain=self.drain,
             ingress=self.ingress,
-            connections=self._caller_connections,
+            connections=[self._caller_connections, self._peer_connections],
             deregister=self.directory.deregister,
             grace_s=self.host.bounds.grace_s,
             clock=self.clock,
         )
-        if self._caller_server is not None:
-            self._caller_server.stop()
         await self.close()
 
     async def close(self) -> None:
--- a/src/sesameknot/transport/caller_server.py
+++ b/src/sesameknot/transport/caller_server.py
@@ -1,6 +1,7 @@
 """Server delegate for callers' connections that reads requests and tracks idle ones."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Protocol
 from weakref import WeakSet
@@ -21,6 +22,7 @@
 log = structlog.get_logger(__name__)
 
 RequestCallback = Callable[[HTTPServerRequest, RequestBody], None]
+RequestTracker = Callable[[], contextlib.AbstractContextManager[None]]
 
 
 class BodyPolicy(Protocol):
@@ -38,12 +40,15 @@
     def refuse_late(self, http_request: HTTPServerRequest) -> None:
         """Send the answer to a request whose body has not come in time."""
 
+    def refuse_leaving(self, http_request: HTTPServerRequest) -> None:
+        """Send the answer to a request whose body comes too late for a leaving host."""
+
     def time_limit_s(self, http_request: HTTPServerRequest) -> float:
         """Return the time within which a body must come."""
 
 
 class CallerConnections(HTTPServerConnectionDelegate):
-    """Delegate of an HTTP server that tracks idle connections.
+    """Delegate of an HTTP server that knows what each connection waits for.
 
     Parameters
     ----------
@@ -52,20 +57,32 @@
         release.
     body_policy : BodyPolicy or None, default=None
         Decides which bodies are read; None reads all of them.
+    track_request : callable, default=contextlib.nullcontext
+        Returns a context that is open while a request's body is being read.
     """
 
     def __init__(
-        self, on_request: RequestCallback, *, body_policy: BodyPolicy | None = None
+        self,
+        on_request: RequestCallback,
+        *,
+        body_policy: BodyPolicy | None = None,
+        track_request: RequestTracker = contextlib.nullcontext,
     ) -> None:
         self.on_request = on_request
         self.body_policy = body_policy
+        self.track_request = track_request
         self.idle_connections: WeakSet[HTTP1ServerConnection] = WeakSet()
+        self.readers: set[_RequestReader] = set()
+        self._stopped = False
 
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Mark a connection idle and return a reader of its next request."""
-        self.idle_connections.add(server_conn)
+        if self._stopped:
+            server_conn.stream.close()
+        else:
+            self.idle_connections.add(server_conn)
         return _RequestReader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
@@ -79,6 +96,16 @@
             connection.stream.close()
         return len(connections)
 
+    def stop(self) -> None:
+        """Read no request from now on, and refuse those whose body is not complete.
+
+        Connections with a request in flight are closed after its answer.
+        """
+        self._stopped = True
+        self.close_idle()
+        for reader in list(self.readers):
+            reader.refuse_leaving()
+
 
 class _RequestReader(HTTPMessageDelegate):
     """Read one request and pass it to ``on_request``."""
@@ -94,25 +121,31 @@
         self._request_conn = request_conn
         self._body = RequestBody()
         self._refused = False
-        self._timer: asyncio.TimerHandle | None = None
+        # Open from the head's end until the body is complete.
+        self._reading = contextlib.ExitStack()
         self._request: HTTPServerRequest | None = None
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
     ) -> None:
-        self._connections.idle_connections.discard(self._server_conn)
+        connections = self._connections
+        connections.idle_connections.discard(self._server_conn)
+        connections.readers.add(self)
+        self._reading.enter_context(connections.track_request())
+        self._reading.callback(connections.readers.discard, self)
         self._request = HTTPServerRequest(
             connection=self._request_conn, start_line=start_line, headers=headers
         )
-        policy = self._connections.body_policy
+        policy = connections.body_policy
         if policy is None:
             return
         self._body = policy.new_body()
         declared_bytes = self._declared_bytes(headers)
         if declared_bytes or "Transfer-Encoding" in headers:
-            self._timer = asyncio.get_running_loop().call_later(
-                policy.time_limit_s(self._request), self._give_up
+            timer = asyncio.get_running_loop().call_later(
+                policy.time_limit_s(self._request), self._refuse_late
             )
+            self._reading.callback(timer.cancel)
         if not self._body.reserve(declared_bytes):
             self._refuse()
 
@@ -139,29 +172,38 @@
             # The caller waits for permission to send the body and gets none.
             self._request_conn.finish()
 
-    def _give_up(self) -> None:
+    def _refuse_late(self) -> None:
         """End a request whose body has not come in time."""
-        policy, request = self._connections.body_policy, self._request
-        if policy is None or request is None or self._server_conn.stream.closed():
+        policy = self._connections.body_policy
+        if policy is not None:
+            self._give_up(policy.refuse_late)
+
+    def refuse_leaving(self) -> None:
+        """End a request whose body is not complete when the host stops reading."""
+        policy = self._connections.body_policy
+        if policy is not None:
+            self._give_up(policy.refuse_leaving)
+
+    def _give_up(self, refuse: Callable[[HTTPServerRequest], None]) -> None:
+        if self._request is None or self._server_conn.stream.closed():
             return
         if not self._refused:
             self._refused = True
             self._body.release()
-            policy.refuse_late(request)
+            refuse(self._request)
         # This closes the connection, as the body is not complete.
         self._request_conn.finish()
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
     def data_received(self, chunk: bytes) -> None:
         if not self._refused and not self._body.append(chunk):
             self._refuse()
 
     def finish(self) -> None:
-        self._stop_timer()
+        # What accepts the request counts it before this context ends.
+        with self._reading:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
         if self._request is None:
             return
         if self._refused:
@@ -176,6 +218,6 @@
         self._connections.on_request(self._request, self._body)
 
     def on_connection_close(self) -> None:
-        self._stop_timer()
+        self._reading.close()
         self._connections.idle_connections.discard(self._server_conn)
         self._body.release()
--- a/src/sesameknot/wiring.py
+++ b/src/sesameknot/wiring.py
@@ -213,10 +213,10 @@
 
     async def shut_down(self) -> None:
         """Finish the requests in flight, hand over claims, write bills, then close."""
-        self.drain.draining = True
+        self.drain.leave()
         log.info("shutdown_started", in_flight=self.drain.in_flight_count)
         await asyncio.sleep(self.settings.requests.drain_notice_s)
-        self.drain.refusing = True
+        self.drain.finish()
         idle = await self.drain.wait_idle(self.settings.requests.drain_limit_s)
         await self.coordination.membership.leave()
         unwritten = await self.coordination.bill_writer.drain(BILL_DRAIN_LIMIT_S)
--- a/tests/forwarding/test_cut_off_hosts.py
+++ b/tests/forwarding/test_cut_off_hosts.py
@@ -190,7 +190,7 @@
         self.cut_off = {fronts[0]}
         await self.press(fronts[0], duration_s=1.0)
         await self.pause(2.0)
-        fronts[1].drain.refusing = True
+        fronts[1].drain.finish()
         responses = await self.press(fronts[0], duration_s=2.0)
         self.assertThat({r.code for r in responses}, Equals({200}))
 
--- a/tests/router/test_request_parts.py
+++ b/tests/router/test_request_parts.py
@@ -13,7 +13,7 @@
 from sesameknot.protocol.objects import StoredObject
 from sesameknot.router.call import CallHeaders, read_headers
 from sesameknot.router.catalogue import CatalogueCache
-from sesameknot.router.drain import Drain
+from sesameknot.router.drain import Drain, DrainPhase
 from sesameknot.router.wait_queue import WaitQueue
 from sesameknot.state.object_store import ObjectStore
 
@@ -140,3 +140,35 @@
             return busy, await drain.wait_idle(0.01)
 
         self.assertThat(asyncio.run(scenario()), Equals((False, True)))
+
+    def test_request_that_comes_as_the_host_gets_idle_delays_the_end(self):
+        """Guards against an end between the last answer and the next request."""
+
+        async def scenario():
+            drain = Drain()
+            drain.finish(by_s=10.0)
+            with drain.track_request():
+                closing = asyncio.create_task(drain.close_when_quiet(0.02, limit_s=5.0))
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            with drain.track_request():
+                await asyncio.sleep(0.05)
+                accepted_before = drain.accepts(9.0)
+            return accepted_before, await closing, drain.accepts(9.0)
+
+        self.assertThat(asyncio.run(scenario()), Equals((True, True, False)))
+
+    def test_what_reads_requests_stops_in_the_step_that_ends_their_acceptance(self):
+        """Guards against a connection that is read after the last check."""
+
+        async def scenario():
+            drain = Drain()
+            phases = []
+            drain.on_close(lambda: phases.append(drain.phase))
+            with drain.track_request():
+                busy = await drain.close_when_quiet(0.0, limit_s=0.01)
+            idle = await drain.close_when_quiet(0.0, limit_s=0.01)
+            return busy, idle, phases
+
+        expected = (False, True, [DrainPhase.CLOSED])
+        self.assertThat(asyncio.run(scenario()), Equals(expected))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -25,6 +25,10 @@
 PLAIN_TIME_S = 0.15
 STREAM_EVENT_COUNT = 10
 EVENT_GAP_S = 0.1
+# Streams of this length end when requests are accepted only if they end in time.
+LONG_STREAM_EVENT_COUNT = 31
+# Closing the components of a process takes time in which its event loop still runs.
+CLOSING_TIME_S = 0.1
 # Shorter than the time limit of the routes, so that requests outlast it.
 GRACE_S = 4.0
 
@@ -44,14 +48,14 @@
         self.store.put("config", "main", configuration())
         self.outcomes = []
 
-    async def call(self, reader, writer, path):
+    async def call(self, reader, writer, path, *, deadline_ms=3000):
         """Send a request on an open connection and read the whole answer."""
         outcome = Outcome(f"p{len(self.outcomes)}")
         self.outcomes.append(outcome)
         outcome.sent_s = self.io_loop.asyncio_loop.time()
         head = (
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Request-Id: {outcome.request_id}\r\nX-Deadline-Ms: 3000\r\n"
+            f"X-Request-Id: {outcome.request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
             f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
         )
         writer.write(head.encode())
@@ -122,6 +126,100 @@
         )
         self.check_outcomes(run_ids)
 
+    async def stream_then_book(self, front, pause_s):
+        """Ask for a stream, then book on the same connection."""
+        ip, _, port = front.host.caller_address.partition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        self.closing(writer.close)
+        try:
+            if await self.call(reader, writer, STREAM_PATH, deadline_ms=4000):
+                await asyncio.sleep(pause_s)
+                await self.call(reader, writer, UNSAFE_PATH, deadline_ms=1000)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+
+    @gen_test(timeout=60)
+    async def test_requests_after_answers_that_began_before_the_stop_are_answered(self):
+        """Guards against a request that is passed on at the last moment and dropped.
+
+        The answers began before the stop, so they could not ask callers to close their
+        connections, and all of them end at the same moment.
+        """
+        self.add_endpoint("e1", PLAIN_SERVICE, event_count=0, delay_s=PLAIN_TIME_S)
+        self.add_endpoint(
+            "e2",
+            MODEL_SERVICE,
+            confidences={"small": 90},
+            event_count=LONG_STREAM_EVENT_COUNT,
+            event_gap_s=EVENT_GAP_S,
+        )
+        for pauses_s in ([0.001], [0.003, 0.008], [0.001, 0.005, 0.013]):
+            front = await self.start_front(f"host-{len(pauses_s)}")
+            front._stack.push_async_callback(asyncio.sleep, CLOSING_TIME_S)
+            callers = [
+                asyncio.create_task(self.stream_then_book(front, pause_s))
+                for pause_s in pauses_s * CALLER_COUNT
+            ]
+            await self.pause(LOAD_BEFORE_STOP_S)
+            await front.shut_down()
+            await asyncio.gather(*callers)
+        runs = {run.request_id for e in self.endpoints.values() for run in e.runs}
+        self.check_outcomes(runs)
+
+    async def stop_during_upload(self, *, rest_after_s, deadline_ms, grace_s):
+        """Stop a host while a body comes; return the answer and what ran."""
+        self.add_endpoint("e1", PLAIN_SERVICE, event_count=0, delay_s=PLAIN_TIME_S)
+        front = await self.start_front(grace_s=grace_s)
+        ip, _, port = front.host.caller_address.partition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        self.closing(writer.close)
+        head = (
+            f"POST {UNSAFE_PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: p1\r\n"
+            f"X-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n"
+            "Content-Length: 8\r\n\r\nhalf"
+        )
+        writer.write(head.encode())
+        await self.pause(0.1)
+        stop = asyncio.create_task(front.shut_down())
+        await self.pause(rest_after_s)
+        writer.write(b"rest")
+        answer = await reader.read()
+        await stop
+        return answer, len(self.endpoints["e1"].runs)
+
+    @gen_test(timeout=60)
+    async def test_body_that_comes_during_the_stop_is_answered(self):
+        """Guards against an idle host that ends while it reads a body."""
+        answer, run_count = await self.stop_during_upload(
+            rest_after_s=2.5, deadline_ms=3000, grace_s=2.0 * GRACE_S
+        )
+        self.assertThat(answer.split()[1:2], Equals([b"200"]))
+        self.assertIn(b"connection: close", answer.lower())
+        self.assertThat(run_count, Equals(1))
+
+    @gen_test(timeout=60)
+    async def test_body_that_outlasts_the_grace_time_is_refused(self):
+        """Guards against a connection that ends without a word on its request."""
+        answer, run_count = await self.stop_during_upload(
+            rest_after_s=GRACE_S, deadline_ms=9000, grace_s=GRACE_S
+        )
+        self.assertThat(answer.split()[1:2], Equals([b"503"]))
+        self.assertThat(run_count, Equals(0))
+
+    @gen_test(timeout=60)
+    async def test_answer_that_begins_during_the_stop_closes_its_connection(self):
+        """Guards against a connection that callers keep as its request came before."""
+        self.add_endpoint("e1", PLAIN_SERVICE, event_count=0, delay_s=PLAIN_TIME_S)
+        front = await self.start_front()
+        ip, _, port = front.host.caller_address.partition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        self.closing(writer.close)
+        call = asyncio.create_task(self.call(reader, writer, UNSAFE_PATH))
+        await self.pause(PLAIN_TIME_S / 2)
+        stop = asyncio.create_task(front.shut_down())
+        self.assertThat(await call, Equals(False))
+        await stop
+
     async def stop_beside_silent_endpoint(self, *, sent_after_s, deadline_s):
         """Stop a host; return the status of a request whose endpoint never answers."""
         self.add_endpoint("e1", PLAIN_SERVICE, silent=True)
