--- a/src/sesameknot/_front_exchange.py
+++ b/src/sesameknot/_front_exchange.py
@@ -4,6 +4,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination.domain_exchange import DomainExchange
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.coordination.outage_spread import OutageSpread
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
@@ -13,7 +14,6 @@
 from sesameknot.policy.endpoint_pace import EndpointPace
 from sesameknot.settings.host import HostBounds, HostSettings
 from sesameknot.state.fleet_view import FleetView
-from sesameknot.transport.peer_client import PeerClient
 
 
 def build_exchange(
@@ -24,7 +24,7 @@
     link: StoreLink,
     findings: SharedFindings,
     snapshots: SnapshotExchange,
-    peers: PeerClient,
+    calls: HostCalls,
     endpoint_pace: EndpointPace | None,
     clock: Clock,
 ) -> tuple[DomainExchange, OutageSpread]:
@@ -33,7 +33,7 @@
     spread = OutageSpread(
         view=view,
         findings=findings,
-        peers=peers,
+        calls=calls,
         host_id=host.host_id,
         domain=host.domain,
         relays=lambda domain: exchange.relays(domain),
@@ -45,7 +45,7 @@
         findings=findings,
         on_new_outage=spread.pass_on,
         snapshots=snapshots,
-        peers=peers,
+        calls=calls,
         host_id=host.host_id,
         domain=host.domain,
         clock=clock,
--- a/src/sesameknot/_front_rollouts.py
+++ b/src/sesameknot/_front_rollouts.py
@@ -2,6 +2,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination._order_timing import ExposureLimit
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.coordination.rollout_coordinator import RolloutCoordinator
 from sesameknot.platform import StoreClient
 from sesameknot.policy.timed_rollout import TimedRolloutPlan, TimedRolloutPolicy
@@ -9,7 +10,6 @@
 from sesameknot.settings.host import HostBounds, HostSettings
 from sesameknot.state.attempt_counts import AttemptCounts
 from sesameknot.state.fleet_view import FleetView
-from sesameknot.transport.peer_client import PeerClient
 
 
 def build_rollout_coordinator(
@@ -18,7 +18,7 @@
     host: HostSettings,
     view: FleetView,
     store: StoreClient,
-    peers: PeerClient,
+    calls: HostCalls,
     attempt_counts: AttemptCounts,
     clock: Clock,
 ) -> RolloutCoordinator:
@@ -34,7 +34,7 @@
     return RolloutCoordinator(
         view=view,
         store=store,
-        peers=peers,
+        calls=calls,
         attempt_counts=attempt_counts,
         rollout_policy=policy,
         host_id=host.host_id,
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -6,6 +6,10 @@
 itself until a relay is up to date again. It does so in time to learn of a change within
 the limit on its use, however the relays fail. The same messages carry each host's load
 on the endpoints and the requests that crashed endpoints.
+
+The relays are the first two hosts in an order that all hosts compute, without those
+that are lost. Until the hosts agree that a relay is lost, those that it leaves without
+an answer also call the hosts that come next.
 """
 
 import asyncio
@@ -15,6 +19,7 @@
 import structlog
 
 from sesameknot.clock import Clock
+from sesameknot.coordination._background import BackgroundTasks
 from sesameknot.coordination._change_replies import (
     INLINE_LIMIT_BYTES,
     ChangeReplies,
@@ -28,11 +33,11 @@
 from sesameknot.coordination._load_reports import LoadReports
 from sesameknot.coordination._pace_reports import PaceReports
 from sesameknot.coordination._stored_records import stored_entry
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_follower import StoreFollower
 from sesameknot.coordination.store_link import StoreLink
-from sesameknot.errors import RouterError
 from sesameknot.policy.endpoint_pace import EndpointPace
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.messages import (
@@ -42,7 +47,6 @@
     ObjectVersion,
 )
 from sesameknot.state.fleet_view import FleetView
-from sesameknot.transport.peer_client import PeerClient
 
 RELAY_COUNT = 2
 EXCHANGE_INTERVAL_S = 0.4
@@ -52,6 +56,8 @@
 # Part of the time within which a change must be in force that remains when a host whose
 # relays failed asks the store itself: for its answer and requests that are being sent.
 FALLBACK_MARGIN_S = 0.4
+# Hosts of a failure domain that are called while none of its relays answers.
+SUBSTITUTE_LIMIT_COUNT = 8
 # The store's last answer to a relay may be older than its longest wait by this much.
 PROBE_MARGIN_S = 0.4
 
@@ -75,8 +81,8 @@
         Called when this host, a relay, learned of an outage that others need.
     snapshots : SnapshotExchange
         Passes on kinds that are too large for a reply.
-    peers : PeerClient
-        Client of the peer protocol.
+    calls : HostCalls
+        Calls other hosts.
     host_id, domain : str
         Name of this host and its failure domain.
     clock : Clock
@@ -104,7 +110,7 @@
         findings: SharedFindings,
         on_new_outage: Callable[[], None],
         snapshots: SnapshotExchange,
-        peers: PeerClient,
+        calls: HostCalls,
         host_id: str,
         domain: str,
         clock: Clock,
@@ -124,7 +130,7 @@
         self._link = link
         self._findings = findings
         self._on_new_outage = on_new_outage
-        self._peers = peers
+        self._calls = calls
         self._host_id = host_id
         self._domain = domain
         self._clock = clock
@@ -136,11 +142,35 @@
         self._snapshots = snapshots
         self._change_replies = ChangeReplies(self._followers, snapshots=snapshots)
         self._deferred = DeferredKinds(self._followers)
+        self._checks = BackgroundTasks()
 
     def relays(self, domain: str) -> list[str]:
-        """Return the hosts of a failure domain that relay the store's changes to it."""
-        hosts = [h.host_id for h in self._view.hosts.values() if h.domain == domain]
-        return rendezvous_order(f"relay {domain}", hosts)[:RELAY_COUNT]
+        """Return the hosts of a failure domain that relay the store's changes to it.
+
+        If all of its hosts are lost, these are the ones to be called again first.
+        """
+        return self._relay_order(domain)[:RELAY_COUNT]
+
+    def _relay_order(self, domain: str) -> list[str]:
+        hosts = self._hosts_of(domain)
+        live_hosts = [h for h in hosts if not self._view.liveness.is_lost(h)]
+        return rendezvous_order(f"relay {domain}", live_hosts or hosts)
+
+    def _up_to_answering(self, domain: str, count: int) -> list[str]:
+        """Return hosts in their order as relays, up to the ``count``-th that answers.
+
+        A host that is silent may soon be lost; those after it take its place.
+        """
+        hosts = []
+        for host_id in self._relay_order(domain)[:SUBSTITUTE_LIMIT_COUNT]:
+            hosts.append(host_id)
+            count -= not self._view.liveness.is_silent(host_id)
+            if count <= 0:
+                break
+        return hosts
+
+    def _hosts_of(self, domain: str) -> list[str]:
+        return [h.host_id for h in self._view.hosts.values() if h.domain == domain]
 
     async def run(self) -> None:
         """Exchange with other hosts until cancelled."""
@@ -159,9 +189,28 @@
             else:
                 call_both = calls_both_relays(round_count) or not self._link.relayed
                 await self._exchange_with_relays(relays, call_both=call_both)
+            self._check_hosts(is_relay=is_relay)
             round_count += 1
             self._loads.apply()
 
+    def _check_hosts(self, *, is_relay: bool) -> None:
+        """Call hosts that are lost, and those that should have called this relay.
+
+        They are called beside the exchange, which must not wait for lost hosts.
+        """
+        watched_ids = self._hosts_of(self._domain) if is_relay else []
+        due_ids = self._view.liveness.due_checks(
+            host_id for host_id in watched_ids if host_id != self._host_id
+        )
+        for host_id in due_ids:
+            self._checks.spawn(self._check_host(host_id))
+
+    async def _check_host(self, host_id: str) -> None:
+        # Loads stay out of it: they would count twice at a host that this one serves.
+        request = DomainSync(host_id=self._host_id, outages_only=True)
+        self._findings.add_to(request)
+        await self._call(host_id, request)
+
     async def _exchange_as_relay(self, relays: list[str]) -> None:
         serves_hosts = self._loads.serves_hosts_besides(relays)
         wait_s = self._relay_wait_s if serves_hosts else self._default_wait_s
@@ -219,6 +268,11 @@
         up_to_date_count = await self._sync_relays(called_relays)
         if not up_to_date_count and not call_both:
             up_to_date_count = await self._sync_relays(preferred[1:])
+        if all(self._view.liveness.is_silent(relay) for relay in relays):
+            answering = self._up_to_answering(self._domain, RELAY_COUNT)
+            substitutes = [h for h in answering if h not in (*relays, self._host_id)]
+            # They may rely on this host in turn, so it watches the store all the same.
+            await self._sync_relays(substitutes)
         self._set_relayed(
             up_to_date_count > 0, reason=f"{up_to_date_count} relays are up to date"
         )
@@ -273,7 +327,11 @@
 
     async def _exchange_with_other_domains(self) -> None:
         domains = {host.domain for host in self._view.hosts.values()} - {self._domain}
-        targets = [self.relays(domain)[0] for domain in sorted(domains)]
+        targets = [
+            host_id
+            for domain in sorted(domains)
+            for host_id in self._up_to_answering(domain, 1)
+        ]
         replies = await self._sync(
             targets,
             loads=self._loads.domain(with_paces=self._with_paces),
@@ -321,19 +379,9 @@
             self._on_new_outage()
 
     async def _call(self, host_id: str, request: DomainSync) -> DomainSyncReply | None:
-        host = self._view.hosts.get(host_id)
-        if host is None:
-            return None
-        try:
-            return await self._peers.call(
-                host.peer_address,
-                request,
-                expect=DomainSyncReply,
-                timeout_s=CALL_TIMEOUT_S,
-            )
-        except RouterError as error:
-            log.info("peer_silent", peer=host_id, step=error.step, reason=error.message)
-            return None
+        return await self._calls.call(
+            host_id, request, expect=DomainSyncReply, timeout_s=CALL_TIMEOUT_S
+        )
 
     def _versions(self) -> list[ObjectVersion]:
         return [
@@ -356,6 +404,7 @@
 
     async def answer(self, request: DomainSync) -> DomainSyncReply:
         """Answer another host; hosts of other failure domains only exchange loads."""
+        self._view.liveness.note_answer(request.host_id)
         if request.outages_only:
             self._merge_findings(request)
             return DomainSyncReply()
@@ -379,6 +428,10 @@
         self._change_replies.add_changes(request, reply)
         return reply
 
+    def close(self) -> None:
+        """Cancel calls under way."""
+        self._checks.cancel()
+
     def _store_age_ms(self) -> float:
         """Return the time since the store's last answer; infinite without a watch.
 
--- a/src/sesameknot/coordination/endpoint_permits.py
+++ b/src/sesameknot/coordination/endpoint_permits.py
@@ -14,6 +14,7 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination._background import BackgroundTasks
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.errors import RouterError
 from sesameknot.policy.permit_schedule import Permit, PermitSchedule
 from sesameknot.policy.rendezvous import first_in_order
@@ -24,7 +25,6 @@
 from sesameknot.state.endpoint_limits import NamedLimit
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import KnownEndpoint
-from sesameknot.transport.peer_client import PeerClient
 
 # Hosts that are asked in turn until one answers; many may be down at the same time.
 OWNER_COUNT = 8
@@ -46,8 +46,8 @@
     ----------
     view : FleetView
         Hosts and the limits of endpoints.
-    peers : PeerClient
-        Client of the peer protocol.
+    calls : HostCalls
+        Calls other hosts.
     host_id : str
         Name of this host.
     joined_s : callable
@@ -64,7 +64,7 @@
         self,
         *,
         view: FleetView,
-        peers: PeerClient,
+        calls: HostCalls,
         host_id: str,
         joined_s: Callable[[], float],
         settle_s: float,
@@ -72,7 +72,7 @@
         clock: Clock,
     ) -> None:
         self._view = view
-        self._peers = peers
+        self._calls = calls
         self._host_id = host_id
         self._joined_s = joined_s
         self._settle_s = settle_s
@@ -166,19 +166,11 @@
     async def _call(
         self, owner: str, message: EndpointPermitRequest
     ) -> EndpointPermitReply | None:
-        host = self._view.hosts.get(owner)
-        if host is None:
-            return None
-        try:
-            reply = await self._peers.call(
-                host.peer_address,
-                message,
-                expect=EndpointPermitReply,
-                timeout_s=CALL_TIMEOUT_S,
-            )
-        except RouterError as error:
+        reply = await self._calls.call(
+            owner, message, expect=EndpointPermitReply, timeout_s=CALL_TIMEOUT_S
+        )
+        if reply is None:
             self._silent_until_s[owner] = self._clock.monotonic_s() + SILENT_OWNER_S
-            log.info("peer_silent", peer=owner, step=error.step, reason=error.message)
             return None
         self._silent_until_s.pop(owner, None)
         return reply
--- a/src/sesameknot/coordination/endpoint_slots.py
+++ b/src/sesameknot/coordination/endpoint_slots.py
@@ -9,13 +9,12 @@
 
 from sesameknot.clock import Clock
 from sesameknot.coordination._background import BackgroundTasks
-from sesameknot.errors import RouterError
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.policy.rendezvous import first_in_order
 from sesameknot.policy.slot_ledger import SlotGrant, SlotLedger
 from sesameknot.protocol.messages import EndpointSlotReply, EndpointSlotRequest
 from sesameknot.state.fleet_view import FleetView
 from sesameknot.state.known_endpoint import HeldSlot, KnownEndpoint
-from sesameknot.transport.peer_client import PeerClient
 
 # Hosts that are asked in turn until one answers.
 OWNER_COUNT = 4
@@ -33,8 +32,8 @@
     ----------
     view : FleetView
         Hosts and endpoints.
-    peers : PeerClient
-        Client of the peer protocol.
+    calls : HostCalls
+        Calls other hosts.
     host_id : str
         Name of this host.
     clock : Clock
@@ -42,10 +41,10 @@
     """
 
     def __init__(
-        self, *, view: FleetView, peers: PeerClient, host_id: str, clock: Clock
+        self, *, view: FleetView, calls: HostCalls, host_id: str, clock: Clock
     ) -> None:
         self._view = view
-        self._peers = peers
+        self._calls = calls
         self._host_id = host_id
         self._clock = clock
         self._ledger = SlotLedger(clock=clock)
@@ -119,19 +118,13 @@
         if owner == self._host_id:
             return self._answer(request)
         now_s = self._clock.monotonic_s()
-        host = self._view.hosts.get(owner)
-        if host is None or now_s < self._silent_until_s.get(owner, 0.0):
+        if now_s < self._silent_until_s.get(owner, 0.0):
             return None
-        try:
-            reply = await self._peers.call(
-                host.peer_address,
-                request,
-                expect=EndpointSlotReply,
-                timeout_s=CALL_TIMEOUT_S,
-            )
-        except RouterError as error:
+        reply = await self._calls.call(
+            owner, request, expect=EndpointSlotReply, timeout_s=CALL_TIMEOUT_S
+        )
+        if reply is None:
             self._silent_until_s[owner] = self._clock.monotonic_s() + SILENT_OWNER_S
-            log.info("peer_silent", peer=owner, step=error.step, reason=error.message)
             return None
         return SlotGrant(reply.grant_id, reply.wait_ms / 1000.0)
 
--- a/src/sesameknot/coordination/host_directory.py
+++ b/src/sesameknot/coordination/host_directory.py
@@ -132,7 +132,7 @@
         self._check_registration(changes)
         if set(hosts) != set(self._view.hosts):
             log.info("hosts_changed", count=len(hosts), before=previous_count)
-        self._view.hosts = hosts
+        self._view.replace_hosts(hosts)
 
     def _check_registration(self, changes: EntryBatch) -> None:
         """Register again next time if the store has lost this host's entry.
--- a/src/sesameknot/coordination/outage_spread.py
+++ b/src/sesameknot/coordination/outage_spread.py
@@ -10,21 +10,16 @@
 import asyncio
 from collections.abc import Callable
 
-import structlog
-
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.coordination.shared_findings import SharedFindings
-from sesameknot.errors import RouterError
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.messages import DomainSync, DomainSyncReply
 from sesameknot.state.fleet_view import FleetView
-from sesameknot.transport.peer_client import PeerClient
 
 # Reports that come within this time are passed on together.
 GATHER_S = 0.05
 CALL_TIMEOUT_S = 0.3
 
-log = structlog.get_logger(__name__)
-
 
 class OutageSpread:
     """Task that passes on reports of outages.
@@ -35,8 +30,8 @@
         Hosts.
     findings : SharedFindings
         Outages that this host knows of.
-    peers : PeerClient
-        Client of the peer protocol.
+    calls : HostCalls
+        Calls other hosts.
     host_id, domain : str
         Name of this host and its failure domain.
     relays : callable
@@ -44,11 +39,11 @@
     """
 
     __slots__ = (
+        "_calls",
         "_domain",
         "_findings",
         "_host_id",
         "_new_report",
-        "_peers",
         "_relays",
         "_view",
     )
@@ -58,14 +53,14 @@
         *,
         view: FleetView,
         findings: SharedFindings,
-        peers: PeerClient,
+        calls: HostCalls,
         host_id: str,
         domain: str,
         relays: Callable[[str], list[str]],
     ) -> None:
         self._view = view
         self._findings = findings
-        self._peers = peers
+        self._calls = calls
         self._host_id = host_id
         self._domain = domain
         self._relays = relays
@@ -92,7 +87,7 @@
         relays = self._relays(self._domain)
         if self._host_id not in relays:
             return relays
-        hosts = self._view.hosts.values()
+        hosts = self._view.live_hosts.values()
         domains = {host.domain for host in hosts}
         all_relays = [relay for domain in domains for relay in self._relays(domain)]
         served_hosts = [
@@ -105,16 +100,7 @@
         return [h for h in (*all_relays, *served_hosts) if h != self._host_id]
 
     async def _send(self, host_id: str, message: DomainSync) -> None:
-        host = self._view.hosts.get(host_id)
-        if host is None:
-            return
-        try:
-            await self._peers.call(
-                host.peer_address,
-                message,
-                expect=DomainSyncReply,
-                timeout_s=CALL_TIMEOUT_S,
-            )
-        except RouterError as error:
-            # The regular exchange carries the report as well.
-            log.info("peer_silent", peer=host_id, step=error.step, reason=error.message)
+        # Without an answer, the regular exchange carries the report as well.
+        await self._calls.call(
+            host_id, message, expect=DomainSyncReply, timeout_s=CALL_TIMEOUT_S
+        )
--- a/src/sesameknot/coordination/rollout_coordinator.py
+++ b/src/sesameknot/coordination/rollout_coordinator.py
@@ -16,6 +16,7 @@
 from sesameknot.clock import Clock
 from sesameknot.coordination._order_timing import ExposureLimit, OrderTiming
 from sesameknot.coordination._route_counts import RouteCounts
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.errors import ConflictError, PlatformError, RouterError
 from sesameknot.platform import ROLLOUT_KIND, StoreClient, encode_rollout_progress
 from sesameknot.policy.rendezvous import rendezvous_order
@@ -31,7 +32,6 @@
 from sesameknot.protocol.messages import OrderAge, StatsReply, StatsRequest
 from sesameknot.state.attempt_counts import AttemptCounts
 from sesameknot.state.fleet_view import FleetView
-from sesameknot.transport.peer_client import PeerClient
 
 PEER_TIMEOUT_S = 0.3
 OPEN_OUTCOMES = frozenset({RolloutOutcome.REQUESTED, RolloutOutcome.RUNNING})
@@ -48,8 +48,8 @@
         Orders, endpoints and hosts.
     store : StoreClient
         Stores the progress.
-    peers : PeerClient
-        Client of the peer protocol, for the counters of other hosts.
+    calls : HostCalls
+        Calls other hosts, for their counters.
     attempt_counts : AttemptCounts
         Counters of this host.
     rollout_policy : TimedRolloutPolicy
@@ -69,7 +69,7 @@
         *,
         view: FleetView,
         store: StoreClient,
-        peers: PeerClient,
+        calls: HostCalls,
         attempt_counts: AttemptCounts,
         rollout_policy: TimedRolloutPolicy,
         host_id: str,
@@ -80,7 +80,7 @@
         self._exposure_limit = exposure_limit
         self._view = view
         self._store = store
-        self._peers = peers
+        self._calls = calls
         self._attempt_counts = attempt_counts
         self._rollout_policy = rollout_policy
         self._host_id = host_id
@@ -303,7 +303,7 @@
         return True
 
     async def _is_coordinator(self, service: str) -> bool:
-        for host_id in rendezvous_order(service, self._view.hosts):
+        for host_id in rendezvous_order(service, self._view.live_hosts):
             if host_id == self._host_id:
                 return True
             if await self._fetch_stats(host_id) is not None:
@@ -312,7 +312,7 @@
 
     async def _peer_stats(self) -> list[StatsReply]:
         """Return the replies of all other hosts that answer."""
-        others = [h for h in self._view.hosts if h != self._host_id]
+        others = [h for h in self._view.live_hosts if h != self._host_id]
         replies = await asyncio.gather(*(self._fetch_stats(h) for h in others))
         return [reply for reply in replies if reply is not None]
 
@@ -360,16 +360,10 @@
 
     async def _fetch_stats(self, host_id: str) -> StatsReply | None:
         """Return a peer's reply; None if it does not answer."""
-        try:
-            return await self._peers.call(
-                self._view.hosts[host_id].peer_address,
-                StatsRequest(requester=self._host_id),
-                expect=StatsReply,
-                timeout_s=PEER_TIMEOUT_S,
-            )
-        except RouterError as error:
-            log.info("peer_silent", peer=host_id, reason=error.message)
-            return None
+        request = StatsRequest(requester=self._host_id)
+        return await self._calls.call(
+            host_id, request, expect=StatsReply, timeout_s=PEER_TIMEOUT_S
+        )
 
     def _target_endpoint_count(self, order: RolloutOrder) -> int:
         return sum(
--- a/src/sesameknot/forwarding/endpoint_probes.py
+++ b/src/sesameknot/forwarding/endpoint_probes.py
@@ -110,7 +110,7 @@
             ),
             key=lambda endpoint: endpoint.endpoint_id,
         )
-        hosts = sorted({*self._view.hosts, self._host_id})
+        hosts = sorted({*self._view.live_hosts, self._host_id})
         if not endpoints:
             return []
         count = math.ceil(CHECKS_PER_ENDPOINT_COUNT * len(endpoints) / len(hosts))
--- a/src/sesameknot/forwarding/peer_handover.py
+++ b/src/sesameknot/forwarding/peer_handover.py
@@ -177,7 +177,7 @@
     def _others(self) -> list[HostEntry]:
         return [
             host
-            for host in self._view.hosts.values()
+            for host in self._view.live_hosts.values()
             if host.handover_address and host.host_id != self._host_id
         ]
 
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -22,6 +22,7 @@
 from sesameknot.coordination.crash_exchange import CrashExchange
 from sesameknot.coordination.endpoint_permits import EndpointPermits
 from sesameknot.coordination.endpoint_slots import EndpointSlots
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.coordination.host_directory import HostDirectory
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
@@ -151,6 +152,9 @@
         )
         self.peer_client = PeerClient(self.host.host_id, clock=self.clock)
         self._stack.callback(self.peer_client.close)
+        self.host_calls = HostCalls(
+            view=self.view, peers=self.peer_client, clock=self.clock
+        )
         self.directory = HostDirectory(
             store=self.store,
             view=self.view,
@@ -165,7 +169,7 @@
         )
         self.endpoint_permits = EndpointPermits(
             view=self.view,
-            peers=self.peer_client,
+            calls=self.host_calls,
             host_id=self.host.host_id,
             joined_s=lambda: self.directory.joined_s,
             settle_s=self.directory.settle_s,
@@ -175,7 +179,7 @@
         self._stack.callback(self.endpoint_permits.close)
         self.endpoint_slots = EndpointSlots(
             view=self.view,
-            peers=self.peer_client,
+            calls=self.host_calls,
             host_id=self.host.host_id,
             clock=self.clock,
         )
@@ -221,16 +225,17 @@
                 view=self.view,
             ),
             snapshots=self.snapshots,
-            peers=self.peer_client,
+            calls=self.host_calls,
             endpoint_pace=self.endpoint_pace,
             clock=self.clock,
         )
+        self._stack.callback(self.domain_exchange.close)
         self.rollout_coordinator = build_rollout_coordinator(
             self.settings.rollouts,
             host=self.host,
             view=self.view,
             store=self.store,
-            peers=self.peer_client,
+            calls=self.host_calls,
             attempt_counts=self.attempt_counts,
             clock=self.clock,
         )
@@ -251,7 +256,7 @@
 
     def _place_of_this_host(self, fingerprint: int) -> tuple[int, int]:
         """Return this host's place for a request in doubt, and the number of hosts."""
-        hosts = {*self.view.hosts, self.host.host_id}
+        hosts = {*self.view.live_hosts, self.host.host_id}
         order = rendezvous_order(f"{fingerprint:016x}", hosts)
         return order.index(self.host.host_id), len(order)
 
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -14,6 +14,7 @@
 from sesameknot.state.endpoint_health import EndpointHealth
 from sesameknot.state.endpoint_limits import EndpointLimits
 from sesameknot.state.endpoint_outages import EndpointOutages
+from sesameknot.state.host_liveness import HostLiveness
 from sesameknot.state.known_endpoint import KnownEndpoint
 from sesameknot.state.store_availability import (
     LAPSE_GRACE_S,
@@ -69,7 +70,10 @@
         Evacuations and orders that the store's copy lacks. They stay in force until
         they have been written again, or had time to be.
     hosts : dict
-        Front hosts by name.
+        Front hosts by name, as the store lists them. Shares that must be safe even if
+        hosts do not hear each other are divided by these; see :attr:`live_hosts`.
+    liveness : HostLiveness
+        Which of the hosts are lost.
     loads_applied_s : float
         Monotonic time at which the loads of other hosts were last updated.
     peer_loads_s : float
@@ -105,12 +109,14 @@
     peer_loads_s: float = float("-inf")
     store_failed_s: float = float("-inf")
     store_restored_s: float = float("-inf")
+    liveness: HostLiveness = field(init=False)
     endpoint_limits: EndpointLimits = field(init=False)
     outages: EndpointOutages = field(init=False)
     store: StoreAvailability = field(init=False)
 
     def __post_init__(self) -> None:
         self.store = StoreAvailability(self.clock, self.entry_life_s)
+        self.liveness = HostLiveness(self.clock)
         self.endpoint_limits = EndpointLimits(self.clock)
         restart_shown_s = self.entry_life_s + self.endpoint_leave_s
         self.outages = EndpointOutages(self.clock, restart_shown_s)
@@ -124,6 +130,19 @@
             and self.rollouts_listed
         )
 
+    @property
+    def live_hosts(self) -> dict[str, HostEntry]:
+        """Listed hosts that are not lost: those that can be given something to do."""
+        lost_ids = self.liveness.lost_ids
+        return {name: h for name, h in self.hosts.items() if name not in lost_ids}
+
+    def replace_hosts(self, hosts: dict[str, HostEntry]) -> None:
+        """Apply a complete list of hosts."""
+        # What is known of a host does not hold for another one under its name.
+        unchanged = {n for n, host in hosts.items() if self.hosts.get(n) == host}
+        self.liveness.retain(unchanged)
+        self.hosts = hosts
+
     def set_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force; return False if it is not newer."""
         current = self.configuration
--- a/tests/coordination/test_endpoint_permits.py
+++ b/tests/coordination/test_endpoint_permits.py
@@ -11,6 +11,7 @@
 from testtools.matchers import Equals
 
 from sesameknot.coordination.endpoint_permits import EndpointPermits
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.protocol.fleet_records import HostEntry
 from sesameknot.protocol.messages import EndpointPermitRequest
 from sesameknot.state.endpoint_limits import NamedLimit
@@ -50,7 +51,9 @@
         view.endpoint_limits.merge(ENDPOINT.incarnation_id, limit)
         permits = EndpointPermits(
             view=view,
-            peers=VirtualClient(world, name),
+            calls=HostCalls(
+                view=view, peers=VirtualClient(world, name), clock=world.clock
+            ),
             host_id=name,
             joined_s=lambda: joined_s,
             settle_s=12.0,
--- /dev/null
+++ b/tests/coordination/test_lost_hosts.py
@@ -0,0 +1,197 @@
+"""Tests of front hosts that are lost without leaving the store's list of hosts."""
+
+import asyncio
+
+from examples.local_deployment import reserve_port
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
+from tornado.testing import gen_test
+
+from sesameknot.coordination.domain_exchange import RELAY_COUNT
+from sesameknot.platform import HOST_KIND, encode_host
+from sesameknot.policy.rendezvous import rendezvous_order
+from sesameknot.protocol.fleet_records import HostEntry
+from tests.front_world import FrontWorld, configuration
+from tests.support import eventually
+from tests.virtual_time import VirtualTimeMixin
+
+HOST_COUNT = 6
+# Time without impairment after which a host must know what the others do.
+CONTACT_S = 3.0
+# Time within which hosts that exchange know of each other's crashes.
+NEWS_LIMIT_S = 2.0
+CRASHING_REQUEST = 7
+
+
+class LostHostTest(VirtualTimeMixin, FrontWorld):
+    def setUp(self):
+        super().setUp()
+        self.store.put("config", "main", configuration())
+        self.crash_count = 0
+
+    async def start_hosts(self, count=HOST_COUNT, *, domain="a"):
+        return [
+            await self.start_front(f"{domain}-{number}", domain=domain)
+            for number in range(count)
+        ]
+
+    async def settle(self, fronts):
+        """Wait until all hosts know each other and are up to date."""
+        for front in fronts:
+            await front.directory.refresh()
+        await self.pause(CONTACT_S)
+
+    def lose_relays(self, fronts, domain="a"):
+        """Return the relays of a domain and the other hosts."""
+        relay_ids = fronts[0].domain_exchange.relays(domain)
+        relays = [f for f in fronts if f.host.host_id in relay_ids]
+        return relays, [f for f in fronts if f not in relays]
+
+    async def check_crash_reaches(self, fronts, finder):
+        """Let one host see a crash; check that all of ``fronts`` soon count it."""
+        self.crash_count += 1
+        finder.crash_guard.record(CRASHING_REQUEST, f"e{self.crash_count}")
+        await self.pause(NEWS_LIMIT_S)
+        counts = [front.crash_guard.count(CRASHING_REQUEST) for front in fronts]
+        self.assertThat(counts, Equals([self.crash_count] * len(fronts)))
+
+    @gen_test(timeout=60)
+    async def test_hosts_share_crashes_after_all_their_relays_are_lost(self):
+        """Guards against hosts that find nobody once both relays are lost."""
+        fronts = await self.start_hosts()
+        await self.settle(fronts)
+        relays, others = self.lose_relays(fronts)
+        self.assertThat(relays, HasLength(RELAY_COUNT))
+        for relay in relays:
+            await relay.close()
+        await self.pause(CONTACT_S)
+        for finder in others:
+            await self.check_crash_reaches(others, finder)
+        watching = [f for f in others if not f.store_link.relayed]
+        self.assertThat(watching, HasLength(RELAY_COUNT))
+
+    @gen_test(timeout=60)
+    async def test_hosts_share_crashes_while_their_relays_hang(self):
+        """Guards against hosts that wait in vain for relays that do not answer."""
+        fronts = await self.start_hosts()
+        await self.settle(fronts)
+        relays, others = self.lose_relays(fronts)
+        for relay in relays:
+            await relay.close()
+            # The address accepts connections and never answers.
+            ip, _, port = relay.host.peer_address.partition(":")
+            server = await asyncio.start_server(lambda r, w: None, ip, int(port))
+            self.closing(server.close)
+        await self.pause(CONTACT_S)
+        for finder in others:
+            await self.check_crash_reaches(others, finder)
+
+    @gen_test(timeout=60)
+    async def test_domains_share_crashes_after_the_first_relay_of_each_is_lost(self):
+        """Guards against domains that only ever call one lost host of the other."""
+        fronts = await self.start_hosts(3) + await self.start_hosts(3, domain="b")
+        await self.settle(fronts)
+        exchange = fronts[0].domain_exchange
+        first_ids = [exchange.relays(domain)[0] for domain in ("a", "b")]
+        others = [f for f in fronts if f.host.host_id not in first_ids]
+        for front in fronts:
+            if front not in others:
+                await front.close()
+        await self.pause(CONTACT_S)
+        for finder in (others[0], others[-1]):
+            await self.check_crash_reaches(others, finder)
+
+    @gen_test(timeout=60)
+    async def test_domain_of_which_only_one_host_is_left_is_not_alone(self):
+        """Guards against a last host of a domain that finds no other domain."""
+        fronts = await self.start_hosts(2) + await self.start_hosts(3, domain="b")
+        await self.settle(fronts)
+        relays, others = self.lose_relays(fronts, "b")
+        for relay in relays:
+            await relay.close()
+        await self.pause(CONTACT_S)
+        for finder in others:
+            await self.check_crash_reaches(others, finder)
+
+    @gen_test(timeout=60)
+    async def test_relays_that_return_are_found_again(self):
+        """Guards against two groups of hosts with relays of their own."""
+        fronts = await self.start_hosts()
+        await self.settle(fronts)
+        relays, others = self.lose_relays(fronts)
+        for relay in relays:
+            await relay.close()
+        await self.pause(3 * CONTACT_S)
+        returned = [await self.start_front_with(relay.host) for relay in relays]
+        await self.pause(CONTACT_S)
+        for finder in (returned[0], others[0]):
+            await self.check_crash_reaches(returned + others, finder)
+        await eventually(
+            lambda: all(f.store_link.relayed for f in others), limit_s=CONTACT_S
+        )
+        self.assertThat(
+            {tuple(f.domain_exchange.relays("a")) for f in returned + others},
+            HasLength(1),
+        )
+
+    def ids_before(self, host_ids, *, count):
+        """Return names that come before all of these in the order of relays."""
+        names = [f"lost-{number}" for number in range(1000)]
+        order = rendezvous_order("relay a", [*host_ids, *names])
+        first = min(order.index(host_id) for host_id in host_ids)
+        self.assertThat(first, GreaterThan(count - 1))
+        return order[:count]
+
+    @gen_test(timeout=60)
+    async def test_starting_host_gets_past_entries_of_lost_hosts(self):
+        """Guards against entries of lost hosts that add up and hide the live ones."""
+        fronts = await self.start_hosts(3)
+        await self.settle(fronts)
+        live_ids = [*(front.host.host_id for front in fronts), "a-late"]
+        for host_id in self.ids_before(live_ids, count=5):
+            host = HostEntry(
+                host_id=host_id,
+                peer_address=f"127.0.0.1:{reserve_port()}",
+                domain="a",
+            )
+            self.store.put(HOST_KIND, host_id, encode_host(host))
+        await self.settle(fronts)
+        late = await self.start_front("a-late")
+        await late.directory.refresh()
+        await self.pause(CONTACT_S)
+        await self.check_crash_reaches([*fronts, late], late)
+        await self.check_crash_reaches([*fronts, late], fronts[0])
+
+    @gen_test(timeout=60)
+    async def test_host_that_was_cut_off_is_in_touch_soon_after(self):
+        """Guards against a host that takes its own cut for the loss of all others."""
+        fronts = await self.start_hosts()
+        await self.settle(fronts)
+        cut = self.lose_relays(fronts)[1][0]
+        peers = cut.peer_client
+        connect = peers._tcp.connect
+        peers._tcp.connect = self.refuse
+        for connection in peers._connections.values():
+            connection.close()
+        await self.pause(2 * CONTACT_S)
+        self.assertThat(len(cut.view.live_hosts), LessThan(HOST_COUNT))
+        peers._tcp.connect = connect
+        await self.pause(CONTACT_S)
+        await self.check_crash_reaches(fronts, cut)
+
+    async def refuse(self, *args, **options):
+        raise OSError("no route to host")
+
+    @gen_test(timeout=60)
+    async def test_calls_to_lost_hosts_stay_few(self):
+        """Guards against calls that grow with the number of lost hosts."""
+        fronts = await self.start_hosts(8)
+        await self.settle(fronts)
+        for front in fronts[1:]:
+            await front.close()
+        await self.pause(3 * CONTACT_S)
+        calls = []
+        fronts[0].peer_client._tcp.connect = lambda *a, **o: (
+            calls.append(a) or (self.refuse())
+        )
+        await self.pause(10.0)
+        self.assertThat(len(calls), LessThan(10 * 3))
--- a/tests/coordination/test_rollout_coordinator.py
+++ b/tests/coordination/test_rollout_coordinator.py
@@ -7,6 +7,7 @@
 
 from sesameknot.clock import ManualClock
 from sesameknot.coordination._order_timing import ExposureLimit
+from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.coordination.rollout_coordinator import RolloutCoordinator
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.policy.timed_rollout import TimedRolloutPlan, TimedRolloutPolicy
@@ -61,7 +62,7 @@
         self.coordinator = RolloutCoordinator(
             view=view,
             store=self.store,
-            peers=_Peers(age_ms),
+            calls=HostCalls(view=view, peers=_Peers(age_ms), clock=self.clock),
             attempt_counts=AttemptCounts(),
             rollout_policy=TimedRolloutPolicy(plan),
             host_id=rendezvous_order(SERVICE, view.hosts)[0],
