--- a/src/sesameknot/coordination/host_directory.py
+++ b/src/sesameknot/coordination/host_directory.py
@@ -1,7 +1,12 @@
-"""Register this host in the store and read the list of front hosts."""
+"""Register this host in the store and read the list of front hosts.
+
+Entries don't expire. A host removes its own at a planned stop, and the first relay of a
+failure domain those of hosts that have been lost for long.
+"""
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import structlog
 
@@ -25,6 +30,9 @@
 INITIAL_INTERVAL_S = 1.0
 # Relative jitter of the refresh interval.
 INTERVAL_JITTER = 0.2
+# A lost host's entry is removed after this time, which is longer than freezes and cuts
+# usually last. A host that lives all the same adds its entry again.
+LOST_ENTRY_LIFE_S = 60.0
 # A stale copy of the list may be older than the store by this.
 STALE_COPY_AGE_S = 3.0
 
@@ -35,8 +43,7 @@
     """Task that registers this host and refreshes the list of front hosts.
 
     The list is read from a stale copy, at a tenth of the price of a consistent read,
-    and may be seconds old. It is only used to divide rates and to choose the host that
-    coordinates a roll-out, where a missing or stopped host does no harm.
+    and may be seconds old.
 
     Parameters
     ----------
@@ -48,6 +55,8 @@
         This host.
     settings : StoreSettings
         Refresh interval and pauses after failures.
+    removes_lost : callable
+        Returns whether this host removes the entries of lost hosts of its domain.
     clock : Clock
         Source of monotonic time.
 
@@ -65,12 +74,14 @@
         view: FleetView,
         own_host: HostEntry,
         settings: StoreSettings,
+        removes_lost: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._store = store
         self._view = view
         self._own_host = own_host
         self._settings = settings
+        self._removes_lost = removes_lost
         self._clock = clock
         self._registered_s: float | None = None
         self._deregistered = False
@@ -133,6 +144,29 @@
         if set(hosts) != set(self._view.hosts):
             log.info("hosts_changed", count=len(hosts), before=previous_count)
         self._view.replace_hosts(hosts)
+        await self._remove_lost(changes)
+
+    async def _remove_lost(self, changes: EntryBatch) -> None:
+        """Remove the entries of hosts of this domain that have been lost for long."""
+        if self._deregistered or not self._removes_lost():
+            return
+        for entry in changes.entries:
+            host = self._view.hosts.get(entry.name)
+            lost_s = self._view.liveness.lost_s(entry.name)
+            if host is None or host.domain != self._own_host.domain:
+                continue
+            if lost_s < LOST_ENTRY_LIFE_S:
+                continue
+            # The entry may have been replaced since the stale copy was made.
+            removed = await self._store.delete(
+                HOST_KIND, entry.name, revision=entry.revision
+            )
+            log.info(
+                "host_entry_removed",
+                host=entry.name,
+                lost_s=round(lost_s),
+                removed=removed,
+            )
 
     def _check_registration(self, changes: EntryBatch) -> None:
         """Register again next time if the store has lost this host's entry.
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -165,6 +165,7 @@
                 handover_address=self.host.handover_address,
             ),
             settings=settings.store,
+            removes_lost=self._is_first_relay,
             clock=self.clock,
         )
         self.endpoint_permits = EndpointPermits(
@@ -260,6 +261,10 @@
         order = rendezvous_order(f"{fingerprint:016x}", hosts)
         return order.index(self.host.host_id), len(order)
 
+    def _is_first_relay(self) -> bool:
+        relays = self.domain_exchange.relays(self.host.domain)
+        return relays[:1] == [self.host.host_id]
+
     def _information_confirmed_s(self) -> float:
         """Return when a relay or the store last told what this host knows."""
         relay_answered_s = self.domain_exchange.relay_answered_s
--- a/src/sesameknot/platform/_store.py
+++ b/src/sesameknot/platform/_store.py
@@ -242,11 +242,30 @@
         path = f"{_object_path(kind, name)}/status"
         return await self._write("PUT", kind, path, name, body, "status")
 
-    async def delete(self, kind: str, name: str) -> None:
-        """Delete an object if it exists."""
-        response = await self._fetch("DELETE", _object_path(kind, name), step="delete")
+    async def delete(
+        self, kind: str, name: str, *, revision: int | None = None
+    ) -> bool:
+        """Delete an object if it exists, at any revision or only at the one given.
+
+        Returns
+        -------
+        bool
+            False if the object has another revision; it is kept then.
+
+        Raises
+        ------
+        PlatformError
+            If the store does not answer.
+        """
+        path = _object_path(kind, name)
+        if revision is not None:
+            path = f"{path}?{urlencode({'Revision': revision})}"
+        response = await self._fetch("DELETE", path, step="delete")
+        if response.code == CONFLICT_STATUS:
+            return False
         if response.code != NOT_FOUND_STATUS:
             await self._json_body(response, "delete")
+        return True
 
     async def _write(
         self, method: str, kind: str, path: str, name: str, body: object, step: str
--- a/src/sesameknot/platform/standin/_store.py
+++ b/src/sesameknot/platform/standin/_store.py
@@ -286,6 +286,10 @@
 
     async def delete(self, kind: str, name: str) -> None:
         item = self._store.get(kind, name)
+        expected = self.get_query_argument("Revision", None)
+        if item and expected and int(expected) != item["Metadata"]["Revision"]:
+            self.answer(CONFLICT_STATUS, item)
+            return
         self._store.remove(kind, name)
         self.answer(OK_STATUS if item else NOT_FOUND_STATUS, item)
 
--- a/tests/coordination/test_lost_hosts.py
+++ b/tests/coordination/test_lost_hosts.py
@@ -7,6 +7,7 @@
 from tornado.testing import gen_test
 
 from sesameknot.coordination.domain_exchange import RELAY_COUNT
+from sesameknot.coordination.host_directory import LOST_ENTRY_LIFE_S
 from sesameknot.platform import HOST_KIND, encode_host
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.fleet_records import HostEntry
@@ -195,3 +196,43 @@
         )
         await self.pause(10.0)
         self.assertThat(len(calls), LessThan(10 * 3))
+
+    def listed_ids(self, fronts):
+        """Return the hosts that any of these hosts knows from the store."""
+        return sorted({host_id for front in fronts for host_id in front.view.hosts})
+
+    @gen_test(timeout=180)
+    async def test_entries_of_lost_hosts_leave_the_list(self):
+        """Guards against shares of hosts that are gone for good, which nobody uses."""
+        fronts = await self.start_hosts()
+        await self.settle(fronts)
+        relays, others = self.lose_relays(fronts)
+        lost, alive = [relays[0], *others[:2]], [relays[1], *others[2:]]
+        for front in lost:
+            await front.close()
+        await self.pause(LOST_ENTRY_LIFE_S - CONTACT_S)
+        self.assertThat(self.listed_ids(alive), HasLength(HOST_COUNT))
+        # The hosts read the list every 8 s, and the lost ones must be noticed first.
+        await self.pause(30.0)
+        alive_ids = sorted(front.host.host_id for front in alive)
+        self.assertThat(self.listed_ids(alive), Equals(alive_ids))
+
+    @gen_test(timeout=60)
+    async def test_host_whose_entry_was_removed_adds_it_again(self):
+        """Guards against a live host that others never find again."""
+        fronts = await self.start_hosts(3)
+        await self.settle(fronts)
+        self.store.remove(HOST_KIND, "a-1")
+        await self.pause(20.0)
+        self.assertThat(self.listed_ids(fronts), HasLength(3))
+
+    @gen_test(timeout=60)
+    async def test_entry_that_was_replaced_meanwhile_is_kept(self):
+        """Guards against the removal of a host that has just started again."""
+        front = await self.start_front("a-0")
+        entry = self.store.get(HOST_KIND, "a-0")
+        old_revision = entry["Metadata"]["Revision"]
+        self.store.put(HOST_KIND, "a-0", {**entry["Spec"], "Address": "127.0.0.1:9"})
+        removed = await front.store.delete(HOST_KIND, "a-0", revision=old_revision)
+        self.assertThat(removed, Equals(False))
+        self.assertThat(self.store.get(HOST_KIND, "a-0") is None, Equals(False))
