--- a/src/sesameknot/platform/_store.py
+++ b/src/sesameknot/platform/_store.py
@@ -136,6 +136,9 @@
     async def list(self, kind: str, *, allow_stale: bool = False) -> EntryBatch:
         """Return all objects of ``kind``.
 
+        A change may come between two pages, so the revision is that of the first page:
+        a watch from there tells what later pages show already, and misses nothing.
+
         Parameters
         ----------
         allow_stale : bool, default=False
@@ -144,10 +147,12 @@
         Raises
         ------
         PlatformError
-            If the store cannot be reached or rejects the call.
+            If the store cannot be reached, rejects the call or comes back from a copy
+            between two pages.
         """
         entries: list[StoredEntry] = []
         unreadable_count = 0
+        first_revision = first_era = None
         start_after = ""
         for _ in range(PAGE_LIMIT_COUNT):
             query = {"StartAfter": start_after} if start_after else {}
@@ -156,6 +161,14 @@
                 self.stale_call_count += 1
             response = await self._get(kind, query, "list")
             body = await self._json_body(response, "list")
+            if first_revision is None:
+                first_revision, first_era = _int_or_zero(body.get("AsOf")), self.era
+            elif self.era != first_era:
+                raise PlatformError(
+                    f"got pages of eras {first_era} and {self.era}",
+                    step="list",
+                    peer=self._http.url,
+                )
             parsed = [_parse_entry(kind, item) for item in _list_field(body, "Items")]
             entries += [entry for entry in parsed if entry is not None]
             unreadable_count += parsed.count(None)
@@ -168,7 +181,7 @@
             start_after = entries[-1].name
         return EntryBatch(
             entries=entries,
-            revision=_int_or_zero(body.get("AsOf")),
+            revision=first_revision or 0,
             unreadable_count=unreadable_count,
             era=self.era,
         )
