--- a/src/sesameknot/coordination/endpoint_slots.py
+++ b/src/sesameknot/coordination/endpoint_slots.py
@@ -61,7 +61,7 @@
         life_s : float
             Longest time for which the request may run.
         """
-        limit_per_s = endpoint.overload_limit_per_s
+        limit_per_s = self._view.overload_limit_per_s(endpoint)
         if limit_per_s is None or not endpoint.entry.slot_count:
             return HeldSlot(endpoint)
         request = EndpointSlotRequest(
@@ -103,7 +103,7 @@
         endpoint = slot.endpoint
         request = EndpointSlotRequest(
             incarnation_id=endpoint.incarnation_id,
-            overload_limit_per_s=endpoint.overload_limit_per_s or 0.0,
+            overload_limit_per_s=self._view.overload_limit_per_s(endpoint) or 0.0,
             released_id=slot.grant_id,
             refused=refused,
         )
--- a/src/sesameknot/forwarding/notice_observer.py
+++ b/src/sesameknot/forwarding/notice_observer.py
@@ -80,7 +80,7 @@
                 endpoint=endpoint.endpoint_id,
                 limit_per_s=limit_per_s,
             )
-            endpoint.overload_limit_per_s = limit_per_s
+        self._view.note_overload_limit(endpoint, limit_per_s)
 
     def _observe_pause(
         self, endpoint: KnownEndpoint, pause_s: float, request_id: str
--- a/src/sesameknot/state/fleet_view.py
+++ b/src/sesameknot/state/fleet_view.py
@@ -113,6 +113,8 @@
     endpoint_limits: EndpointLimits = field(init=False)
     outages: EndpointOutages = field(init=False)
     store: StoreAvailability = field(init=False)
+    # What the last answer of an endpoint of each service said.
+    _overload_limits_per_s: dict[str, float | None] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.store = StoreAvailability(self.clock, self.entry_life_s)
@@ -274,6 +276,24 @@
         endpoint.gone_at_s = now_s
         return False
 
+    def note_overload_limit(
+        self, endpoint: KnownEndpoint, limit_per_s: float | None
+    ) -> None:
+        """Record the overload limit that an answer names; None if it names none."""
+        endpoint.overload_limit_known = True
+        endpoint.overload_limit_per_s = limit_per_s
+        self._overload_limits_per_s[endpoint.entry.service] = limit_per_s
+
+    def overload_limit_per_s(self, endpoint: KnownEndpoint) -> float | None:
+        """Return the refusals per second beyond which an endpoint falls over, if any.
+
+        Until its first answer, it is taken to bear what an endpoint of its service said
+        last: all hosts could send to it at once before it says anything.
+        """
+        if endpoint.overload_limit_known:
+            return endpoint.overload_limit_per_s
+        return self._overload_limits_per_s.get(endpoint.entry.service)
+
     def note_leaving(self, endpoint: KnownEndpoint) -> bool:
         """Record that an endpoint's answer says that it leaves.
 
--- a/src/sesameknot/state/known_endpoint.py
+++ b/src/sesameknot/state/known_endpoint.py
@@ -33,6 +33,8 @@
         Monotonic time until which another endpoint is taken to have the address.
     paused_until_s : float
         Monotonic time until which the endpoint wants no request from this host.
+    overload_limit_known : bool
+        Whether an answer of the endpoint has shown ``overload_limit_per_s``.
     overload_limit_per_s : float or None
         Refusals per second, to all hosts, beyond which the endpoint falls over; None if
         its last answer named none.
@@ -58,6 +60,7 @@
     leaving_since_s: float | None = None
     misdirected_until_s: float = 0.0
     paused_until_s: float = 0.0
+    overload_limit_known: bool = False
     overload_limit_per_s: float | None = None
     full_until_s: float = 0.0
     in_flight_count: int = 0
--- a/tests/forwarding/test_brittle_endpoints.py
+++ b/tests/forwarding/test_brittle_endpoints.py
@@ -104,6 +104,37 @@
         fronts = await self.start_hosts(4)
         await self.check_overload(endpoints, fronts, path=STREAM_PATH)
 
+    @gen_test(timeout=120)
+    async def test_endpoints_that_start_under_load_are_not_toppled(self):
+        """Guards against hosts that all flood an endpoint before its first answer.
+
+        Endpoints start one after the other while the others of their service say that
+        they fall over, as those do that have fallen and are back.
+        """
+        endpoints = self.add_endpoints(PLAIN_SERVICE, event_count=0)
+        for endpoint in endpoints:
+            endpoint.brittle = BORNE_PER_S
+        fronts = await self.start_hosts(12)
+        await self.press(fronts, rate_per_s=30.0, duration_s=CONTACT_S)
+        pressing = asyncio.create_task(
+            self.press(fronts, rate_per_s=3.0 * CAPACITY_PER_S, duration_s=10.0)
+        )
+        for number in range(4):
+            await self.pause(2.0)
+            started = self.add_endpoint(
+                f"started-{number}",
+                PLAIN_SERVICE,
+                room_count=ROOM_COUNT,
+                delay_s=RUN_S,
+                event_count=0,
+                brittle=BORNE_PER_S,
+            )
+            endpoints.append(started)
+        await pressing
+        fall_counts = [len(endpoint.fallen_s) for endpoint in endpoints]
+        within = sum(fall_counts) <= ALLOWED_FALL_COUNT
+        self.assertThat(within, Equals(True), fall_counts)
+
     @gen_test(timeout=60)
     async def test_endpoints_with_room_serve_all(self):
         """Guards against callers refused while brittle endpoints have room."""
