--- a/src/sesameknot/coordination/store_follower.py
+++ b/src/sesameknot/coordination/store_follower.py
@@ -17,6 +17,9 @@
 # Number of recent changes that are kept for the hosts to which this one relays them.
 CHANGE_LIMIT_COUNT = 1000
 
+# Largest factor by which a pause before a retry is longer than its mean.
+RETRY_JITTER = 1.2
+
 log = structlog.get_logger(__name__)
 
 
@@ -150,7 +153,9 @@
                 # An error in one entry must not end the task that follows the others.
                 log.exception("store_follower_failed", kind=self.kind)
                 self.listed = False
-            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
+            await asyncio.sleep(
+                pause_s * random.uniform(2.0 - RETRY_JITTER, RETRY_JITTER)
+            )
             pause_s = min(self._settings.retry_max_s, pause_s * 2.0)
 
     async def _list_or_watch(self) -> None:
--- a/src/sesameknot/platform/standin/_store.py
+++ b/src/sesameknot/platform/standin/_store.py
@@ -42,6 +42,9 @@
         Whether a write is applied and its connection closed without an answer.
     withhold_changes : bool
         Whether a watch is answered only at the end of its wait when changes arrive.
+    silenced_count : int
+        Calls, the first ones, whose connections stay open without an answer if they
+        have none yet; set by :meth:`silence_open`.
     delay_s : float
         Time before each call is handled.
     call_count : int
@@ -56,6 +59,7 @@
         self.silent = False
         self.lose_write_answers = False
         self.withhold_changes = False
+        self.silenced_count = 0
         self.delay_s = 0.0
         self.call_count = 0
         self.era = "1"
@@ -76,6 +80,10 @@
         ]
         return HTTPServer(Application(routes, log_function=lambda _: None))
 
+    def silence_open(self) -> None:
+        """Let connections with a call in progress go silent; later ones work."""
+        self.silenced_count = self.call_count
+
     def get(self, kind: str, name: str) -> JsonObject | None:
         """Return an object; None if it does not exist."""
         return self._objects.get((kind, name))
@@ -253,7 +261,10 @@
             return
         wait_s = int(self.get_argument("WaitMs", "0")) / 1000.0
         deadline_s = asyncio.get_running_loop().time() + wait_s
+        call_number = store.call_count
         while True:
+            if call_number <= store.silenced_count:
+                await asyncio.Event().wait()
             events = store.events_after(kind, int(since_revision))
             if events is None:
                 self.answer(GONE_STATUS)
--- a/src/sesameknot/state/store_availability.py
+++ b/src/sesameknot/state/store_availability.py
@@ -46,6 +46,11 @@
     expired_until_s: float = float("-inf")
     returned_s: float = float("-inf")
 
+    @property
+    def shortest_expiring_outage_s(self) -> float:
+        """Duration of the shortest outage in which an entry may expire."""
+        return EXPIRING_OUTAGE_SHARE * self.entry_life_s
+
     def note_failure(self, *, timed_out: bool) -> None:
         """Record a failed call of this host.
 
@@ -102,4 +107,4 @@
         if self.unavailable_since_s is None:
             return False
         duration_s = until_s - self.unavailable_since_s
-        return duration_s >= EXPIRING_OUTAGE_SHARE * self.entry_life_s
+        return duration_s >= self.shortest_expiring_outage_s
