--- a/src/sesameknot/_front_exchange.py
+++ b/src/sesameknot/_front_exchange.py
@@ -6,6 +6,7 @@
 from sesameknot.coordination.domain_exchange import DomainExchange
 from sesameknot.coordination.host_calls import HostCalls
 from sesameknot.coordination.outage_spread import OutageSpread
+from sesameknot.coordination.relay_order import RelayOrder
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_follower import StoreFollower
@@ -25,6 +26,7 @@
     findings: SharedFindings,
     snapshots: SnapshotExchange,
     calls: HostCalls,
+    order: RelayOrder,
     endpoint_pace: EndpointPace | None,
     clock: Clock,
 ) -> tuple[DomainExchange, OutageSpread]:
@@ -36,7 +38,7 @@
         calls=calls,
         host_id=host.host_id,
         domain=host.domain,
-        relays=lambda domain: exchange.relays(domain),
+        order=order,
     )
     exchange = DomainExchange(
         view=view,
@@ -46,6 +48,7 @@
         on_new_outage=spread.pass_on,
         snapshots=snapshots,
         calls=calls,
+        order=order,
         host_id=host.host_id,
         domain=host.domain,
         clock=clock,
--- a/src/sesameknot/coordination/domain_exchange.py
+++ b/src/sesameknot/coordination/domain_exchange.py
@@ -34,6 +34,7 @@
 from sesameknot.coordination._pace_reports import PaceReports
 from sesameknot.coordination._stored_records import stored_entry
 from sesameknot.coordination.host_calls import HostCalls
+from sesameknot.coordination.relay_order import RelayOrder
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_follower import StoreFollower
@@ -48,7 +49,6 @@
 )
 from sesameknot.state.fleet_view import FleetView
 
-RELAY_COUNT = 2
 EXCHANGE_INTERVAL_S = 0.4
 CALL_TIMEOUT_S = 0.3
 # Replies are read at most this long after the call, unless this process was paused.
@@ -56,8 +56,6 @@
 # Part of the time within which a change must be in force that remains when a host whose
 # relays failed asks the store itself: for its answer and requests that are being sent.
 FALLBACK_MARGIN_S = 0.4
-# Hosts of a failure domain that are called while none of its relays answers.
-SUBSTITUTE_LIMIT_COUNT = 8
 # The store's last answer to a relay may be older than its longest wait by this much.
 PROBE_MARGIN_S = 0.4
 
@@ -83,6 +81,8 @@
         Passes on kinds that are too large for a reply.
     calls : HostCalls
         Calls other hosts.
+    order : RelayOrder
+        Tells which hosts are relays.
     host_id, domain : str
         Name of this host and its failure domain.
     clock : Clock
@@ -111,6 +111,7 @@
         on_new_outage: Callable[[], None],
         snapshots: SnapshotExchange,
         calls: HostCalls,
+        order: RelayOrder,
         host_id: str,
         domain: str,
         clock: Clock,
@@ -131,6 +132,7 @@
         self._findings = findings
         self._on_new_outage = on_new_outage
         self._calls = calls
+        self._order = order
         self._host_id = host_id
         self._domain = domain
         self._clock = clock
@@ -144,40 +146,12 @@
         self._deferred = DeferredKinds(self._followers)
         self._checks = BackgroundTasks()
 
-    def relays(self, domain: str) -> list[str]:
-        """Return the hosts of a failure domain that relay the store's changes to it.
-
-        If all of its hosts are lost, these are the ones to be called again first.
-        """
-        return self._relay_order(domain)[:RELAY_COUNT]
-
-    def _relay_order(self, domain: str) -> list[str]:
-        hosts = self._hosts_of(domain)
-        live_hosts = [h for h in hosts if not self._view.liveness.is_lost(h)]
-        return rendezvous_order(f"relay {domain}", live_hosts or hosts)
-
-    def _up_to_answering(self, domain: str, count: int) -> list[str]:
-        """Return hosts in their order as relays, up to the ``count``-th that answers.
-
-        A host that is silent may soon be lost; those after it take its place.
-        """
-        hosts = []
-        for host_id in self._relay_order(domain)[:SUBSTITUTE_LIMIT_COUNT]:
-            hosts.append(host_id)
-            count -= not self._view.liveness.is_silent(host_id)
-            if count <= 0:
-                break
-        return hosts
-
-    def _hosts_of(self, domain: str) -> list[str]:
-        return [h.host_id for h in self._view.hosts.values() if h.domain == domain]
-
     async def run(self) -> None:
         """Exchange with other hosts until cancelled."""
         round_count = 0
         while True:
             await asyncio.sleep(EXCHANGE_INTERVAL_S * random.uniform(0.9, 1.1))
-            relays = self.relays(self._domain)
+            relays = self._order.own_relays
             is_relay = self._host_id in relays or not relays
             self._with_paces = self._loads.paces_due(pace_turn(round_count))
             if self._with_paces:
@@ -198,7 +172,7 @@
 
         They are called beside the exchange, which must not wait for lost hosts.
         """
-        watched_ids = self._hosts_of(self._domain) if is_relay else []
+        watched_ids = self._order.hosts(self._domain) if is_relay else []
         due_ids = self._view.liveness.due_checks(
             host_id for host_id in watched_ids if host_id != self._host_id
         )
@@ -268,11 +242,8 @@
         up_to_date_count = await self._sync_relays(called_relays)
         if not up_to_date_count and not call_both:
             up_to_date_count = await self._sync_relays(preferred[1:])
-        if all(self._view.liveness.is_silent(relay) for relay in relays):
-            answering = self._up_to_answering(self._domain, RELAY_COUNT)
-            substitutes = [h for h in answering if h not in (*relays, self._host_id)]
-            # They may rely on this host in turn, so it watches the store all the same.
-            await self._sync_relays(substitutes)
+        # They may rely on this host in turn, so it watches the store all the same.
+        await self._sync_relays(self._order.substitutes())
         self._set_relayed(
             up_to_date_count > 0, reason=f"{up_to_date_count} relays are up to date"
         )
@@ -326,14 +297,8 @@
         return max(follower.era for follower in self._followers.values())
 
     async def _exchange_with_other_domains(self) -> None:
-        domains = {host.domain for host in self._view.hosts.values()} - {self._domain}
-        targets = [
-            host_id
-            for domain in sorted(domains)
-            for host_id in self._up_to_answering(domain, 1)
-        ]
         replies = await self._sync(
-            targets,
+            self._order.contacts_in_other_domains(),
             loads=self._loads.domain(with_paces=self._with_paces),
             versions=self._versions_if_cut_off(),
         )
@@ -374,7 +339,7 @@
 
     def _merge_findings(self, message: DomainSync | DomainSyncReply) -> None:
         has_new_outage = self._findings.merge(message)
-        if has_new_outage and self._host_id in self.relays(self._domain):
+        if has_new_outage and self._order.is_relay:
             # Relays pass it on to the hosts that they serve and to other relays.
             self._on_new_outage()
 
--- a/src/sesameknot/coordination/host_directory.py
+++ b/src/sesameknot/coordination/host_directory.py
@@ -6,11 +6,11 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 import structlog
 
 from sesameknot.clock import Clock
+from sesameknot.coordination.relay_order import RelayOrder
 from sesameknot.errors import PlatformError
 from sesameknot.platform import (
     HOST_KIND,
@@ -55,8 +55,9 @@
         This host.
     settings : StoreSettings
         Refresh interval and pauses after failures.
-    removes_lost : callable
-        Returns whether this host removes the entries of lost hosts of its domain.
+    order : RelayOrder
+        Tells whether this host is the first relay, which removes the entries of lost
+        hosts.
     clock : Clock
         Source of monotonic time.
 
@@ -74,14 +75,14 @@
         view: FleetView,
         own_host: HostEntry,
         settings: StoreSettings,
-        removes_lost: Callable[[], bool],
+        order: RelayOrder,
         clock: Clock,
     ) -> None:
         self._store = store
         self._view = view
         self._own_host = own_host
         self._settings = settings
-        self._removes_lost = removes_lost
+        self._order = order
         self._clock = clock
         self._registered_s: float | None = None
         self._deregistered = False
@@ -148,7 +149,7 @@
 
     async def _remove_lost(self, changes: EntryBatch) -> None:
         """Remove the entries of hosts of this domain that have been lost for long."""
-        if self._deregistered or not self._removes_lost():
+        if self._deregistered or not self._order.is_first_relay:
             return
         for entry in changes.entries:
             host = self._view.hosts.get(entry.name)
--- a/src/sesameknot/coordination/outage_spread.py
+++ b/src/sesameknot/coordination/outage_spread.py
@@ -8,9 +8,9 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 from sesameknot.coordination.host_calls import HostCalls
+from sesameknot.coordination.relay_order import RelayOrder
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.messages import DomainSync, DomainSyncReply
@@ -34,8 +34,8 @@
         Calls other hosts.
     host_id, domain : str
         Name of this host and its failure domain.
-    relays : callable
-        Returns the relays of a failure domain.
+    order : RelayOrder
+        Tells which hosts are relays.
     """
 
     __slots__ = (
@@ -44,7 +44,7 @@
         "_findings",
         "_host_id",
         "_new_report",
-        "_relays",
+        "_order",
         "_view",
     )
 
@@ -56,14 +56,14 @@
         calls: HostCalls,
         host_id: str,
         domain: str,
-        relays: Callable[[str], list[str]],
+        order: RelayOrder,
     ) -> None:
         self._view = view
         self._findings = findings
         self._calls = calls
         self._host_id = host_id
         self._domain = domain
-        self._relays = relays
+        self._order = order
         self._new_report = asyncio.Event()
 
     def pass_on(self) -> None:
@@ -84,12 +84,14 @@
 
     def _targets(self) -> list[str]:
         """Return the hosts that this one passes reports on to."""
-        relays = self._relays(self._domain)
+        relays = self._order.own_relays
         if self._host_id not in relays:
             return relays
         hosts = self._view.live_hosts.values()
         domains = {host.domain for host in hosts}
-        all_relays = [relay for domain in domains for relay in self._relays(domain)]
+        all_relays = [
+            relay for domain in domains for relay in self._order.relays(domain)
+        ]
         served_hosts = [
             host.host_id
             for host in hosts
--- a/src/sesameknot/front.py
+++ b/src/sesameknot/front.py
@@ -27,6 +27,7 @@
 from sesameknot.coordination.pause_guard import PauseGuard
 from sesameknot.coordination.peer_snapshot import PeerSnapshot
 from sesameknot.coordination.reachability_check import ReachabilityCheck
+from sesameknot.coordination.relay_order import RelayOrder
 from sesameknot.coordination.shared_findings import SharedFindings
 from sesameknot.coordination.snapshot_exchange import SnapshotExchange
 from sesameknot.coordination.store_link import StoreLink
@@ -155,6 +156,9 @@
         self.host_calls = HostCalls(
             view=self.view, peers=self.peer_client, clock=self.clock
         )
+        self.relay_order = RelayOrder(
+            view=self.view, host_id=self.host.host_id, domain=self.host.domain
+        )
         self.directory = HostDirectory(
             store=self.store,
             view=self.view,
@@ -165,7 +169,7 @@
                 handover_address=self.host.handover_address,
             ),
             settings=settings.store,
-            removes_lost=self._is_first_relay,
+            order=self.relay_order,
             clock=self.clock,
         )
         self.endpoint_permits = EndpointPermits(
@@ -227,6 +231,7 @@
             ),
             snapshots=self.snapshots,
             calls=self.host_calls,
+            order=self.relay_order,
             endpoint_pace=self.endpoint_pace,
             clock=self.clock,
         )
@@ -261,10 +266,6 @@
         order = rendezvous_order(f"{fingerprint:016x}", hosts)
         return order.index(self.host.host_id), len(order)
 
-    def _is_first_relay(self) -> bool:
-        relays = self.domain_exchange.relays(self.host.domain)
-        return relays[:1] == [self.host.host_id]
-
     def _information_confirmed_s(self) -> float:
         """Return when a relay or the store last told what this host knows."""
         relay_answered_s = self.domain_exchange.relay_answered_s
--- a/src/sesameknot/settings/front.py
+++ b/src/sesameknot/settings/front.py
@@ -15,8 +15,9 @@
     """Timeouts and intervals of calls to the platform's store."""
 
     call_timeout_s: DurationS = 1.0
-    # The watch of one kind has this shorter wait, so that its failure soon shows the
-    # followers of all kinds that the store does not answer.
+    # The watch of one kind waits at most so long, so that its failure soon shows the
+    # followers of all kinds that the store does not answer. With short heartbeats it
+    # waits less.
     probe_wait_s: DurationS = 3.0
     watch_wait_s: DurationS = 20.0
     watch_margin_s: DurationS = 0.8
--- a/tests/coordination/test_domain_exchange.py
+++ b/tests/coordination/test_domain_exchange.py
@@ -51,7 +51,7 @@
         fronts = [await self.start_front(f"host-{n}") for n in range(HOST_COUNT)]
         for front in fronts:
             await front.directory.refresh()
-        relays = fronts[0].domain_exchange.relays("a")
+        relays = fronts[0].relay_order.relays("a")
         direct = [f for f in fronts if f.host.host_id in relays]
         relayed = [f for f in fronts if f.host.host_id not in relays]
         await eventually(
--- a/tests/coordination/test_lost_hosts.py
+++ b/tests/coordination/test_lost_hosts.py
@@ -6,8 +6,8 @@
 from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 from tornado.testing import gen_test
 
-from sesameknot.coordination.domain_exchange import RELAY_COUNT
 from sesameknot.coordination.host_directory import LOST_ENTRY_LIFE_S
+from sesameknot.coordination.relay_order import RELAY_COUNT
 from sesameknot.platform import HOST_KIND, encode_host
 from sesameknot.policy.rendezvous import rendezvous_order
 from sesameknot.protocol.fleet_records import HostEntry
@@ -43,7 +43,7 @@
 
     def lose_relays(self, fronts, domain="a"):
         """Return the relays of a domain and the other hosts."""
-        relay_ids = fronts[0].domain_exchange.relays(domain)
+        relay_ids = fronts[0].relay_order.relays(domain)
         relays = [f for f in fronts if f.host.host_id in relay_ids]
         return relays, [f for f in fronts if f not in relays]
 
@@ -91,8 +91,8 @@
         """Guards against domains that only ever call one lost host of the other."""
         fronts = await self.start_hosts(3) + await self.start_hosts(3, domain="b")
         await self.settle(fronts)
-        exchange = fronts[0].domain_exchange
-        first_ids = [exchange.relays(domain)[0] for domain in ("a", "b")]
+        order = fronts[0].relay_order
+        first_ids = [order.relays(domain)[0] for domain in ("a", "b")]
         others = [f for f in fronts if f.host.host_id not in first_ids]
         for front in fronts:
             if front not in others:
@@ -130,7 +130,7 @@
             lambda: all(f.store_link.relayed for f in others), limit_s=CONTACT_S
         )
         self.assertThat(
-            {tuple(f.domain_exchange.relays("a")) for f in returned + others},
+            {tuple(f.relay_order.relays("a")) for f in returned + others},
             HasLength(1),
         )
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -63,7 +63,7 @@
         fronts = [await self.start_front(f"host-{n}") for n in range(4)]
         for front in fronts:
             await front.directory.refresh()
-        relays = fronts[0].domain_exchange.relays("a")
+        relays = fronts[0].relay_order.relays("a")
         relayed = next(f for f in fronts if f.host.host_id not in relays)
         await eventually(lambda: relayed.store_link.relayed)
         call = relayed.peer_client.call
