--- a/src/sesameknot/forwarding/endpoint_probes.py
+++ b/src/sesameknot/forwarding/endpoint_probes.py
@@ -207,16 +207,21 @@
         self._on_outage()
 
     def _sample_others(self, endpoint: KnownEndpoint) -> list[KnownEndpoint]:
-        """Return other endpoints, of several services if there are some."""
+        """Return other endpoints, of several services if there are some.
+
+        Those that were down lately come last: several may have crashed together.
+        """
         others = [
             other
             for other in self._view.endpoints.values()
             if other is not endpoint and self._view.may_send(other)
         ]
         random.shuffle(others)
-        by_service = {other.entry.service: other for other in others}
-        rest = [other for other in others if other not in by_service.values()]
-        return [*by_service.values(), *rest][:LINK_CHECK_COUNT]
+        outage_ages_s = self._view.outages.ages_s()
+        others.sort(key=lambda other: other.incarnation_id in outage_ages_s)
+        first_of_service = {other.entry.service: other for other in reversed(others)}
+        rest = [other for other in others if other not in first_of_service.values()]
+        return [*first_of_service.values(), *rest][:LINK_CHECK_COUNT]
 
     async def _probe(self, endpoint: KnownEndpoint) -> ProbeResult:
         """Open a connection to an endpoint; probes of one endpoint at a time share it.
--- a/tests/forwarding/test_crashing_prompt_parts.py
+++ b/tests/forwarding/test_crashing_prompt_parts.py
@@ -130,6 +130,24 @@
             await self.pause(1.0)
         self.assertThat(len(self.crashed()), LessThan(CRASH_LIMIT_COUNT + 1))
 
+    @gen_test(timeout=30)
+    async def test_link_is_not_judged_by_endpoints_that_are_known_to_be_down(self):
+        """Guards against a crash that is not counted as other endpoints crashed too.
+
+        A host counts no outage while none of a few others accepts a connection, as its
+        own link may be to blame.
+        """
+        self.add_engines(7)
+        (front,) = await self.start_hosts(1)
+        probes = front.ingress._runner.probes
+        endpoints = list(front.view.endpoints.values())
+        for endpoint in endpoints[:5]:
+            front.view.outages.observe(endpoint.incarnation_id)
+        await self.pause(1.0)
+        for _ in range(50):
+            asked = probes._sample_others(endpoints[5])
+            self.assertIn(endpoints[6], asked)
+
     @gen_test(timeout=30)
     async def test_refused_part_stays_refused_after_all_hosts_were_killed(self):
         """Guards against crashes that are needed again after a kill of all hosts."""
