--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -7,7 +7,6 @@
 from tornado.httputil import HTTPHeaders
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from sesameknot.clock import SystemClock
 from sesameknot.front import Front
 from sesameknot.platform.standin import FleetEndpoint, FleetStore
 from sesameknot.settings.front import FrontSettings
@@ -92,10 +91,6 @@
         self.endpoints = {}
         self._request_count = 0
 
-    def make_clock(self):
-        """Return the clock of the front processes."""
-        return SystemClock()
-
     def add_endpoint(
         self, endpoint_id, service, *, domain="a", version="v1", **options
     ):
--- a/tests/operator/test_screen.py
+++ b/tests/operator/test_screen.py
@@ -22,6 +22,7 @@
 from tests.coordination.rollout_fakes import team_value
 from tests.operator.fakes import TOKEN, FakeRouter
 from tests.support import LoopTestCase, eventually
+from tests.virtual_time import VirtualTimeMixin
 
 
 class FakeSource:
@@ -49,7 +50,7 @@
         return self.hosts
 
 
-class ScreenTest(LoopTestCase):
+class ScreenTest(VirtualTimeMixin, LoopTestCase):
     def setUp(self):
         super().setUp()
         self.clock = ManualClock()
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,7 +9,7 @@
 from tornado.tcpserver import TCPServer
 from tornado.testing import AsyncTestCase, bind_unused_port
 
-from sesameknot.clock import SystemClock
+from sesameknot.clock import Clock, SystemClock
 from sesameknot.transport.peer_client import PeerClient
 
 
@@ -19,9 +19,13 @@
     def setUp(self):
         super().setUp()
         self._closers: list[Callable[[], object]] = []
-        self.client = PeerClient("client", clock=SystemClock())
+        self.client = PeerClient("client", clock=self.make_clock())
         self.closing(self.client.close)
 
+    def make_clock(self) -> Clock:
+        """Return the clock of the code under test."""
+        return SystemClock()
+
     def closing(self, close: Callable[[], object]) -> None:
         """Call ``close`` at the end of the test, in reverse order."""
         self._closers.append(close)
--- a/tests/transport/test_peer.py
+++ b/tests/transport/test_peer.py
@@ -16,10 +16,28 @@
 from sesameknot.transport.peer_client import PeerClient
 from sesameknot.transport.peer_server import PeerServer
 from tests.protocol.test_compatibility import schema_with_new_kind
-from tests.support import LoopTestCase
+from tests.support import LoopTestCase, eventually
+from tests.virtual_time import LoopClock, VirtualTimeMixin
 
 
-class PeerTest(LoopTestCase):
+class _StrictClock(LoopClock):
+    """Clock that never shows the same time twice, like that of a machine."""
+
+    STEP_S = 1e-6
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self._reading_count = 0
+
+    def monotonic_s(self):
+        self._reading_count += 1
+        return super().monotonic_s() + self._reading_count * self.STEP_S
+
+
+class PeerTest(VirtualTimeMixin, LoopTestCase):
+    def make_clock(self):
+        return _StrictClock(self.io_loop.asyncio_loop)
+
     def _serve(self):
         server = PeerServer("server")
         return server, self.listen(server)
@@ -130,7 +148,7 @@
             return Done()
 
         waiting = asyncio.create_task(self.client.call(address, Ping(), expect=Done))
-        await asyncio.sleep(0.05)
+        await eventually(lambda: self.client._connections)
         message = schema_with_new_kind().Envelope.new_message(callId=900, sender="x")
         message.init("later")
         data = message.to_bytes_packed()
