--- a/tests/coordination/test_lost_hosts.py
+++ b/tests/coordination/test_lost_hosts.py
@@ -29,11 +29,15 @@
         self.store.put("config", "main", configuration())
         self.crash_count = 0
 
-    async def start_hosts(self, count=HOST_COUNT, *, domain="a"):
-        return [
+    async def start_hosts(self, count=HOST_COUNT, **other_domains):
+        """Start hosts of domain "a" and others that all know each other."""
+        fronts = [
             await self.start_front(f"{domain}-{number}", domain=domain)
-            for number in range(count)
+            for domain, domain_count in {"a": count, **other_domains}.items()
+            for number in range(domain_count)
         ]
+        await self.settle(fronts)
+        return fronts
 
     async def settle(self, fronts):
         """Wait until all hosts know each other and are up to date."""
@@ -41,91 +45,75 @@
             await front.directory.refresh()
         await self.pause(CONTACT_S)
 
-    def lose_relays(self, fronts, domain="a"):
+    def split_relays(self, fronts, domain="a"):
         """Return the relays of a domain and the other hosts."""
         relay_ids = fronts[0].relay_order.relays(domain)
         relays = [f for f in fronts if f.host.host_id in relay_ids]
         return relays, [f for f in fronts if f not in relays]
 
-    async def check_crash_reaches(self, fronts, finder):
-        """Let one host see a crash; check that all of ``fronts`` soon count it."""
-        self.crash_count += 1
-        finder.crash_guard.record(CRASHING_REQUEST, f"e{self.crash_count}")
-        await self.pause(NEWS_LIMIT_S)
-        counts = [front.crash_guard.count(CRASHING_REQUEST) for front in fronts]
-        self.assertThat(counts, Equals([self.crash_count] * len(fronts)))
+    async def lose(self, fronts, *, for_s=CONTACT_S):
+        """End hosts without a planned stop and wait."""
+        for front in fronts:
+            await front.close()
+        await self.pause(for_s)
+
+    async def check_crashes_reach(self, fronts, finders):
+        """Let hosts see a crash each; check that all of ``fronts`` soon count it."""
+        for finder in finders:
+            self.crash_count += 1
+            finder.crash_guard.record(CRASHING_REQUEST, f"e{self.crash_count}")
+            await self.pause(NEWS_LIMIT_S)
+            counts = [front.crash_guard.count(CRASHING_REQUEST) for front in fronts]
+            self.assertThat(counts, Equals([self.crash_count] * len(fronts)))
 
     @gen_test(timeout=60)
     async def test_hosts_share_crashes_after_all_their_relays_are_lost(self):
         """Guards against hosts that find nobody once both relays are lost."""
-        fronts = await self.start_hosts()
-        await self.settle(fronts)
-        relays, others = self.lose_relays(fronts)
+        relays, others = self.split_relays(await self.start_hosts())
         self.assertThat(relays, HasLength(RELAY_COUNT))
-        for relay in relays:
-            await relay.close()
-        await self.pause(CONTACT_S)
-        for finder in others:
-            await self.check_crash_reaches(others, finder)
+        await self.lose(relays)
+        await self.check_crashes_reach(others, others)
         watching = [f for f in others if not f.store_link.relayed]
         self.assertThat(watching, HasLength(RELAY_COUNT))
 
     @gen_test(timeout=60)
     async def test_hosts_share_crashes_while_their_relays_hang(self):
         """Guards against hosts that wait in vain for relays that do not answer."""
-        fronts = await self.start_hosts()
-        await self.settle(fronts)
-        relays, others = self.lose_relays(fronts)
+        relays, others = self.split_relays(await self.start_hosts())
+        await self.lose(relays, for_s=0.0)
         for relay in relays:
-            await relay.close()
             # The address accepts connections and never answers.
             ip, _, port = relay.host.peer_address.partition(":")
             server = await asyncio.start_server(lambda r, w: None, ip, int(port))
             self.closing(server.close)
         await self.pause(CONTACT_S)
-        for finder in others:
-            await self.check_crash_reaches(others, finder)
+        await self.check_crashes_reach(others, others)
 
     @gen_test(timeout=60)
     async def test_domains_share_crashes_after_the_first_relay_of_each_is_lost(self):
         """Guards against domains that only ever call one lost host of the other."""
-        fronts = await self.start_hosts(3) + await self.start_hosts(3, domain="b")
-        await self.settle(fronts)
-        order = fronts[0].relay_order
-        first_ids = [order.relays(domain)[0] for domain in ("a", "b")]
-        others = [f for f in fronts if f.host.host_id not in first_ids]
-        for front in fronts:
-            if front not in others:
-                await front.close()
-        await self.pause(CONTACT_S)
-        for finder in (others[0], others[-1]):
-            await self.check_crash_reaches(others, finder)
+        fronts = await self.start_hosts(3, b=3)
+        first_ids = [fronts[0].relay_order.relays(domain)[0] for domain in ("a", "b")]
+        lost = [front for front in fronts if front.host.host_id in first_ids]
+        others = [front for front in fronts if front not in lost]
+        await self.lose(lost)
+        await self.check_crashes_reach(others, [others[0], others[-1]])
 
     @gen_test(timeout=60)
     async def test_domain_of_which_only_one_host_is_left_is_not_alone(self):
         """Guards against a last host of a domain that finds no other domain."""
-        fronts = await self.start_hosts(2) + await self.start_hosts(3, domain="b")
-        await self.settle(fronts)
-        relays, others = self.lose_relays(fronts, "b")
-        for relay in relays:
-            await relay.close()
-        await self.pause(CONTACT_S)
-        for finder in others:
-            await self.check_crash_reaches(others, finder)
+        relays, others = self.split_relays(await self.start_hosts(2, b=3), "b")
+        await self.lose(relays)
+        await self.check_crashes_reach(others, others)
 
     @gen_test(timeout=60)
     async def test_relays_that_return_are_found_again(self):
         """Guards against two groups of hosts with relays of their own."""
-        fronts = await self.start_hosts()
-        await self.settle(fronts)
-        relays, others = self.lose_relays(fronts)
-        for relay in relays:
-            await relay.close()
-        await self.pause(3 * CONTACT_S)
+        relays, others = self.split_relays(await self.start_hosts())
+        await self.lose(relays, for_s=3 * CONTACT_S)
         returned = [await self.start_front_with(relay.host) for relay in relays]
         await self.pause(CONTACT_S)
-        for finder in (returned[0], others[0]):
-            await self.check_crash_reaches(returned + others, finder)
+        await self.check_crashes_reach(returned + others, [returned[0], others[0]])
         await eventually(
             lambda: all(f.store_link.relayed for f in others), limit_s=CONTACT_S
         )
@@ -146,7 +134,6 @@
     async def test_starting_host_gets_past_entries_of_lost_hosts(self):
         """Guards against entries of lost hosts that add up and hide the live ones."""
         fronts = await self.start_hosts(3)
-        await self.settle(fronts)
         live_ids = [*(front.host.host_id for front in fronts), "a-late"]
         for host_id in self.ids_before(live_ids, count=5):
             host = HostEntry(
@@ -159,15 +146,13 @@
         late = await self.start_front("a-late")
         await late.directory.refresh()
         await self.pause(CONTACT_S)
-        await self.check_crash_reaches([*fronts, late], late)
-        await self.check_crash_reaches([*fronts, late], fronts[0])
+        await self.check_crashes_reach([*fronts, late], [late, fronts[0]])
 
     @gen_test(timeout=60)
     async def test_host_that_was_cut_off_is_in_touch_soon_after(self):
         """Guards against a host that takes its own cut for the loss of all others."""
         fronts = await self.start_hosts()
-        await self.settle(fronts)
-        cut = self.lose_relays(fronts)[1][0]
+        cut = self.split_relays(fronts)[1][0]
         peers = cut.peer_client
         connect = peers._tcp.connect
         peers._tcp.connect = self.refuse
@@ -177,7 +162,7 @@
         self.assertThat(len(cut.view.live_hosts), LessThan(HOST_COUNT))
         peers._tcp.connect = connect
         await self.pause(CONTACT_S)
-        await self.check_crash_reaches(fronts, cut)
+        await self.check_crashes_reach(fronts, [cut])
 
     async def refuse(self, *args, **options):
         raise OSError("no route to host")
@@ -186,10 +171,7 @@
     async def test_calls_to_lost_hosts_stay_few(self):
         """Guards against calls that grow with the number of lost hosts."""
         fronts = await self.start_hosts(8)
-        await self.settle(fronts)
-        for front in fronts[1:]:
-            await front.close()
-        await self.pause(3 * CONTACT_S)
+        await self.lose(fronts[1:], for_s=3 * CONTACT_S)
         calls = []
         fronts[0].peer_client._tcp.connect = lambda *a, **o: (
             calls.append(a) or (self.refuse())
@@ -205,12 +187,9 @@
     async def test_entries_of_lost_hosts_leave_the_list(self):
         """Guards against shares of hosts that are gone for good, which nobody uses."""
         fronts = await self.start_hosts()
-        await self.settle(fronts)
-        relays, others = self.lose_relays(fronts)
+        relays, others = self.split_relays(fronts)
         lost, alive = [relays[0], *others[:2]], [relays[1], *others[2:]]
-        for front in lost:
-            await front.close()
-        await self.pause(LOST_ENTRY_LIFE_S - CONTACT_S)
+        await self.lose(lost, for_s=LOST_ENTRY_LIFE_S - CONTACT_S)
         self.assertThat(self.listed_ids(alive), HasLength(HOST_COUNT))
         # The hosts read the list every 8 s, and the lost ones must be noticed first.
         await self.pause(30.0)
@@ -221,7 +200,6 @@
     async def test_host_whose_entry_was_removed_adds_it_again(self):
         """Guards against a live host that others never find again."""
         fronts = await self.start_hosts(3)
-        await self.settle(fronts)
         self.store.remove(HOST_KIND, "a-1")
         await self.pause(20.0)
         self.assertThat(self.listed_ids(fronts), HasLength(3))
