Count six released builds in both tests; run slow streams on virtual time

- test_unread_streams_count_against_the_limit_of_all_answers looked 0.5 s of wall time after the streams began.
Its log shows the first stream at the limit 1,034 ms after its beginning: the host was still filling the connections.
On virtual time the half second passes when nothing is left to do.
The check and its bounds are unchanged.

--- a/tests/coordination/test_pace_reports.py
+++ b/tests/coordination/test_pace_reports.py
@@ -195,7 +195,7 @@
             endpoint_ids=["e1"], in_flight_counts=[3], pending_tokens=[40]
         )
         add_paces(columns, {KEY: (1.0, 4.0)})
-        self.assertThat(RELEASED, HasLength(5))
+        self.assertThat(RELEASED, HasLength(6))
         for path in map(pathlib.Path, RELEASED):
             received = over_the_wire(columns, path)
             self.assertThat(received.in_flight_counts, Equals([3]))
--- a/tests/forwarding/test_slow_readers.py
+++ b/tests/forwarding/test_slow_readers.py
@@ -23,6 +23,7 @@
 from tests.front_world import configuration as make_configuration
 from tests.scripted_endpoint import ScriptRunner
 from tests.support import eventually
+from tests.virtual_time import VirtualTimeMixin
 
 # Above what the kernel buffers for a connection, below the limit of one answer.
 BODY = bytes(7_500_000)
@@ -116,7 +117,7 @@
             self.assertThat(endpoint.in_flight_count, Equals(0))
 
 
-class SlowStreamTest(SlowReaderWorld):
+class SlowStreamTest(VirtualTimeMixin, SlowReaderWorld):
     async def start_streams(self, event_bytes, **limits):
         """Start a host whose model endpoints send events without end."""
 
